Domain types, pure scheduler, gangs under leases with a fenced planner

Cause: nothing existed. The gang invariants decide the shape of everything else, so they come first, as pure state machines that a test can drive.

Weighed: a leader elected through the log (stops when the log does), a consensus group (ruled out by the users), and fencing at the workers. Taken: workers refuse lower tokens; a planner starts gangs only under a strict majority of fresh answers, renews under at least half.

Found by the property while writing it: a worker that dies between two releases leaves its gang short; that is a fault and not a start, so the check now allows it for at most one lease.

--- /dev/null
+++ b/domain/resources.go
@@ -0,0 +1,56 @@
+package domain
+
+// Resources is an amount of what a worker has and a task needs.
+type Resources struct {
+	// Accelerators is the number of whole accelerators.
+	Accelerators int `json:"accelerators"`
+	// CPU is the number of processor cores.
+	CPU int `json:"cpu,omitempty"`
+	// MemoryMiB is the amount of main memory in MiB.
+	MemoryMiB int `json:"memory_mib,omitempty"`
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.Accelerators + o.Accelerators, r.CPU + o.CPU, r.MemoryMiB + o.MemoryMiB}
+}
+
+// Sub returns r - o; components may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.Accelerators - o.Accelerators, r.CPU - o.CPU, r.MemoryMiB - o.MemoryMiB}
+}
+
+// Times returns r multiplied by n.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.Accelerators * n, r.CPU * n, r.MemoryMiB * n}
+}
+
+// Fits tells whether r is available in o, component by component.
+func (r Resources) Fits(o Resources) bool {
+	return r.Accelerators <= o.Accelerators && r.CPU <= o.CPU && r.MemoryMiB <= o.MemoryMiB
+}
+
+// Count returns how many times unit fits into r, at most limit. Components
+// that unit does not ask for do not bound the result.
+func (r Resources) Count(unit Resources, limit int) int {
+	n := limit
+	n = boundBy(n, r.Accelerators, unit.Accelerators)
+	n = boundBy(n, r.CPU, unit.CPU)
+	return boundBy(n, r.MemoryMiB, unit.MemoryMiB)
+}
+
+func boundBy(n, have, need int) int {
+	if have < 0 {
+		return 0
+	}
+	if need <= 0 {
+		return n
+	}
+	return min(n, have/need)
+}
+
+// IsZero tells whether nothing is asked for.
+func (r Resources) IsZero() bool { return r == Resources{} }
+
+// Negative tells whether any component is below zero.
+func (r Resources) Negative() bool { return r.Accelerators < 0 || r.CPU < 0 || r.MemoryMiB < 0 }
--- /dev/null
+++ b/guarantee/bind.go
@@ -0,0 +1,168 @@
+// Package guarantee binds each account's guaranteed shapes to cells: concrete
+// parts of concrete workers. The invariant that it keeps is, for every worker,
+//
+//	sum of cells + pinned use <= capacity
+//
+// where pinned use is what can't be taken back. Whoever else uses a cell is a
+// preemptible borrower. It follows at once that an account can always reclaim:
+// its unused cells hold nothing but free amounts and preemptible borrowers.
+// This is the virtual private cluster of HiveD (OSDI 2020), with cells of any
+// shape in place of buddy cells.
+package guarantee
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/placement"
+)
+
+// Cell is one guaranteed block and the workers that back it.
+type Cell struct {
+	Account domain.AccountID `json:"account"`
+	// Guarantee and Block are the position in the account's declaration.
+	Guarantee int              `json:"guarantee"`
+	Block     int              `json:"block"`
+	Shape     domain.Shape     `json:"shape"`
+	Placement domain.Placement `json:"placement"`
+}
+
+func (c Cell) key() cellKey { return cellKey{c.Account, c.Guarantee, c.Block} }
+
+type cellKey struct {
+	account          domain.AccountID
+	guarantee, block int
+}
+
+// Unmet is a guaranteed block that no workers back at present, because the
+// fleet has shrunk or because pinned use has yet to end.
+type Unmet struct {
+	Account domain.AccountID `json:"account"`
+	Shape   domain.Shape     `json:"shape"`
+	// Largest is how many of the shape's tasks would fit.
+	Largest int `json:"largest"`
+}
+
+// Binding is the cells of one data centre.
+type Binding struct {
+	Cells []Cell  `json:"cells"`
+	Unmet []Unmet `json:"unmet,omitempty"`
+}
+
+// Bind gives every guaranteed block of the data centre a cell. Cells of the
+// previous binding stay where they are as long as their workers last, so that
+// running gangs keep their ground. The cluster carries pinned use only; Bind
+// adds the cells to it.
+func Bind(c *placement.Cluster, dc domain.DataCentre, accounts map[domain.AccountID]domain.ClientAccount, previous Binding) Binding {
+	b := binder{cluster: c, previous: map[cellKey]Cell{}}
+	for _, cell := range previous.Cells {
+		b.previous[cell.key()] = cell
+	}
+	wanted := Wanted(dc, accounts)
+	var missing []Cell
+	for _, cell := range wanted {
+		if !b.keep(cell) {
+			missing = append(missing, cell)
+		}
+	}
+	for _, cell := range missing {
+		b.bind(cell)
+	}
+	return b.out
+}
+
+// Wanted lists the declared blocks of one data centre, largest first, which is
+// the order that packs best.
+func Wanted(dc domain.DataCentre, accounts map[domain.AccountID]domain.ClientAccount) []Cell {
+	var out []Cell
+	for id, account := range accounts {
+		for g, declared := range account.Guarantees {
+			if declared.DataCentre != dc {
+				continue
+			}
+			for block := range declared.Count {
+				out = append(out, Cell{Account: id, Guarantee: g, Block: block, Shape: declared.Shape})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Cell) int {
+		return cmp.Or(
+			cmp.Compare(b.Shape.Accelerators(), a.Shape.Accelerators()),
+			cmp.Compare(a.Account, b.Account),
+			cmp.Compare(a.Guarantee, b.Guarantee),
+			cmp.Compare(a.Block, b.Block))
+	})
+	return out
+}
+
+type binder struct {
+	cluster  *placement.Cluster
+	finder   placement.Finder
+	previous map[cellKey]Cell
+	out      Binding
+}
+
+// room is what a worker can still promise: neither pinned nor in a cell.
+func room(n *placement.Node) domain.Resources {
+	return n.Worker.Capacity.Sub(n.Pinned).Sub(n.CellTotal)
+}
+
+func (b *binder) keep(cell Cell) bool {
+	old, ok := b.previous[cell.key()]
+	if !ok || old.Shape != cell.Shape {
+		return false
+	}
+	for _, a := range old.Placement {
+		n := b.cluster.Node(a.Worker)
+		if n == nil || !n.Schedulable || !cell.Shape.PerTask.Times(a.Tasks).Fits(room(n)) {
+			return false
+		}
+	}
+	b.add(old)
+	return true
+}
+
+func (b *binder) bind(cell Cell) {
+	found, ok := b.finder.Find(b.cluster, cell.Shape, placement.BestFit, room)
+	if !ok {
+		largest := b.finder.LargestBlock(b.cluster, cell.Shape, room)
+		b.out.Unmet = append(b.out.Unmet, Unmet{Account: cell.Account, Shape: cell.Shape, Largest: largest})
+		return
+	}
+	cell.Placement = found
+	b.add(cell)
+}
+
+func (b *binder) add(cell Cell) {
+	for _, a := range cell.Placement {
+		b.cluster.Node(a.Worker).AddCell(cell.Account, cell.Shape.PerTask.Times(a.Tasks))
+	}
+	b.out.Cells = append(b.out.Cells, cell)
+}
+
+// Same tells whether two bindings put the same blocks on the same workers.
+func (b Binding) Same(o Binding) bool {
+	return slices.EqualFunc(b.Cells, o.Cells, func(x, y Cell) bool {
+		return x.key() == y.key() && x.Shape == y.Shape && slices.Equal(x.Placement, y.Placement)
+	})
+}
+
+// Violation is a worker on which the reclaim invariant does not hold.
+type Violation struct {
+	Worker domain.WorkerID
+	// Short is what is missing; positive components are short.
+	Short domain.Resources
+}
+
+// Violations checks the reclaim invariant on every schedulable worker.
+func Violations(c *placement.Cluster) []Violation {
+	var out []Violation
+	for i := range c.Nodes {
+		n := &c.Nodes[i]
+		if left := room(n); n.Schedulable && left.Negative() {
+			out = append(out, Violation{Worker: n.Worker.ID, Short: domain.Resources{}.Sub(left)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/planner/plan.go
@@ -0,0 +1,145 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/gang"
+	"github.com/cobalttide/cobalttide/scheduler"
+	"github.com/cobalttide/cobalttide/state"
+)
+
+// planIfDue plans when something has changed, or when PlanEvery has passed.
+func (c *Core) planIfDue(in Inputs) {
+	if !c.mayStart(in.Now) {
+		return
+	}
+	due := c.dirty || in.Version != c.lastVersion || in.Now.Sub(c.lastPlan) >= c.options.PlanEvery
+	if !due {
+		return
+	}
+	c.dirty = false
+	c.lastVersion = in.Version
+	c.lastPlan = in.Now
+	snapshot := c.snapshot(in)
+	c.apply(scheduler.Make(snapshot, c.options.Policy), snapshot, in)
+}
+
+// snapshot is what the scheduler decides on.
+func (c *Core) snapshot(in Inputs) scheduler.Snapshot {
+	s := scheduler.Snapshot{
+		Now: in.Now, DataCentre: c.DataCentre, Accounts: in.Accounts, Workers: c.order,
+		Unschedulable: c.unschedulable(in), Binding: c.binding, Reservations: c.reservations,
+	}
+	for _, id := range sortedJobs(c.machines) {
+		s.Gangs = append(s.Gangs, c.gangView(c.machines[id], in.Now))
+	}
+	for _, m := range c.orphans {
+		s.Gangs = append(s.Gangs, c.gangView(m, in.Now))
+	}
+	for _, status := range in.Jobs {
+		if c.waits(status, in) {
+			s.Waiting = append(s.Waiting, scheduler.Waiting{
+				Job: status.Job, Class: in.Classes[status.Job.Class], Since: status.Job.Submitted,
+				Expected: c.estimates.Expect(status.Job), Avoid: status.FailedOn,
+			})
+		}
+	}
+	return s
+}
+
+func (c *Core) waits(status state.Status, in Inputs) bool {
+	local := c.localOf(status.Job.ID)
+	if status.CancelRequested || local.ended || c.machines[status.Job.ID] != nil {
+		return false
+	}
+	// A running state here is this planner's own attempt, whose end the log
+	// has yet to show.
+	return !in.Now.Before(local.notBefore)
+}
+
+func (c *Core) gangView(m *gang.Machine, now time.Time) scheduler.Gang {
+	return scheduler.Gang{
+		Job: m.Job, Class: m.Class, Placement: m.Placement, Guaranteed: m.Guaranteed,
+		Stopping: m.Phase() == gang.Checkpointing || m.Phase() == gang.Stopping,
+		Started:  m.Began, Saved: m.Saved,
+		Remaining: c.estimates.Remaining(m.Job, now.Sub(m.Began)),
+	}
+}
+
+// unschedulable are workers that are silent, drained or in quarantine.
+func (c *Core) unschedulable(in Inputs) map[domain.WorkerID]bool {
+	out := c.book.Aside(c.order, in.Now)
+	for _, spec := range c.order {
+		w := c.workers[spec.ID]
+		silent := !w.claimed || in.Now.Sub(w.acked) > c.options.Authority
+		if silent || in.Draining[spec.ID] {
+			out[spec.ID] = true
+		}
+	}
+	return out
+}
+
+// apply carries a plan out. Between the snapshot and here nothing has changed,
+// because Core runs one step at a time; the workers check once more.
+func (c *Core) apply(plan scheduler.Plan, snapshot scheduler.Snapshot, in Inputs) {
+	c.reservations = plan.Reservations
+	c.held = make(map[domain.JobID]scheduler.Held, len(plan.Held))
+	for _, held := range plan.Held {
+		c.held[held.Job] = held
+	}
+	if !plan.Binding.Same(c.binding) {
+		id := fmt.Sprintf("binding/%d/%s/%d", c.Token.Epoch, c.Token.Holder, in.Now.UnixNano())
+		c.emit(id, state.KindBinding, state.BindingChanged{Binding: plan.Binding})
+	}
+	c.binding = plan.Binding
+	for _, p := range plan.Preemptions {
+		if m, ok := c.machines[p.Job]; ok {
+			m.Preempt(in.Now, p.Grace)
+		}
+	}
+	c.start(plan.Starts, snapshot, in)
+	c.drain(in)
+}
+
+func (c *Core) start(starts []scheduler.Start, snapshot scheduler.Snapshot, in Inputs) {
+	waiting := make(map[domain.JobID]*scheduler.Waiting, len(snapshot.Waiting))
+	for i := range snapshot.Waiting {
+		waiting[snapshot.Waiting[i].Job.ID] = &snapshot.Waiting[i]
+	}
+	attempts := make(map[domain.JobID]uint64, len(in.Jobs))
+	for _, status := range in.Jobs {
+		attempts[status.Job.ID] = status.Gang.Attempt
+	}
+	for _, s := range starts {
+		w := waiting[s.Job]
+		local := c.localOf(s.Job)
+		local.attempt = max(local.attempt, attempts[s.Job]) + 1
+		id := domain.Incarnation{Job: s.Job, Attempt: local.attempt, Holder: c.Token.Holder}
+		m := gang.New(w.Job, w.Class, id, s.Placement, s.Guaranteed, c.options.Timing, in.Now)
+		if c.options.UnorderedStart {
+			m.StartMembersUnordered()
+		}
+		c.machines[s.Job] = m
+	}
+}
+
+// drain preempts the gangs on workers that operators are emptying, where their
+// class allows it; the others are left to finish.
+func (c *Core) drain(in Inputs) {
+	if len(in.Draining) == 0 {
+		return
+	}
+	for _, m := range c.machines {
+		if m.Phase() != gang.Running || !m.Class.Preemptible() {
+			continue
+		}
+		for _, worker := range m.Workers() {
+			if in.Draining[worker] {
+				m.Preempt(in.Now, m.Class.Grace.Std())
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/filter_quota.go
@@ -0,0 +1,53 @@
+package scheduler
+
+import (
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/placement"
+)
+
+// feasible parks a job that the schedulable fleet could not hold even empty.
+// It holds no reservation while it is parked.
+func feasible(c *cycle, w *Waiting) verdict {
+	if c.empty == nil {
+		c.empty = NewCluster(c.Snapshot)
+	}
+	whole := func(n *placement.Node) domain.Resources { return n.Worker.Capacity }
+	key := failedKey{shape: w.Job.Shape, mode: modeEmpty}
+	failure, tried := c.failed[key]
+	if !tried {
+		_, fits := c.finder.Find(c.empty, w.Job.Shape, placement.FirstFit, whole)
+		if !fits {
+			failure.largest = c.finder.LargestBlock(c.empty, w.Job.Shape, whole)
+			failure.failed = true
+		}
+		c.failed[key] = failure
+	}
+	if !failure.failed {
+		return pass
+	}
+	c.unmark(w.Job.ID)
+	c.holdBack(w, HeldNeverRunnable, w.Job.Shape.Tasks, failure.largest)
+	return hold
+}
+
+// teamCeiling holds a job whose team would exceed its ceiling.
+func teamCeiling(c *cycle, w *Waiting) verdict {
+	block := c.usage.TeamBlock(w.Job, c.Accounts[w.Job.Account])
+	if block == nil {
+		return pass
+	}
+	c.unmark(w.Job.ID)
+	c.holdBack(w, HeldTeamCeiling, block.Need, block.Have)
+	return hold
+}
+
+// accountCeiling holds a job that would borrow beyond its account's ceiling.
+func accountCeiling(c *cycle, w *Waiting) verdict {
+	block := c.usage.BorrowBlock(w.Job, c.Accounts[w.Job.Account])
+	if block == nil {
+		return pass
+	}
+	c.unmark(w.Job.ID)
+	c.holdBack(w, HeldAccountCeiling, block.Need, block.Have)
+	return hold
+}
--- /dev/null
+++ b/scheduler/plan.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/guarantee"
+	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/quota"
+)
+
+// verdict is what a filter says of a waiting job.
+type verdict int
+
+const (
+	pass verdict = iota // the next filter decides
+	done                // started, or its place is booked
+	hold                // waits; the filter has noted why
+)
+
+// filter is one step of the pipe.
+type filter func(c *cycle, w *Waiting) verdict
+
+// pipe is the order in which filters see a job.
+var pipe = []filter{feasible, teamCeiling, guaranteed, accountCeiling, borrow, urgent, starved}
+
+// cycle is the state of one call of Plan.
+type cycle struct {
+	Snapshot
+	policy  Policy
+	cluster *placement.Cluster
+	empty   *placement.Cluster
+	usage   *quota.Usage
+	finder  placement.Finder
+	gangs   []Gang
+	// onNode lists the indices in gangs of the preemptible gangs of a worker.
+	onNode   map[domain.WorkerID][]int
+	reserved map[domain.JobID]Reservation
+	failed   map[failedKey]placementFailure
+	plan     Plan
+}
+
+// Make decides what starts now.
+func Make(s Snapshot, policy Policy) Plan {
+	c := newCycle(s, policy)
+	for _, w := range c.order() {
+		if c.consider(w) == hold && policy.NoBackfill {
+			break
+		}
+	}
+	return c.plan
+}
+
+func (c *cycle) consider(w *Waiting) verdict {
+	for _, f := range pipe {
+		if v := f(c, w); v != pass {
+			return v
+		}
+	}
+	c.holdBack(w, HeldNoBlock, w.Job.Shape.Tasks, 0)
+	return hold
+}
+
+func newCycle(s Snapshot, policy Policy) *cycle {
+	c := &cycle{
+		Snapshot: s,
+		policy:   policy,
+		cluster:  NewCluster(s),
+		gangs:    append([]Gang(nil), s.Gangs...),
+		onNode:   map[domain.WorkerID][]int{},
+		reserved: map[domain.JobID]Reservation{},
+		failed:   map[failedKey]placementFailure{},
+	}
+	c.usage = quota.NewUsage(c.cluster.Capacity())
+	for i := range c.gangs {
+		c.book(i)
+	}
+	if policy.Guarantees {
+		c.plan.Binding = BindCells(c.cluster, s)
+	}
+	c.keepReservations()
+	return c
+}
+
+// NewCluster lays out the snapshot's workers with nothing on them.
+func NewCluster(s Snapshot) *placement.Cluster {
+	cluster := placement.NewCluster(s.Workers)
+	for id := range s.Unschedulable {
+		if n := cluster.Node(id); n != nil {
+			n.Schedulable = false
+		}
+	}
+	return cluster
+}
+
+// book enters a gang into usage and into what its workers hold.
+func (c *cycle) book(i int) {
+	g := &c.gangs[i]
+	c.usage.Add(g.Job, g.Guaranteed)
+	for _, a := range g.Placement {
+		n := c.cluster.Node(a.Worker)
+		if n == nil {
+			continue
+		}
+		amount := g.Job.Shape.PerTask.Times(a.Tasks)
+		n.Used = n.Used.Add(amount)
+		switch {
+		case g.Stopping:
+			n.Stopping = n.Stopping.Add(amount)
+		case g.preemptible():
+			c.onNode[a.Worker] = append(c.onNode[a.Worker], i)
+		case !g.Guaranteed:
+			n.Pinned = n.Pinned.Add(amount)
+		}
+	}
+}
+
+// BindCells binds the guarantees around what is pinned, then books guaranteed
+// gangs into their cells. What exceeds them, because a binding has moved, is
+// pinned, and the cells are bound once more around it.
+func BindCells(cluster *placement.Cluster, s Snapshot) guarantee.Binding {
+	binding := guarantee.Bind(cluster, s.DataCentre, s.Accounts, s.Binding)
+	if !pinExcess(cluster, s.Gangs) {
+		return binding
+	}
+	for i := range cluster.Nodes {
+		cluster.Nodes[i].Cells = nil
+		cluster.Nodes[i].CellTotal = domain.Resources{}
+	}
+	binding = guarantee.Bind(cluster, s.DataCentre, s.Accounts, binding)
+	bookCells(cluster, s.Gangs)
+	return binding
+}
+
+func pinExcess(cluster *placement.Cluster, gangs []Gang) bool {
+	any := false
+	for i := range gangs {
+		g := &gangs[i]
+		if !g.Guaranteed || g.Stopping {
+			continue
+		}
+		for _, a := range g.Placement {
+			n := cluster.Node(a.Worker)
+			if n == nil {
+				continue
+			}
+			excess := n.UseCell(g.Job.Account, g.Job.Shape.PerTask.Times(a.Tasks))
+			if !excess.IsZero() {
+				n.Pinned = n.Pinned.Add(excess)
+				any = true
+			}
+		}
+	}
+	return any
+}
+
+func bookCells(cluster *placement.Cluster, gangs []Gang) {
+	for i := range gangs {
+		g := &gangs[i]
+		if !g.Guaranteed || g.Stopping {
+			continue
+		}
+		for _, a := range g.Placement {
+			if n := cluster.Node(a.Worker); n != nil {
+				n.UseCell(g.Job.Account, g.Job.Shape.PerTask.Times(a.Tasks))
+			}
+		}
+	}
+}
+
+// keepReservations drops reservations of jobs that no longer wait, and marks
+// the workers of the others.
+func (c *cycle) keepReservations() {
+	waiting := make(map[domain.JobID]bool, len(c.Waiting))
+	for i := range c.Waiting {
+		waiting[c.Waiting[i].Job.ID] = true
+	}
+	for _, r := range c.Reservations {
+		if waiting[r.Job] && len(c.reserved) < c.policy.MaxReservations {
+			c.mark(r)
+		}
+	}
+}
+
+func (c *cycle) mark(r Reservation) {
+	c.reserved[r.Job] = r
+	for _, id := range r.Workers {
+		if n := c.cluster.Node(id); n != nil {
+			n.ReservedFor = r.Job
+			n.ReservedUntil = r.Start
+		}
+	}
+}
+
+func (c *cycle) unmark(job domain.JobID) {
+	for _, id := range c.reserved[job].Workers {
+		if n := c.cluster.Node(id); n != nil && n.ReservedFor == job {
+			n.ReservedFor = ""
+			n.ReservedUntil = time.Time{}
+		}
+	}
+	delete(c.reserved, job)
+}
+
+// start books the job and notes it in the plan.
+func (c *cycle) start(w *Waiting, p domain.Placement, guaranteed bool) {
+	c.unmark(w.Job.ID)
+	c.occupy(w, p, guaranteed)
+	c.plan.Starts = append(c.plan.Starts, Start{Job: w.Job.ID, Placement: p, Guaranteed: guaranteed})
+}
+
+// occupy takes the place, so that no later job of this plan can.
+func (c *cycle) occupy(w *Waiting, p domain.Placement, guaranteed bool) {
+	c.usage.Add(w.Job, guaranteed)
+	for _, a := range p {
+		n := c.cluster.Node(a.Worker)
+		amount := w.Job.Shape.PerTask.Times(a.Tasks)
+		n.Used = n.Used.Add(amount)
+		switch {
+		case guaranteed:
+			n.UseCell(w.Job.Account, amount)
+		case !w.Class.Preemptible():
+			n.Pinned = n.Pinned.Add(amount)
+		}
+	}
+}
+
+func (c *cycle) holdBack(w *Waiting, reason HeldReason, need, have int) {
+	held := Held{Job: w.Job.ID, Reason: reason, Need: need, Have: have}
+	if r, ok := c.reserved[w.Job.ID]; ok {
+		held.StartBy = r.Start
+	}
+	c.plan.Held = append(c.plan.Held, held)
+}
