The thin path as separate processes

A request goes from a caller through an instance to a backend server and back, and a gang job from a caller to workers and back, as separate processes over TCP: standin, two cobalttided, cobaltctl.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+.PHONY: test generate capacity bench demo
+
+# The README's test command.
+test:
+	go test -race ./...
+
+# Generates the operators' RPC code from its schema.
+generate:
+	tools/generate.sh
+
+# Measures the slopes of docs/CAPACITY.md again.
+capacity:
+	go test ./bench -run TestCapacity -capacity -v -timeout 20m
+
+# The policy and routing benchmarks of docs/MEASUREMENTS.md.
+bench:
+	go test ./bench -run XXX -bench . -benchtime 1x -timeout 60m
+
+demo:
+	go run ./cmd/cobaltctl demo -deployment midlands
--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/platform"
 )
 
 // Version counts the accepted changes of a deployment's configuration.
@@ -104,6 +105,8 @@
 	Declarations Declarations `json:"declarations"`
 	// LastChange is the id of the change that made this version.
 	LastChange string `json:"last_change,omitempty"`
+	// Operator is who made it.
+	Operator string `json:"operator,omitempty"`
 }
 
 // Store holds the newest snapshot that an instance knows. Versions only go up,
@@ -115,6 +118,8 @@
 	outcomes map[string]Outcome
 	order    []string
 	watchers []chan struct{}
+	// history holds past snapshots, oldest first.
+	history []Snapshot
 }
 
 // Outcome is what became of one change in the log's order.
@@ -162,7 +167,8 @@
 		s.current.Version = outcome.Version
 		s.current.Declarations = change.Apply(s.current.Declarations)
 		s.current.LastChange = change.ID
-		s.notify()
+		s.current.Operator = change.Operator
+		s.changed()
 	}
 	s.remember(change.ID, outcome)
 	return outcome
@@ -202,10 +208,32 @@
 	// The offset moves with the version: records below it are part of the
 	// snapshot, and Fold passes them over.
 	s.current = snapshot
-	s.notify()
+	s.changed()
 	return true
 }
 
+// keptHistory bounds the versions that can be looked up and rolled back to.
+const keptHistory = 100
+
+func (s *Store) changed() {
+	s.history = append(s.history, s.current)
+	if len(s.history) > keptHistory {
+		s.history = s.history[1:]
+	}
+	s.notify()
+}
+
+// History returns up to limit versions, newest first.
+func (s *Store) History(limit int) []Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Snapshot
+	for i := len(s.history) - 1; i >= 0 && len(out) < limit; i-- {
+		out = append(out, s.history[i])
+	}
+	return out
+}
+
 // Outcome returns what became of a change, when it has been folded.
 func (s *Store) Outcome(id string) (Outcome, bool) {
 	s.mu.Lock()
@@ -229,3 +257,16 @@
 	}
 	s.watchers = nil
 }
+
+// FoldEntry folds an entry of the configuration stream. Other kinds, and
+// changes that can't be read, are passed over by every instance alike.
+func (s *Store) FoldEntry(e platform.Entry) Outcome {
+	var change Change
+	if e.Record.Kind != KindChange || json.Unmarshal(e.Record.Data, &change) != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.advance(e.Offset)
+		return Outcome{Version: s.current.Version}
+	}
+	return s.Fold(e.Offset, change)
+}
--- a/configuration/validate.go
+++ b/configuration/validate.go
@@ -72,9 +72,7 @@
 }
 
 func (v *validator) shape(field string, s domain.Shape) {
-	for _, problem := range ShapeProblems(field, s) {
-		v.problems = append(v.problems, problem)
-	}
+	v.problems = append(v.problems, ShapeProblems(field, s)...)
 }
 
 // ShapeProblems checks one shape, of a guarantee or of a job.
--- a/gang/machine.go
+++ b/gang/machine.go
@@ -357,17 +357,29 @@
 	}
 }
 
-// WantsRenewal tells whether the gang's leases are to be renewed: only while no
-// member has ended or gone silent, so that leases lapse together.
-func (m *Machine) WantsRenewal(now time.Time) bool {
-	switch m.phase {
-	case Stopping, Ended:
+// WantsRenewal tells whether a member's lease is to be renewed. While any other
+// member has not been heard of for half a lease, the healthy ones are not
+// renewed: after a death the rest of a gang goes on for one and a half leases
+// at most, even if its planner dies too.
+func (m *Machine) WantsRenewal(worker domain.WorkerID, now time.Time) bool {
+	if m.phase == Stopping || m.phase == Ended {
 		return false
 	}
-	return m.all(func(mem *member) bool {
-		running := mem.state.Live() && now.Before(mem.surely)
-		return running || mem.state == platform.TaskFinished || (m.phase == Reserving && mem.state == platform.TaskAbsent)
-	})
+	fresh := true
+	for _, mem := range m.members {
+		switch {
+		case mem.state == platform.TaskFinished:
+		case mem.state == platform.TaskAbsent && m.phase == Reserving:
+		case !mem.state.Live() || now.After(mem.surely):
+			return false
+		case now.Add(m.timing.Lease / 2).After(mem.surely):
+			fresh = false
+			if mem.worker == worker {
+				return true
+			}
+		}
+	}
+	return fresh
 }
 
 // RenewalSent notes that a renewal up to until may reach the worker.
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,338 @@
+// Package instance is the library behind cobalttided: it wires the pipelines,
+// the planner's role, membership and state of one instance together. All
+// instances are alike; none keeps anything that the platform or its peers don't
+// also have.
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/kit/endpoint"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobalttide/cobalttide/attempt"
+	"github.com/cobalttide/cobalttide/configuration"
+	"github.com/cobalttide/cobalttide/dispatch"
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/limit"
+	"github.com/cobalttide/cobalttide/membership"
+	"github.com/cobalttide/cobalttide/planner"
+	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/platform/client"
+	"github.com/cobalttide/cobalttide/retry"
+	"github.com/cobalttide/cobalttide/routing"
+	"github.com/cobalttide/cobalttide/settings"
+	"github.com/cobalttide/cobalttide/state"
+	"github.com/cobalttide/cobalttide/transport/peer"
+)
+
+// Platform is everything that an instance asks of the platform.
+type Platform interface {
+	platform.Log
+	platform.Lister
+	platform.Workers
+}
+
+// Instance is one running instance.
+type Instance struct {
+	ID       domain.InstanceID
+	Settings settings.Settings
+	Metrics  *Metrics
+
+	log      *logrus.Entry
+	platform Platform
+	peers    *peer.Pool
+	counters *peer.Counters
+	secret   []byte
+
+	configuration *configuration.Store
+	jobs          *state.Jobs
+	ledger        *attempt.Ledger
+	journal       *state.Journal
+	held          *heldRecords
+	followers     map[platform.Stream]*state.Follower
+
+	table    *routing.Table
+	gate     *limit.Gate
+	rates    *limit.Rates
+	keeper   *attempt.Keeper
+	requests endpoint.Endpoint
+	planner  *planner.Runner
+
+	members   memberTable
+	inventory atomic.Pointer[platform.Inventory]
+	draining  drainSet
+	leaving   atomic.Bool
+	planning  atomic.Bool
+	recovered atomic.Bool
+	inFlight  sync.WaitGroup
+
+	callers, peersListener net.Listener
+	server                 *http.Server
+	peerServer             *peer.Server
+	wg                     sync.WaitGroup
+	cancel                 context.CancelFunc
+}
+
+// Options replace parts of an instance; the zero value is a production one.
+type Options struct {
+	// Platform replaces the HTTP client of the platform.
+	Platform Platform
+	// Log replaces the process's logger.
+	Log *logrus.Logger
+	// Planner replaces the planner's options.
+	Planner *planner.Options
+}
+
+// New makes an instance from checked settings. It opens its listeners, so that
+// a wrong address is noticed here; Run does the rest.
+func New(s settings.Settings, options Options) (*Instance, error) {
+	secret, err := readSecret(s.PeerSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	in := &Instance{
+		ID: domain.InstanceID(string(s.Instance) + "-" + suffix()), Settings: s,
+		Metrics: newMetrics(), secret: secret, counters: &peer.Counters{},
+		configuration: configuration.NewStore(), jobs: state.NewJobs(), ledger: attempt.NewLedger(),
+		followers: map[platform.Stream]*state.Follower{},
+		table:     routing.NewTable(s.DataCentre, routing.DefaultOptions()),
+		rates:     limit.NewRates(), draining: drainSet{workers: map[domain.WorkerID]bool{}},
+		platform: options.Platform,
+	}
+	in.log = logger(options.Log, s).WithFields(logrus.Fields{"instance": in.ID, "data_centre": s.DataCentre})
+	if in.platform == nil {
+		in.platform = client.New(s.Platform.Log, s.Platform.List, s.DataCentre)
+	}
+	in.inventory.Store(&platform.Inventory{})
+	if err := in.listen(); err != nil {
+		return nil, err
+	}
+	in.wire(options)
+	return in, nil
+}
+
+// suffix tells one run of an instance from the next.
+func suffix() string {
+	raw := make([]byte, 4)
+	// crypto/rand.Read never fails: it ends the program instead.
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+func readSecret(file string) ([]byte, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer_secret_file can't be read; make it readable for the instance")
+	}
+	secret := strings.TrimSpace(string(raw))
+	if len(secret) < 16 {
+		return nil, errors.Newf("peer_secret_file %s holds fewer than 16 characters; write a longer secret", file)
+	}
+	return []byte(secret), nil
+}
+
+func logger(given *logrus.Logger, s settings.Settings) *logrus.Logger {
+	if given != nil {
+		return given
+	}
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
+		log.SetLevel(level)
+	}
+	return log
+}
+
+func (in *Instance) listen() error {
+	var err error
+	if in.callers, err = net.Listen("tcp", in.Settings.Listen.Callers); err != nil {
+		return errors.Wrap(err, "listen.callers can't be opened; use another port")
+	}
+	in.peersListener, err = net.Listen("tcp", in.Settings.Listen.Peers)
+	if err != nil {
+		_ = in.callers.Close() // the instance does not start
+		return errors.Wrap(err, "listen.peers can't be opened; use another port")
+	}
+	return nil
+}
+
+// CallersAddress returns where callers and operators reach the instance.
+func (in *Instance) CallersAddress() string { return in.callers.Addr().String() }
+
+// PeersAddress returns where peers reach the instance.
+func (in *Instance) PeersAddress() string { return in.peersListener.Addr().String() }
+
+// PeerPool gives tests and the demo the means to cut peers off.
+func (in *Instance) PeerPool() *peer.Pool { return in.peers }
+
+// PeerCounters returns the bytes that crossed the peers' sockets.
+func (in *Instance) PeerCounters() (received, sent int64) {
+	return in.counters.In.Load(), in.counters.Out.Load()
+}
+
+// The share of requests that may be retried, and the reserve for bursts.
+const (
+	retryShare   = 0.1
+	retryReserve = 10
+)
+
+func (in *Instance) wire(options Options) {
+	journalOptions := state.DefaultJournalOptions()
+	journalOptions.OnAppend = in.countAppend
+	in.journal = state.NewJournal(in.platform, journalOptions)
+	in.held = newHeldRecords()
+	in.peers = peer.NewPool(in.secret, in.counters)
+	self := membership.Member{ID: in.ID, DataCentre: in.Settings.DataCentre, Address: in.PeersAddress()}
+	in.members.table = membership.NewTable(self, membership.DefaultOptions())
+	in.peerServer = peer.NewServer(in.secret, in.peerMethods(), in.counters)
+	in.follow(state.ConfigurationStream, in.configurationOffset, in.applyConfiguration)
+	in.follow(state.JobStream(in.Settings.DataCentre), in.jobs.Offset, in.applyJob)
+	in.follow(state.AttemptStream, in.ledger.Offset, in.applyAttempt)
+	in.wireRequests()
+	in.wirePlanner(options)
+	in.server = &http.Server{
+		Handler:           in.handler(),
+		ReadHeaderTimeout: in.Settings.Limits.HeaderTimeout.Std(),
+		MaxHeaderBytes:    in.Settings.Limits.HeaderBytes,
+		IdleTimeout:       2 * time.Minute,
+	}
+}
+
+func (in *Instance) wireRequests() {
+	in.keeper = &attempt.Keeper{Instance: in.ID, Journal: in.journal, Ledger: in.ledger, Options: attempt.DefaultOptions()}
+	in.gate = limit.NewGate(limit.DefaultGateOptions().Most, limit.DefaultGateOptions())
+	router := &dispatch.Router{
+		Table: in.table, Budget: retry.NewBudget(retryShare, retryReserve),
+		Transport: backendTransport(), Options: dispatch.DefaultRouteOptions(),
+		OnRetry: func(reason domain.Reason) { in.Metrics.retries.WithLabelValues(string(reason)).Inc() },
+	}
+	in.requests = dispatch.Chain(router.Endpoint(),
+		dispatch.Rate(in.rates), dispatch.Deduplicate(in.keeper), dispatch.Admit(in.gate))
+}
+
+// Bounds of the connections to one backend server.
+const (
+	connectionsPerBackend = 60
+	backendDialTimeout    = time.Second
+)
+
+func backendTransport() http.RoundTripper {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxConnsPerHost: connectionsPerBackend,
+		MaxIdleConnsPerHost: connectionsPerBackend, IdleConnTimeout: time.Minute,
+		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
+	}
+}
+
+func (in *Instance) countAppend(records int, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	in.Metrics.appends.WithLabelValues(result).Inc()
+	in.Metrics.records.Add(float64(records))
+}
+
+func (in *Instance) follow(stream platform.Stream, from func() int64, apply func(platform.Entry)) {
+	in.followers[stream] = &state.Follower{Log: in.platform, Stream: stream, From: from, Apply: func(e platform.Entry) {
+		apply(e)
+		in.journal.Seen(stream, e)
+	}}
+}
+
+func (in *Instance) configurationOffset() int64 { return in.configuration.Current().Offset }
+
+// Run serves until ctx ends, then drains: it refuses nothing that it has taken
+// on, and cuts nothing off. It returns once all is done or DrainTimeout ends.
+func (in *Instance) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	in.cancel = cancel
+	defer cancel()
+	in.spawn(background, in.listLoop)
+	in.spawn(background, in.probeLoop)
+	in.spawn(background, in.recoverThenFollow)
+	in.spawn(background, in.planner.Run)
+	in.spawn(background, in.heldLoop)
+	in.spawn(background, in.balanceLoop)
+	in.spawn(background, func(ctx context.Context) { in.peerServer.Serve(ctx, in.peersListener) })
+	serving := make(chan error, 1)
+	go func() { serving <- in.server.Serve(limitListener(in.callers, in.Settings.Limits.Connections)) }()
+	in.log.WithFields(logrus.Fields{"callers": in.CallersAddress(), "peers": in.PeersAddress()}).Info("serving")
+
+	select {
+	case err := <-serving:
+		in.stop()
+		return errors.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+	return in.drain()
+}
+
+func (in *Instance) spawn(ctx context.Context, loop func(context.Context)) {
+	in.wg.Add(1)
+	go func() {
+		defer in.wg.Done()
+		loop(ctx)
+	}()
+}
+
+// drain says that the instance leaves, goes on serving until the balancer has
+// noticed, finishes what it holds, and empties its journal.
+func (in *Instance) drain() error {
+	in.log.Info("leaving")
+	in.leaving.Store(true)
+	in.members.leave()
+	in.announceLeave()
+	time.Sleep(in.Settings.Limits.DrainGrace.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), in.Settings.Limits.DrainTimeout.Std())
+	defer cancel()
+	err := in.server.Shutdown(ctx)
+	in.inFlight.Wait()
+	in.flushJournal(ctx)
+	in.stop()
+	in.log.Info("left")
+	return errors.Wrap(err, "requests were still under way when drain_timeout ended")
+}
+
+// flushPause is the pause between two looks at the journal while leaving.
+const flushPause = 20 * time.Millisecond
+
+// flushJournal waits for records that are not in the log yet; while the log is
+// away they are left with peers, who hold copies.
+func (in *Instance) flushJournal(ctx context.Context) {
+	const patience = 5 * time.Second
+	end := time.Now().Add(patience)
+	for in.journal.Pending() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(flushPause)
+	}
+}
+
+// Kill ends the instance without draining, as a crash does; for tests and the
+// demo.
+func (in *Instance) Kill() {
+	_ = in.server.Close() // its connections are cut on purpose
+	in.stop()
+}
+
+func (in *Instance) stop() {
+	if in.cancel != nil {
+		in.cancel()
+	}
+	_ = in.peersListener.Close() // it is not used again
+	_ = in.server.Close()        // it is not used again
+	in.peers.Close()
+	in.journal.Close()
+	in.wg.Wait()
+}
--- /dev/null
+++ b/instance/limit_listener.go
@@ -0,0 +1,53 @@
+package instance
+
+import (
+	"net"
+	"sync"
+)
+
+// limitListener bounds the connections that are open at once; further ones wait
+// in the operating system's queue.
+func limitListener(inner net.Listener, limit int) net.Listener {
+	return &boundedListener{Listener: inner, places: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+type boundedListener struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &boundedConn{Conn: conn, release: func() { <-l.places }}, nil
+}
+
+// Close implements net.Listener.
+func (l *boundedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type boundedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
--- /dev/null
+++ b/instance/metrics.go
@@ -0,0 +1,54 @@
+package instance
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cobalttide/cobalttide/domain"
+)
+
+// Metrics are an instance's. Label sets are bounded: reasons and outcomes are
+// closed sets, classes are declared, and no label holds an id.
+type Metrics struct {
+	Registry   *prometheus.Registry
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	requests   *prometheus.CounterVec
+	completion *prometheus.HistogramVec
+	appends    *prometheus.CounterVec
+	records    prometheus.Counter
+	jobs       *prometheus.CounterVec
+	planning   prometheus.Gauge
+	version    prometheus.Gauge
+	held       prometheus.Gauge
+}
+
+func newMetrics() *Metrics {
+	m := &Metrics{
+		Registry:   prometheus.NewRegistry(),
+		refusals:   counter("cobalttide_refusals_total", "Work refused, by reason and by what is known of it.", "reason", "outcome"),
+		retries:    counter("cobalttide_retries_total", "Dispatches repeated, by the reason of the failure before.", "reason"),
+		requests:   counter("cobalttide_requests_total", "Requests answered, by class and whether within its expectation.", "class", "in_time"),
+		appends:    counter("cobalttide_log_appends_total", "Appends to the log, by result.", "result"),
+		jobs:       counter("cobalttide_jobs_total", "Jobs accepted, by class.", "class"),
+		records:    prometheus.NewCounter(prometheus.CounterOpts{Name: "cobalttide_log_records_total", Help: "Records handed to the log."}),
+		planning:   gauge("cobalttide_planning", "1 while the instance plans for its data centre."),
+		version:    gauge("cobalttide_configuration_version", "Version of the configuration in force."),
+		held:       gauge("cobalttide_held_records", "Records held in memory until the log is back."),
+		completion: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "cobalttide_completion_seconds", Help: "Time to the whole answer, by class.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}, []string{"class"}),
+	}
+	m.Registry.MustRegister(m.refusals, m.retries, m.requests, m.appends, m.jobs, m.records, m.planning, m.version, m.held, m.completion)
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(r *domain.Refusal) {
+	m.refusals.WithLabelValues(string(r.Reason), string(r.Outcome)).Inc()
+}
--- /dev/null
+++ b/instance/operator.go
@@ -0,0 +1,353 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	cobalttidev1 "github.com/cobalttide/cobalttide/api/cobalttide/v1"
+	"github.com/cobalttide/cobalttide/auth"
+	"github.com/cobalttide/cobalttide/configuration"
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/guarantee"
+	"github.com/cobalttide/cobalttide/membership"
+	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/state"
+)
+
+// operatorBodyBytes bounds an operator's call.
+const operatorBodyBytes = 8 << 20
+
+// applyPatience bounds the wait for a change's place in the log's order.
+const applyPatience = 5 * time.Second
+
+func newReader(raw []byte) io.Reader { return bytes.NewReader(raw) }
+
+// operatorService implements the generated operators' interface.
+type operatorService struct{ in *Instance }
+
+func (s *operatorService) authorize(ctx context.Context) error {
+	info, ok := connect.CallInfoForHandlerContext(ctx)
+	if !ok {
+		return connect.NewError(connect.CodeUnauthenticated, fmt.Errorf("no call information"))
+	}
+	declared := s.in.configuration.Current().Declarations
+	refusal := auth.Operator(auth.Bearer(info.RequestHeader()), declared, s.in.Settings.BootstrapOperatorTokenHash)
+	return s.refused(refusal)
+}
+
+// connectCode maps reasons to the codes of the operators' interface.
+var connectCode = map[domain.Reason]connect.Code{
+	domain.ReasonUnauthenticated: connect.CodeUnauthenticated,
+	domain.ReasonInvalid:         connect.CodeInvalidArgument,
+	domain.ReasonConflict:        connect.CodeAborted,
+	domain.ReasonNotFound:        connect.CodeNotFound,
+	domain.ReasonOutcomeUnknown:  connect.CodeUnknown,
+}
+
+// refused turns a refusal into the interface's error. A nil refusal is no error.
+func (s *operatorService) refused(r *domain.Refusal) error {
+	if r == nil {
+		return nil
+	}
+	s.in.Metrics.Refused(r)
+	code, ok := connectCode[r.Reason]
+	if !ok {
+		code = connect.CodeUnavailable
+	}
+	return connect.NewError(code, r)
+}
+
+func encodeDeclarations(d configuration.Declarations) (string, error) {
+	raw, err := json.MarshalIndent(d, "", "  ")
+	return string(raw), err
+}
+
+// GetConfiguration implements the operators' interface.
+func (s *operatorService) GetConfiguration(ctx context.Context, _ *cobalttidev1.GetConfigurationRequest) (*cobalttidev1.GetConfigurationResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	snapshot := s.in.configuration.Current()
+	text, err := encodeDeclarations(snapshot.Declarations)
+	return &cobalttidev1.GetConfigurationResponse{Version: uint64(snapshot.Version), DeclarationsJson: text}, err
+}
+
+func decodeDeclarations(text string) (configuration.Declarations, configuration.Problems) {
+	var d configuration.Declarations
+	if problem := configuration.DecodeStrict("declarations", []byte(text), &d); problem != nil {
+		return d, configuration.Problems{*problem}
+	}
+	return d, configuration.Validate(d)
+}
+
+// Plan implements the operators' interface.
+func (s *operatorService) Plan(ctx context.Context, r *cobalttidev1.PlanRequest) (*cobalttidev1.PlanResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	declared, problems := decodeDeclarations(r.DeclarationsJson)
+	current := s.in.configuration.Current()
+	if len(problems) == 0 {
+		problems = s.in.unmeetable(declared)
+	}
+	out := &cobalttidev1.PlanResponse{BaseVersion: uint64(current.Version)}
+	for _, p := range problems {
+		out.Problems = append(out.Problems, &cobalttidev1.Problem{Field: p.Field, Message: p.Message, Remedy: p.Remedy})
+	}
+	out.Changes = describe(current.Declarations, configuration.Diff(current.Declarations, declared))
+	out.Warnings = s.in.warnings(declared)
+	return out, nil
+}
+
+// describe lists a change's entries: added, changed and removed.
+func describe(current configuration.Declarations, change configuration.Change) []string {
+	var out []string
+	for id, account := range change.Accounts {
+		_, known := current.Accounts[id]
+		out = append(out, sign(known, account == nil)+" accounts."+string(id))
+	}
+	for name, class := range change.Classes {
+		_, known := current.Classes[name]
+		out = append(out, sign(known, class == nil)+" classes."+string(name))
+	}
+	if len(change.OperatorTokenHashes) > 0 {
+		out = append(out, "~ operator_token_hashes")
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i][2:] < out[j][2:] })
+	return out
+}
+
+func sign(known, removed bool) string {
+	switch {
+	case removed:
+		return "-"
+	case known:
+		return "~"
+	}
+	return "+"
+}
+
+// unmeetable finds guarantees that do not pack into the data centres' workers,
+// and classes that are removed while jobs of theirs have not ended.
+func (in *Instance) unmeetable(d configuration.Declarations) configuration.Problems {
+	var problems configuration.Problems
+	for _, dc := range in.dataCentres() {
+		cluster := placement.NewCluster(in.workersOf(dc))
+		for _, unmet := range guarantee.Bind(cluster, dc, d.Accounts, guarantee.Binding{}).Unmet {
+			problems = append(problems, configuration.Problem{
+				Field:   "accounts." + string(unmet.Account) + ".guarantees",
+				Message: fmt.Sprintf("a block of %d tasks does not pack into %s beside the others; %d tasks would", unmet.Shape.Tasks, dc, unmet.Largest),
+				Remedy:  "guarantee less there, or add workers first",
+			})
+		}
+	}
+	active, _ := in.jobs.Active()
+	for _, status := range active {
+		if _, kept := d.Classes[status.Job.Class]; !kept {
+			problems = append(problems, configuration.Problem{
+				Field: "classes." + string(status.Job.Class), Message: "is removed while jobs of it have not ended", Remedy: "keep it until they have",
+			})
+			break
+		}
+	}
+	return problems
+}
+
+func (in *Instance) dataCentres() []domain.DataCentre {
+	seen := map[domain.DataCentre]bool{}
+	var out []domain.DataCentre
+	for _, worker := range in.inventory.Load().Workers {
+		if !seen[worker.DataCentre] {
+			seen[worker.DataCentre] = true
+			out = append(out, worker.DataCentre)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// warnings says which running borrowers a new binding may have to stop.
+func (in *Instance) warnings(d configuration.Declarations) []string {
+	var out []string
+	active, _ := in.jobs.Active()
+	for _, status := range active {
+		class := d.Classes[status.Job.Class]
+		if status.State == domain.JobRunning && !status.Guaranteed && !class.Preemptible() {
+			out = append(out, fmt.Sprintf("job %s borrows and can't be preempted: a guarantee on its workers has to wait for its end", status.Job.ID))
+		}
+	}
+	return out
+}
+
+// Apply implements the operators' interface.
+func (s *operatorService) Apply(ctx context.Context, r *cobalttidev1.ApplyRequest) (*cobalttidev1.ApplyResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	version, refusal := s.in.Apply(ctx, r.DeclarationsJson, configuration.Version(r.BaseVersion), r.ChangeId, r.Operator)
+	if refusal != nil {
+		return nil, s.refused(refusal)
+	}
+	return &cobalttidev1.ApplyResponse{Version: uint64(version)}, nil
+}
+
+// Apply makes declarations the configuration. The log's order settles races.
+func (in *Instance) Apply(ctx context.Context, declarations string, base configuration.Version, id, operator string) (configuration.Version, *domain.Refusal) {
+	declared, problems := decodeDeclarations(declarations)
+	if len(problems) == 0 {
+		problems = in.unmeetable(declared)
+	}
+	if len(problems) > 0 {
+		return 0, domain.Refuse(domain.ReasonInvalid, problems[0].Field, strings.TrimSpace(problems.Error()), "mend the declarations; see cobaltctl plan")
+	}
+	if id == "" {
+		return 0, domain.Refuse(domain.ReasonInvalid, "change_id", "is missing", "name the change, so that it can be repeated safely")
+	}
+	if outcome, ok := in.configuration.Outcome(id); ok {
+		return settled(outcome)
+	}
+	current := in.configuration.Current()
+	if current.Version != base {
+		return 0, conflict(current.Version)
+	}
+	change := configuration.Diff(current.Declarations, declared)
+	if change.Empty() {
+		return current.Version, nil
+	}
+	change.ID, change.Base, change.Operator = id, base, operator
+	return in.appendChange(ctx, change)
+}
+
+func (in *Instance) appendChange(ctx context.Context, change configuration.Change) (configuration.Version, *domain.Refusal) {
+	record, err := state.NewRecord("change/"+change.ID, configuration.KindChange, change)
+	if err != nil {
+		return 0, domain.AsRefusal(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyPatience)
+	defer cancel()
+	_, appendErr := in.journal.Append(ctx, state.ConfigurationStream, record)
+	for {
+		outcome, ok := in.configuration.Outcome(change.ID)
+		if ok {
+			return settled(outcome)
+		}
+		select {
+		case <-time.After(recordPoll):
+		case <-ctx.Done():
+			return 0, notSettled(appendErr)
+		}
+	}
+}
+
+func settled(o configuration.Outcome) (configuration.Version, *domain.Refusal) {
+	if o.Accepted {
+		return o.Version, nil
+	}
+	if len(o.Problems) > 0 {
+		return 0, domain.Refuse(domain.ReasonInvalid, o.Problems[0].Field, o.Problems.Error(), "mend the declarations")
+	}
+	return 0, conflict(o.Version)
+}
+
+func conflict(newer configuration.Version) *domain.Refusal {
+	return domain.Refuse(domain.ReasonConflict, "base_version", fmt.Sprintf("version %d is in force by now", newer),
+		"look at the newer version with cobaltctl plan, then apply again")
+}
+
+func notSettled(cause error) *domain.Refusal {
+	refusal := domain.OutcomeUnknown(domain.ReasonOutcomeUnknown, fmt.Sprintf("the log did not say in time whether the change counts (%v)", cause))
+	refusal.Remedy = "repeat it with the same change_id: it is applied at most once"
+	return refusal.After(time.Second)
+}
+
+// History implements the operators' interface.
+func (s *operatorService) History(ctx context.Context, r *cobalttidev1.HistoryRequest) (*cobalttidev1.HistoryResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	limit := int(r.Limit)
+	if limit == 0 {
+		limit = 20
+	}
+	out := &cobalttidev1.HistoryResponse{}
+	for _, past := range s.in.configuration.History(limit) {
+		text, err := encodeDeclarations(past.Declarations)
+		if err != nil {
+			return nil, err
+		}
+		out.Entries = append(out.Entries, &cobalttidev1.HistoryEntry{
+			Version: uint64(past.Version), ChangeId: past.LastChange, Operator: past.Operator, DeclarationsJson: text,
+		})
+	}
+	return out, nil
+}
+
+// Drain implements the operators' interface. Peers of the data centre are told
+// too, so that the order outlives a change of planner; it is not recorded, and
+// an operator repeats it after all instances were replaced.
+func (s *operatorService) Drain(ctx context.Context, r *cobalttidev1.DrainRequest) (*cobalttidev1.DrainResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	order := drainOrder{Worker: domain.WorkerID(r.Worker), Undo: r.Undo}
+	known := false
+	for _, worker := range s.in.fleet() {
+		known = known || worker.ID == order.Worker
+	}
+	if !known {
+		return nil, s.refused(domain.Refuse(domain.ReasonNotFound, "worker", "is not listed in this data centre",
+			"check the name, or ask an instance of the worker's data centre"))
+	}
+	s.in.draining.set(order)
+	for _, m := range s.in.members.present(s.in.Settings.DataCentre) {
+		var ok bool
+		if m.ID != s.in.ID {
+			_ = s.in.callPeer(ctx, m.Address, methodDrain, order, &ok) // the planner is among those that answer
+		}
+	}
+	return &cobalttidev1.DrainResponse{}, nil
+}
+
+// Status implements the operators' interface.
+func (s *operatorService) Status(ctx context.Context, _ *cobalttidev1.StatusRequest) (*cobalttidev1.StatusResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	in := s.in
+	active, _ := in.jobs.Active()
+	planner, _ := in.members.planner(in.Settings.DataCentre)
+	out := &cobalttidev1.StatusResponse{
+		Instance: string(in.ID), DataCentre: string(in.Settings.DataCentre), Planner: string(planner.ID),
+		ConfigurationVersion: uint64(in.configuration.Current().Version), LogAgeMs: in.logAgeMs(),
+		JobsActive: uint32(len(active)), RecordsPending: uint32(in.journal.Pending()),
+	}
+	for _, m := range in.members.all() {
+		out.Peers = append(out.Peers, peerOf(m))
+	}
+	for _, unmet := range in.jobs.Binding().Unmet {
+		out.Unmet = append(out.Unmet, &cobalttidev1.UnmetGuarantee{
+			Account: string(unmet.Account), Tasks: uint32(unmet.Shape.Tasks), Largest: uint32(unmet.Largest),
+		})
+	}
+	return out, nil
+}
+
+func peerOf(m membership.Member) *cobalttidev1.Peer {
+	return &cobalttidev1.Peer{Instance: string(m.ID), DataCentre: string(m.DataCentre), Address: m.Address, State: string(m.State)}
+}
+
+func (in *Instance) logAgeMs() int64 {
+	age := in.followers[state.JobStream(in.Settings.DataCentre)].Age()
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
--- /dev/null
+++ b/instance/records.go
@@ -0,0 +1,326 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobalttide/cobalttide/configuration"
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/planner"
+	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/state"
+)
+
+// Durability says where an accepted record is safe.
+type Durability string
+
+// The durabilities that callers are told.
+const (
+	// InLog: the platform's log has it.
+	InLog Durability = "log"
+	// InMemory: the log is away; copies are in the memory of this and other
+	// instances, and go into the log when it is back.
+	InMemory Durability = "memory"
+)
+
+// Bounds of the holdover.
+const (
+	// logPatience is how long a record waits for the log before copies go to
+	// peers.
+	logPatience = time.Second
+	// minCopies is how many instances hold a record before it is accepted, this
+	// one included.
+	minCopies = 2
+	// maxHeld bounds the records that one instance holds.
+	maxHeld = 50_000
+	// heldEvery is the interval at which held records are offered to the log,
+	// heldPatience the time that its first holder has to do so alone.
+	heldEvery    = 2 * time.Second
+	heldPatience = 6 * time.Second
+	// logAwayAfter is the time without a successful read after which the log
+	// counts as away. An empty read waits for up to readWait.
+	logAwayAfter = 4 * time.Second
+)
+
+type heldRecord struct {
+	stream  platform.Stream
+	record  platform.Record
+	since   time.Time
+	offered bool
+}
+
+// heldRecords are records that wait for the log to come back. It is a buffer:
+// nothing is looked up in it.
+type heldRecords struct {
+	mu      sync.Mutex
+	records map[string]*heldRecord
+}
+
+func newHeldRecords() *heldRecords { return &heldRecords{records: map[string]*heldRecord{}} }
+
+func (h *heldRecords) add(stream platform.Stream, record platform.Record, offered bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, known := h.records[record.ID]; known {
+		return true
+	}
+	if len(h.records) >= maxHeld {
+		return false
+	}
+	h.records[record.ID] = &heldRecord{stream: stream, record: record, since: time.Now(), offered: offered}
+	return true
+}
+
+func (h *heldRecords) seen(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.records, id)
+}
+
+func (h *heldRecords) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.records)
+}
+
+// due returns records that their first holder has not got into the log in time.
+func (h *heldRecords) due(now time.Time) []heldRecord {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []heldRecord
+	for _, r := range h.records {
+		if !r.offered && now.Sub(r.since) > heldPatience {
+			r.offered = true
+			out = append(out, *r)
+		}
+	}
+	return out
+}
+
+// hold is a record on its way to a peer's memory.
+type hold struct {
+	Stream platform.Stream `json:"stream"`
+	Record platform.Record `json:"record"`
+}
+
+// spread copies a record to peers and returns how many instances have it. All
+// of the data centre get it, because any of them may have to plan, and one
+// elsewhere, in case the data centre is lost.
+func (in *Instance) spread(ctx context.Context, stream platform.Stream, record platform.Record) int {
+	in.held.add(stream, record, true)
+	in.foldHeld(stream, record)
+	copies := 1
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, address := range in.holders() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			var ok bool
+			if err := in.peers.Call(callCtx, address, methodHold, hold{stream, record}, &ok); err == nil && ok {
+				mu.Lock()
+				copies++
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return copies
+}
+
+func (in *Instance) holders() []string {
+	var out []string
+	elsewhere := false
+	for _, m := range in.members.all() {
+		if m.ID == in.ID || m.State == "dead" || m.State == "left" {
+			continue
+		}
+		home := m.DataCentre == in.Settings.DataCentre
+		if home || !elsewhere {
+			out = append(out, m.Address)
+		}
+		elsewhere = elsewhere || !home
+	}
+	return out
+}
+
+// foldHeld makes a record count here although the log does not have it yet.
+func (in *Instance) foldHeld(stream platform.Stream, record platform.Record) {
+	if stream != state.JobStream(in.Settings.DataCentre) {
+		return
+	}
+	if err := in.jobs.Fold(record); err != nil {
+		in.log.WithError(err).Warn("a held record was passed over")
+	}
+}
+
+// heldLoop offers records to the log whose first holder may be gone.
+func (in *Instance) heldLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, heldEvery)
+		in.Metrics.held.Set(float64(in.held.count()))
+		if in.logAway() {
+			continue
+		}
+		for _, r := range in.held.due(time.Now()) {
+			if _, err := in.journal.Keep(r.stream, r.record); err != nil {
+				return // the journal is closed: the instance ends
+			}
+		}
+	}
+}
+
+// publish accepts a record for good: in the log, or in the memory of enough
+// instances. The error is a refusal that says whether the record may still
+// appear.
+func (in *Instance) publish(ctx context.Context, record platform.Record) (Durability, error) {
+	stream := state.JobStream(in.Settings.DataCentre)
+	appendCtx, cancel := context.WithTimeout(ctx, logPatience)
+	defer cancel()
+	_, err := in.journal.Append(appendCtx, stream, record)
+	if err == nil {
+		return InLog, nil
+	}
+	if copies := in.spread(ctx, stream, record); copies >= minCopies {
+		_, keepErr := in.journal.Keep(stream, record)
+		if keepErr == nil {
+			return InMemory, nil
+		}
+	}
+	in.held.seen(record.ID)
+	if errors.Is(err, state.ErrNotSent) {
+		return "", domain.Refuse(domain.ReasonLogUnavailable, "", "the log is away and no other instance could hold a copy",
+			"repeat it with the same id").After(logPatience)
+	}
+	refusal := domain.OutcomeUnknown(domain.ReasonLogUnavailable, "the log did not say whether it has the record")
+	refusal.Remedy = "repeat it with the same id: it is accepted at most once"
+	return "", refusal.After(logPatience)
+}
+
+// Keep implements planner.Publisher.
+func (in *Instance) Keep(e planner.Emission) {
+	record, err := state.NewRecord(e.ID, e.Kind, e.Payload)
+	if err != nil {
+		in.log.WithError(err).Error("a planner's record could not be encoded")
+		return
+	}
+	stream := state.JobStream(in.Settings.DataCentre)
+	done, err := in.journal.Keep(stream, record)
+	if err != nil {
+		return // the instance ends; the next planner finds out from the workers
+	}
+	go func() {
+		select {
+		case <-done:
+		case <-time.After(logPatience):
+			in.spread(context.Background(), stream, record)
+		}
+	}()
+}
+
+// Record implements planner.Publisher.
+func (in *Instance) Record(ctx context.Context, e planner.Emission) bool {
+	record, err := state.NewRecord(e.ID, e.Kind, e.Payload)
+	if err != nil {
+		return false
+	}
+	recordCtx, cancel := context.WithTimeout(ctx, 2*logPatience)
+	defer cancel()
+	offset, err := in.journal.Append(recordCtx, state.JobStream(in.Settings.DataCentre), record)
+	if err != nil {
+		return false
+	}
+	for in.jobs.Offset() <= offset {
+		select {
+		case <-time.After(recordPoll):
+		case <-recordCtx.Done():
+			return false
+		}
+	}
+	return in.jobs.MayRun(*e.Await)
+}
+
+// recordPoll is the pause between two looks at how far the log has been read.
+const recordPoll = 5 * time.Millisecond
+
+// logAway tells whether the log can't be read at the moment.
+func (in *Instance) logAway() bool {
+	age := in.followers[state.JobStream(in.Settings.DataCentre)].Age()
+	return age < 0 || age > logAwayAfter
+}
+
+func (in *Instance) applyConfiguration(e platform.Entry) {
+	if e.Record.Kind != configuration.KindChange {
+		return
+	}
+	before := in.configuration.Current().Version
+	in.configuration.FoldEntry(e)
+	if after := in.configuration.Current(); after.Version != before {
+		in.configured(after)
+	}
+}
+
+func (in *Instance) configured(snapshot configuration.Snapshot) {
+	in.Metrics.version.Set(float64(snapshot.Version))
+	in.log.WithFields(logrus.Fields{"version": snapshot.Version, "change": snapshot.LastChange}).Info("configuration in force")
+}
+
+func (in *Instance) applyJob(e platform.Entry) {
+	if err := in.jobs.FoldEntry(e); err != nil {
+		in.log.WithError(err).Warn("a record was passed over")
+	}
+	in.held.seen(e.Record.ID)
+}
+
+func (in *Instance) applyAttempt(e platform.Entry) {
+	if err := in.ledger.FoldEntry(e); err != nil {
+		in.log.WithError(err).Warn("a record was passed over")
+	}
+}
+
+// recoverThenFollow loads the state from peers and follows the log from there.
+// Callers are served meanwhile; the planner's role waits.
+func (in *Instance) recoverThenFollow(ctx context.Context) {
+	for _, f := range in.followers {
+		in.spawn(ctx, f.Run)
+	}
+	in.list(ctx)
+	in.recoverFromPeers(ctx)
+	in.awaitLog(ctx)
+	in.recovered.Store(true)
+}
+
+// recoveryPatience bounds the wait for the log before an instance takes part
+// with what it has from peers.
+const recoveryPatience = 5 * time.Second
+
+func (in *Instance) awaitLog(ctx context.Context) {
+	end := time.Now().Add(recoveryPatience)
+	follower := in.followers[state.JobStream(in.Settings.DataCentre)]
+	for ctx.Err() == nil && time.Now().Before(end) && !follower.CaughtUp() {
+		sleep(ctx, 10*time.Millisecond)
+	}
+}
+
+// recoverFromPeers takes the newest image that a peer of the data centre has.
+func (in *Instance) recoverFromPeers(ctx context.Context) {
+	for _, m := range in.members.present(in.Settings.DataCentre) {
+		if m.ID == in.ID {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		var image state.Image
+		err := in.peers.Call(callCtx, m.Address, methodImage, struct{}{}, &image)
+		cancel()
+		if err == nil && in.jobs.Load(image) {
+			in.log.WithFields(logrus.Fields{"from": m.ID, "jobs": len(image.Jobs)}).Info("state taken from a peer")
+			return
+		}
+	}
+}
--- a/planner/core.go
+++ b/planner/core.go
@@ -77,6 +77,9 @@
 	Version uint64
 	// Binding is the published one, taken over once.
 	Binding guarantee.Binding
+	// LogDown is set while records don't reach the log. Jobs that must not run
+	// twice are not started meanwhile.
+	LogDown bool
 	// Draining are workers that operators are emptying.
 	Draining map[domain.WorkerID]bool
 }
@@ -295,11 +298,10 @@
 		return out
 	}
 	for _, m := range c.machines {
-		if !m.WantsRenewal(now) {
-			continue
-		}
 		for _, worker := range m.Workers() {
-			out[worker] = append(out[worker], m)
+			if m.WantsRenewal(worker, now) {
+				out[worker] = append(out[worker], m)
+			}
 		}
 	}
 	return out
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -54,6 +54,9 @@
 	if status.CancelRequested || local.ended || c.machines[status.Job.ID] != nil {
 		return false
 	}
+	if in.LogDown && !in.Classes[status.Job.Class].Idempotent {
+		return false
+	}
 	// A running state here is an attempt that this planner has concluded, and
 	// whose end the log has yet to show.
 	return !in.Now.Before(local.notBefore)
--- a/routing/table.go
+++ b/routing/table.go
@@ -41,12 +41,10 @@
 	Home    domain.DataCentre
 	options Options
 
-	mu      sync.Mutex
-	local   atomic.Pointer[[]*Backend]
-	remote  atomic.Pointer[[]*Backend]
-	byID    map[string]*Backend
-	ejected int
-	median  atomic.Uint64
+	mu     sync.Mutex
+	local  atomic.Pointer[[]*Backend]
+	remote atomic.Pointer[[]*Backend]
+	byID   map[string]*Backend
 }
 
 // NewTable returns an empty table.
