--- a/instance/instance.go
+++ b/instance/instance.go
@@ -173,6 +173,11 @@
 // PeersAddress returns where peers reach the instance.
 func (in *Instance) PeersAddress() string { return in.peersListener.Addr().String() }
 
+// ConfigurationVersion returns the version in force at the instance.
+func (in *Instance) ConfigurationVersion() configuration.Version {
+	return in.configuration.Current().Version
+}
+
 // PeerPool gives tests and the demo the means to cut peers off.
 func (in *Instance) PeerPool() *peer.Pool { return in.peers }
 
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -169,8 +169,13 @@
 	mu      sync.Mutex
 	clients map[string]*jrpc2.Client
 	blocked map[string]bool
+	delay   func(address string) time.Duration
 }
 
+// SetDelay makes every call to an address take longer; the demo plays the
+// distance between data centres with it. Set it before the first call.
+func (p *Pool) SetDelay(delay func(address string) time.Duration) { p.delay = delay }
+
 // NewPool returns a pool without connections.
 func NewPool(secret []byte, counters *Counters) *Pool {
 	return &Pool{secret: secret, counters: counters, clients: map[string]*jrpc2.Client{}, blocked: map[string]bool{}}
@@ -197,6 +202,9 @@
 
 // Call calls a method of the peer at an address.
 func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
+	if p.delay != nil {
+		time.Sleep(p.delay(address))
+	}
 	client, err := p.client(ctx, address)
 	if err != nil {
 		return err
