--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -115,8 +115,9 @@
 type Store struct {
 	mu       sync.Mutex
 	current  Snapshot
-	outcomes map[string]Outcome
-	order    []string
+	outcomes map[outcomeKey]Outcome
+	accepted map[string]Outcome
+	order    []outcomeKey
 	watchers []chan struct{}
 	// history holds past snapshots, oldest first.
 	history []Snapshot
@@ -127,8 +128,6 @@
 	Accepted bool
 	// Version is the one that the change made, or that beat it.
 	Version Version
-	// Problems are why a change that met its base was not accepted.
-	Problems Problems
 }
 
 // keptOutcomes bounds how many outcomes a store remembers for operators who
@@ -137,7 +136,7 @@
 
 // NewStore returns a store at version 0.
 func NewStore() *Store {
-	return &Store{outcomes: map[string]Outcome{}}
+	return &Store{outcomes: map[outcomeKey]Outcome{}, accepted: map[string]Outcome{}}
 }
 
 // Current returns the newest snapshot.
@@ -148,18 +147,17 @@
 }
 
 // Fold takes the change at one offset of the log. The log's order decides:
-// a change counts only when its base is the version before it. Every instance
-// folds the same records to the same versions. Offsets already folded are
-// passed over, so that a record read twice counts once.
+// a change counts only when its base is the version before it. The result
+// depends on nothing but the version and the declarations before, which
+// snapshots carry, so that every instance folds the same records to the same
+// versions wherever it began to read. A change that was accepted and stands in
+// the log again has a base that is no longer met. Offsets already folded are
+// passed over.
 func (s *Store) Fold(offset int64, change Change) Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if done, ok := s.outcomes[change.ID]; ok {
-		s.advance(offset)
-		return done
-	}
 	if offset < s.current.Offset {
-		return Outcome{Version: s.current.Version}
+		return s.known(change.ID, change.Base, Outcome{Version: s.current.Version})
 	}
 	s.advance(offset)
 	outcome := s.judge(change)
@@ -170,29 +168,53 @@
 		s.current.Operator = change.Operator
 		s.changed()
 	}
-	s.remember(change.ID, outcome)
-	return outcome
+	s.remember(change, outcome)
+	return s.known(change.ID, change.Base, outcome)
+}
+
+// known returns the remembered outcome of a change: its acceptance under
+// whatever base, else what became of it under this one.
+func (s *Store) known(id string, base Version, otherwise Outcome) Outcome {
+	if accepted, ok := s.accepted[id]; ok {
+		return accepted
+	}
+	if outcome, ok := s.outcomes[outcomeKey{id, base}]; ok {
+		return outcome
+	}
+	return otherwise
+}
+
+// outcomeKey is a change under one base; the same id may be tried again under a
+// newer base after a conflict.
+type outcomeKey struct {
+	id   string
+	base Version
 }
 
 func (s *Store) advance(offset int64) {
 	s.current.Offset = max(s.current.Offset, offset+1)
 }
 
+// judge looks at the base alone. The instance that took the change has checked
+// the declarations that follow from this base; checking again here would let
+// daemons of different versions fold the same log differently.
 func (s *Store) judge(change Change) Outcome {
 	if change.Base != s.current.Version {
 		return Outcome{Version: s.current.Version}
 	}
-	if problems := Validate(change.Apply(s.current.Declarations)); len(problems) > 0 {
-		return Outcome{Version: s.current.Version, Problems: problems}
-	}
 	return Outcome{Accepted: true, Version: s.current.Version + 1}
 }
 
-func (s *Store) remember(id string, outcome Outcome) {
-	s.outcomes[id] = outcome
-	s.order = append(s.order, id)
+func (s *Store) remember(change Change, outcome Outcome) {
+	key := outcomeKey{change.ID, change.Base}
+	s.outcomes[key] = outcome
+	if outcome.Accepted {
+		s.accepted[change.ID] = outcome
+	}
+	s.order = append(s.order, key)
 	if len(s.order) > keptOutcomes {
 		delete(s.outcomes, s.order[0])
+		delete(s.accepted, s.order[0].id)
 		s.order = s.order[1:]
 	}
 }
@@ -235,13 +257,17 @@
 }
 
 // Outcome returns what became of a change, when it has been folded.
-func (s *Store) Outcome(id string) (Outcome, bool) {
+func (s *Store) Outcome(id string, base Version) (Outcome, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	outcome, ok := s.outcomes[id]
-	return outcome, ok
+	none := Outcome{Version: noVersion}
+	outcome := s.known(id, base, none)
+	return outcome, outcome.Version != noVersion
 }
 
+// noVersion is none that a fold can reach.
+const noVersion = ^Version(0)
+
 // Changed returns a channel that is closed at the next change of version.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -15,30 +15,11 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/platform"
 	"github.com/cobalttide/cobalttide/retry"
 	"github.com/cobalttide/cobalttide/routing"
 )
 
-// The headers between instances and backend servers.
-const (
-	// HeaderID carries the request's id both ways; an answer with another id
-	// is not the caller's.
-	HeaderID = "Cobalttide-Request-Id"
-	// HeaderAccount carries the client account.
-	HeaderAccount = "Cobalttide-Account"
-	// HeaderDeadline carries the time left, in milliseconds.
-	HeaderDeadline = "Cobalttide-Deadline-Ms"
-	// HeaderNotRun is a backend server's own word that it did not run it.
-	HeaderNotRun = "Cobalttide-Not-Run"
-	// HeaderLeaving is its word that it is leaving.
-	HeaderLeaving = "Cobalttide-Leaving"
-	// HeaderLoad is its count of requests in work and waiting.
-	HeaderLoad = "Cobalttide-Load"
-	// HeaderEnd is the trailer that ends an answer of unknown length; it
-	// repeats the id.
-	HeaderEnd = "Cobalttide-End"
-)
-
 // RouteOptions bound routing and retries.
 type RouteOptions struct {
 	// MaxAttempts bounds the dispatches of one request.
@@ -170,9 +151,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make the backend server's request")
 	}
-	request.Header.Set(HeaderID, call.ID)
-	request.Header.Set(HeaderAccount, string(call.Account))
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
+	request.Header.Set(platform.HeaderID, call.ID)
+	request.Header.Set(platform.HeaderAccount, string(call.Account))
+	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
@@ -198,16 +179,16 @@
 // judge takes in what the answer's head says, before any of it is passed on.
 func (r *Router) judge(call *Call, backend *routing.Backend, response *http.Response) *failure {
 	now := time.Now()
-	if load, err := strconv.Atoi(response.Header.Get(HeaderLoad)); err == nil {
+	if load, err := strconv.Atoi(response.Header.Get(platform.HeaderLoad)); err == nil {
 		backend.Report(load, now)
 	}
-	if response.Header.Get(HeaderLeaving) != "" {
+	if response.Header.Get(platform.HeaderLeaving) != "" {
 		backend.Leave()
 	}
-	if response.Header.Get(HeaderNotRun) != "" {
+	if response.Header.Get(platform.HeaderNotRun) != "" {
 		return &failure{reason: domain.ReasonDraining, notRun: true, err: errors.New("the backend server did not run it")}
 	}
-	if id := response.Header.Get(HeaderID); id != call.ID {
+	if id := response.Header.Get(platform.HeaderID); id != call.ID {
 		return &failure{reason: domain.ReasonAnswerIncomplete, err: errors.New("the backend server sent the answer to another request")}
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -247,7 +228,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.response.ContentLength < 0 && b.response.Trailer.Get(HeaderEnd) != b.id {
+	if b.response.ContentLength < 0 && b.response.Trailer.Get(platform.HeaderEnd) != b.id {
 		return n, ErrIncomplete
 	}
 	b.whole = true
--- a/gang/lease.go
+++ b/gang/lease.go
@@ -19,13 +19,15 @@
 	Margin time.Duration
 	// DriftPerMille bounds how far two monotonic clocks run apart.
 	DriftPerMille int64
+	// Release is how long a release is valid after it was sent.
+	Release time.Duration
 	// Start bounds the time from the first reserve to the last release.
 	Start time.Duration
 }
 
 // DefaultTiming suits data centres with round trips of milliseconds.
 func DefaultTiming() Timing {
-	return Timing{Lease: 8 * time.Second, Margin: 500 * time.Millisecond, DriftPerMille: 5, Start: 5 * time.Second}
+	return Timing{Lease: 8 * time.Second, Margin: 500 * time.Millisecond, DriftPerMille: 5, Release: time.Second, Start: 5 * time.Second}
 }
 
 func (t Timing) shrink(d time.Duration) time.Duration {
--- a/gang/machine.go
+++ b/gang/machine.go
@@ -50,8 +50,11 @@
 	surely, gone time.Time
 	busy         bool
 	saved        bool
-	result       string
-	memory       int
+	// releasable is the holder's time from which no release that was asked for
+	// can take effect any more.
+	releasable time.Time
+	result     string
+	memory     int
 }
 
 // Machine is one gang under one lease. Not safe for concurrent use.
@@ -144,7 +147,7 @@
 func (m *Machine) Next(now time.Time, clocks Clocks) []Ask {
 	m.check(now)
 	verb, asks := verbs[m.phase]
-	if !asks {
+	if !asks || m.mustWait(now) {
 		return nil
 	}
 	var out []Ask
@@ -179,8 +182,9 @@
 	case platform.VerbRelease:
 		m.mayRun = true
 		if !m.unordered {
-			until = reading.At(m.allSurely(), m.timing)
+			until = reading.At(m.releaseEnd(now), m.timing)
 		}
+		mem.releasable = later(mem.releasable, reading.Gone(until, m.timing))
 	}
 	command.Until = domain.Duration(until)
 	return Ask{Worker: mem.worker, Command: command}, true
@@ -206,6 +210,16 @@
 	return end
 }
 
+// releaseEnd is the end of a release's validity. It is short, so that a gang
+// that is stopped while it is being released need not wait long.
+func (m *Machine) releaseEnd(now time.Time) time.Time {
+	end := now.Add(m.timing.Release)
+	if surely := m.allSurely(); surely.Before(end) {
+		return surely
+	}
+	return end
+}
+
 // settled tells whether the member is where the phase wants it.
 func (m *Machine) settled(mem *member) bool {
 	switch m.phase {
@@ -225,6 +239,14 @@
 	return true
 }
 
+// mustWait holds all stops back while any release may still take effect: a
+// member that runs then does so beside all the others.
+func (m *Machine) mustWait(now time.Time) bool {
+	return m.phase == Stopping && m.any(func(mem *member) bool {
+		return mem.state == platform.TaskArmed && now.Before(mem.releasable)
+	})
+}
+
 // check moves on by what is known: time, and the members' states.
 func (m *Machine) check(now time.Time) {
 	switch m.phase {
--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,473 @@
+package instance_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cobalttide/cobalttide/auth"
+	"github.com/cobalttide/cobalttide/configuration"
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/instance"
+	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/settings"
+	"github.com/cobalttide/cobalttide/state"
+)
+
+// patience bounds waits for things that must happen; no test asserts how long
+// they took.
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+// site is a small deployment over TCP: stand-ins and daemons' code.
+type site struct {
+	t         *testing.T
+	platform  *standin.Running
+	instances []*running
+}
+
+type running struct {
+	*instance.Instance
+	stop context.CancelFunc
+	done chan error
+}
+
+func declarations() configuration.Declarations {
+	operator := auth.Hash("operator")
+	return configuration.Declarations{
+		Accounts: map[domain.AccountID]domain.ClientAccount{
+			"shop": {Weight: 1, RequestsPerSecond: 10_000, TokenHashes: []string{auth.Hash("shop-old"), auth.Hash("shop")}},
+			"school": {Weight: 1, RequestsPerSecond: 10_000, TokenHashes: []string{auth.Hash("school")},
+				Teams: map[domain.TeamID]domain.Team{"bikes": {Nominal: 8, Ceiling: 8}}},
+		},
+		Classes: map[domain.ClassName]domain.Class{
+			"quote": {Kind: domain.RequestClass, Expectation: domain.Duration(10 * time.Second), Idempotent: true},
+			"check": {Kind: domain.RequestClass, Expectation: domain.Duration(10 * time.Second)},
+			"gang":  {Kind: domain.JobClass, Expectation: domain.Duration(time.Hour), Idempotent: true},
+		},
+		OperatorTokenHashes: []string{operator},
+	}
+}
+
+func newSite(t *testing.T, dcs ...domain.DataCentre) *site {
+	t.Helper()
+	fleet := standin.Fleet{}
+	for _, dc := range dcs {
+		fleet.DataCentres = append(fleet.DataCentres, standin.FleetDataCentre{
+			Name: dc, Racks: 2, WorkersPerRack: 4, Capacity: domain.Resources{Accelerators: 8, CPU: 30, MemoryMiB: 100_000}, Minions: 4, Slots: 8,
+		})
+	}
+	platform, err := standin.Start(fleet, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, platform: platform}
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *site) start(dc domain.DataCentre) *running {
+	s.t.Helper()
+	secret := filepath.Join(s.t.TempDir(), "secret")
+	if err := os.WriteFile(secret, []byte("a-secret-of-the-peers"), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	settings := settings.Default()
+	settings.Instance = domain.InstanceID(fmt.Sprint("i", len(s.instances)))
+	settings.DataCentre = dc
+	settings.Listen.Callers, settings.Listen.Peers = "127.0.0.1:0", "127.0.0.1:0"
+	settings.Platform.Log, settings.Platform.List = s.platform.Address, s.platform.Address
+	settings.PeerSecretFile = secret
+	settings.BootstrapOperatorTokenHash = auth.Hash("operator")
+	settings.Limits.DrainGrace = domain.Duration(50 * time.Millisecond)
+	settings.Limits.BodyBytes = 4096
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	in, err := instance.New(settings, instance.Options{Log: quiet})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Instance: in, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- in.Run(ctx) }()
+	s.instances = append(s.instances, r)
+	return r
+}
+
+func (s *site) configure() {
+	s.t.Helper()
+	raw, err := json.Marshal(declarations())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, refusal := s.instances[0].Apply(context.Background(), string(raw), 0, "first", "test"); refusal != nil {
+		s.t.Fatal(refusal)
+	}
+	for _, in := range s.instances {
+		eventually(s.t, "the configuration is in force", func() bool { return in.ConfigurationVersion() == 1 })
+	}
+}
+
+func (s *site) close() {
+	for _, in := range s.instances {
+		in.stop()
+		select {
+		case <-in.done:
+		case <-time.After(patience):
+			s.t.Errorf("%s does not end", in.ID)
+		}
+	}
+	s.platform.Stop()
+}
+
+// call sends one HTTP call and returns the status, the body, and the refusal if
+// the body is one.
+func (r *running) call(t *testing.T, method, path, token, id, body string) (*http.Response, string, domain.Refusal) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+r.CallersAddress()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	if id != "" {
+		request.Header.Set("Cobalttide-Request-Id", id)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var refusal domain.Refusal
+	_ = json.Unmarshal(raw, &refusal) // most answers are none
+	return response, string(raw), refusal
+}
+
+func gangBody(id string, tasks int, run time.Duration) string {
+	work := standin.Workload{Run: domain.Duration(run)}.Encode()
+	return fmt.Sprintf(`{"id": %q, "class": "gang", "estimate": "1m", "payload": %q,
+		"shape": {"tasks": %d, "per_task": {"accelerators": 8}, "adjacency": "same-rack"}}`, id, work, tasks)
+}
+
+func (r *running) wait(t *testing.T, id, token string) state.Status {
+	t.Helper()
+	var status state.Status
+	eventually(t, "job "+id+" ends", func() bool {
+		_, raw, _ := r.call(t, http.MethodGet, "/v1/jobs/"+id+"?wait=1s", token, "", "")
+		return json.Unmarshal([]byte(raw), &status) == nil && status.State.Final()
+	})
+	return status
+}
+
+func TestRequestsAndGangsGoFromEndToEndOverTCP(t *testing.T) {
+	s := newSite(t, "north", "south")
+	a, b, far := s.start("north"), s.start("north"), s.start("south")
+	s.configure()
+	body := `{"take": "1ms", "size": 5000, "stream": true}`
+	for _, in := range s.instances {
+		for _, class := range []string{"quote", "check"} {
+			id := class + "-at-" + string(in.Settings.Instance)
+			_, got, refusal := in.call(t, http.MethodPost, "/v1/requests/"+class, "shop", id, body)
+			want := standin.Answer("shop", id, []byte(body))
+			if !strings.HasPrefix(got, want) || len(got) != len(want)+5000 {
+				t.Errorf("%s: %d bytes %+v", id, len(got), refusal)
+			}
+		}
+	}
+	if _, raw, _ := a.call(t, http.MethodPost, "/v1/jobs", "shop", "", gangBody("g1", 4, 50*time.Millisecond)); !strings.Contains(raw, `"log"`) {
+		t.Fatalf("not accepted: %s", raw)
+	}
+	if status := b.wait(t, "g1", "shop"); status.State != domain.JobCompleted {
+		t.Errorf("g1 is %s (%s)", status.State, status.Cause)
+	}
+	elsewhere := strings.Replace(gangBody("g2", 2, 50*time.Millisecond), `"estimate"`, `"data_centre": "south", "estimate"`, 1)
+	if response, raw, _ := a.call(t, http.MethodPost, "/v1/jobs", "shop", "", elsewhere); response.StatusCode != http.StatusOK {
+		t.Fatalf("not accepted for the other data centre: %s", raw)
+	}
+	if status := far.wait(t, "g2", "shop"); status.State != domain.JobCompleted {
+		t.Errorf("g2 is %s (%s)", status.State, status.Cause)
+	}
+	response, raw, _ := a.call(t, http.MethodGet, "/metrics", "", "", "")
+	if response.StatusCode != http.StatusOK || !strings.Contains(raw, "cobalttide_requests_total") {
+		t.Errorf("metrics: %d", response.StatusCode)
+	}
+}
+
+func TestRepeatAtAnotherInstanceGetsTheFirstAnswer(t *testing.T) {
+	s := newSite(t, "north")
+	a, b := s.start("north"), s.start("north")
+	s.configure()
+	_, first, _ := a.call(t, http.MethodPost, "/v1/requests/check", "shop", "c1", `{"take":"1ms"}`)
+	response, second, _ := b.call(t, http.MethodPost, "/v1/requests/check", "shop", "c1", `{"take":"1ms"}`)
+	if first != second || response.Header.Get("Cobalttide-Repeat") != "1" {
+		t.Errorf("first %q, repeat %q", first, second)
+	}
+	_, _, refusal := b.call(t, http.MethodPost, "/v1/requests/check", "shop", "c1", `{"take":"2ms"}`)
+	if refusal.Reason != domain.ReasonIDReused {
+		t.Errorf("another body under the same id: %+v", refusal)
+	}
+	total := 0
+	for _, backend := range s.platform.Backends() {
+		total += backend.Ran()["shop/c1"]
+	}
+	if total != 1 {
+		t.Errorf("it ran %d times", total)
+	}
+}
+
+func TestBadInputIsRefusedWithReasonFieldAndRemedy(t *testing.T) {
+	s := newSite(t, "north")
+	in := s.start("north")
+	s.configure()
+	in.call(t, http.MethodPost, "/v1/jobs", "shop", "", gangBody("taken", 1, time.Millisecond))
+	big := strings.Repeat("x", 5000)
+	cases := []struct {
+		name, method, path, token, id, body string
+		status                              int
+		reason                              domain.Reason
+		field                               string
+	}{
+		{"malformed JSON", "POST", "/v1/jobs", "shop", "", `{"id": `, 400, domain.ReasonInvalid, "body"},
+		{"unknown field", "POST", "/v1/jobs", "shop", "", `{"ident": "x"}`, 400, domain.ReasonInvalid, "body"},
+		{"unknown class of jobs", "POST", "/v1/jobs", "shop", "", strings.Replace(gangBody("x", 1, 0), `"gang"`, `"nope"`, 1), 400, domain.ReasonUnknownClass, "class"},
+		{"unknown class of requests", "POST", "/v1/requests/nope", "shop", "x", "", 400, domain.ReasonUnknownClass, "class"},
+		{"wrong token", "POST", "/v1/jobs", "wrong", "", gangBody("x", 1, 0), 401, domain.ReasonUnauthenticated, "Authorization"},
+		{"no request id", "POST", "/v1/requests/quote", "shop", "", "", 400, domain.ReasonInvalid, "Cobalttide-Request-Id"},
+		{"body over the limit", "POST", "/v1/requests/quote", "shop", "x", big, 413, domain.ReasonTooLarge, "body"},
+		{"gang of zero", "POST", "/v1/jobs", "shop", "", gangBody("x", 0, 0), 400, domain.ReasonInvalid, "shape.tasks"},
+		{"gang of 129", "POST", "/v1/jobs", "shop", "", gangBody("x", 129, 0), 400, domain.ReasonInvalid, "shape.tasks"},
+		{"more accelerators than exist", "POST", "/v1/jobs", "shop", "", gangBody("x", 5, 0), 422, domain.ReasonNeverRunnable, "shape"},
+		{"unknown team", "POST", "/v1/jobs", "school", "", gangBody("x", 1, 0), 400, domain.ReasonInvalid, "team"},
+		{"id reused with another body", "POST", "/v1/jobs", "shop", "", gangBody("taken", 2, 0), 409, domain.ReasonIDReused, "id"},
+		{"another account's job", "GET", "/v1/jobs/taken", "school", "", "", 404, domain.ReasonNotFound, "id"},
+		{"cancel of another account's job", "DELETE", "/v1/jobs/taken", "school", "", "", 404, domain.ReasonNotFound, "id"},
+		{"wait that is no duration", "GET", "/v1/jobs/taken?wait=soon", "shop", "", "", 400, domain.ReasonInvalid, "wait"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response, raw, refusal := in.call(t, c.method, c.path, c.token, c.id, c.body)
+			if response.StatusCode != c.status || refusal.Reason != c.reason || refusal.Field != c.field {
+				t.Errorf("got %d %s", response.StatusCode, raw)
+			}
+			if refusal.Remedy == "" || refusal.Outcome != domain.NotRun {
+				t.Errorf("remedy %q, outcome %q", refusal.Remedy, refusal.Outcome)
+			}
+			if strings.Contains(raw, c.token) && c.token == "wrong" {
+				t.Error("the token is in the answer")
+			}
+		})
+	}
+	if status := in.wait(t, "taken", "shop"); status.State != domain.JobCompleted {
+		t.Errorf("the good job is %s", status.State)
+	}
+}
+
+// Whatever a backend server does to an answer, the caller gets the whole answer
+// to its own request or none.
+func TestAnswersAreWholeOrNone(t *testing.T) {
+	faults := map[string]standin.BackendFaults{
+		"truncated": {Truncate: true}, "swapped": {Swap: true}, "dropped": {DropAfter: true}, "failed": {FailFast: true},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, "north")
+			in := s.start("north")
+			s.configure()
+			for _, backend := range s.platform.Backends()[:2] {
+				backend.SetFaults(fault)
+			}
+			var wg sync.WaitGroup
+			for i := range 80 {
+				wg.Go(func() { checkWhole(t, in, i) })
+			}
+			wg.Wait()
+		})
+	}
+}
+
+func checkWhole(t *testing.T, in *running, i int) {
+	id := fmt.Sprint("q", i)
+	class := []string{"quote", "check"}[i%2]
+	body := fmt.Sprintf(`{"take": "1ms", "size": %d, "stream": %v}`, 100*i, i%3 == 0)
+	request, err := http.NewRequest(http.MethodPost, "http://"+in.CallersAddress()+"/v1/requests/"+class, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	request.Header.Set("Authorization", "Bearer shop")
+	request.Header.Set("Cobalttide-Request-Id", id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return // cut off, which the caller can't take for an answer
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return
+	}
+	want := standin.Answer("shop", id, []byte(body))
+	if !bytes.HasPrefix(raw, []byte(want)) || len(raw) != len(want)+100*i {
+		t.Errorf("%s got %d bytes that are not its whole answer", id, len(raw))
+	}
+}
+
+func TestGracefulShutdownCutsOffNothing(t *testing.T) {
+	s := newSite(t, "north")
+	in := s.start("north")
+	s.configure()
+	const n = 24
+	var wg sync.WaitGroup
+	answers := make(chan string, n)
+	for i := range n {
+		wg.Go(func() {
+			id := fmt.Sprint("q", i)
+			body := fmt.Sprintf(`{"take": "400ms", "size": 200000, "stream": %v}`, i%2 == 0)
+			_, raw, _ := in.call(t, http.MethodPost, "/v1/requests/quote", "shop", id, body)
+			if strings.HasPrefix(raw, standin.Answer("shop", id, []byte(body))) && len(raw) > 200_000 {
+				answers <- id
+			}
+		})
+	}
+	eventually(t, "the backend servers have work", func() bool {
+		began := 0
+		for _, backend := range s.platform.Backends() {
+			began += len(backend.Ran())
+		}
+		return began >= n/2
+	})
+	in.stop()
+	in.stop() // a second signal changes nothing
+	wg.Wait()
+	if len(answers) != n {
+		t.Errorf("%d of %d requests got their whole answer", len(answers), n)
+	}
+}
+
+func TestLeavingBackendGetsNothingNew(t *testing.T) {
+	s := newSite(t, "north")
+	in := s.start("north")
+	s.configure()
+	leaving := s.platform.Backends()[0]
+	send := func(from, to int) {
+		for i := from; i < to; i++ {
+			if response, raw, _ := in.call(t, http.MethodPost, "/v1/requests/check", "shop", fmt.Sprint("q", i), `{"take":"1ms"}`); response.StatusCode != http.StatusOK {
+				t.Errorf("q%d: %s", i, raw)
+			}
+		}
+	}
+	send(0, 40)
+	if len(leaving.Ran()) == 0 {
+		t.Fatal("the server got nothing before it left: the test tests nothing")
+	}
+	leaving.SetFaults(standin.BackendFaults{Leaving: true})
+	before := len(leaving.Ran())
+	send(40, 120)
+	if after := len(leaving.Ran()); after != before {
+		t.Errorf("the leaving server was given %d more", after-before)
+	}
+}
+
+func TestJobsAcceptedWhileTheLogIsDownReachItOnce(t *testing.T) {
+	s := newSite(t, "north")
+	a, b := s.start("north"), s.start("north")
+	s.configure()
+	eventually(t, "both know each other", func() bool { return a.Peers() == 2 && b.Peers() == 2 })
+	s.platform.Log.SetFaults(standin.LogFaults{Down: true})
+	for i := range 5 {
+		if _, raw, _ := a.call(t, http.MethodPost, "/v1/jobs", "shop", "", gangBody(fmt.Sprint("g", i), 1, 10*time.Millisecond)); !strings.Contains(raw, `"memory"`) {
+			t.Fatalf("not accepted in memory: %s", raw)
+		}
+	}
+	for i := range 5 {
+		if status := b.wait(t, fmt.Sprint("g", i), "shop"); status.State != domain.JobCompleted {
+			t.Errorf("g%d is %s", i, status.State)
+		}
+	}
+	late := s.start("north")
+	eventually(t, "an instance that starts meanwhile has the jobs from its peers", func() bool {
+		_, raw, _ := late.call(t, http.MethodGet, "/v1/jobs/g4", "shop", "", "")
+		return strings.Contains(raw, `"completed"`)
+	})
+	// The acceptor dies before the log is back; its peer has copies.
+	a.Kill()
+	s.platform.Log.SetFaults(standin.LogFaults{})
+	eventually(t, "every acceptance is in the log", func() bool { return s.accepted() == 5 })
+	c := s.start("north")
+	eventually(t, "a new instance knows every job's end", func() bool {
+		_, raw, _ := c.call(t, http.MethodGet, "/v1/jobs/g4", "shop", "", "")
+		return strings.Contains(raw, `"completed"`)
+	})
+}
+
+// accepted counts the distinct acceptances in the log.
+func (s *site) accepted() int {
+	page, err := s.platform.Log.Read(context.Background(), state.JobStream("north"), 0)
+	if err != nil {
+		return 0
+	}
+	ids := map[string]bool{}
+	for _, e := range page.Entries {
+		if e.Record.Kind == state.KindAccepted {
+			ids[e.Record.ID] = true
+		}
+	}
+	return len(ids)
+}
+
+func TestConfigurationReachesAnInstanceThatLostTheLogThroughItsPeers(t *testing.T) {
+	s := newSite(t, "north", "south")
+	a, far := s.start("north"), s.start("south")
+	s.configure()
+	eventually(t, "both know each other", func() bool { return a.Peers() == 2 && far.Peers() == 2 })
+	s.platform.SetCut("south")
+	changed := declarations()
+	changed.Classes["late"] = domain.Class{Kind: domain.RequestClass, Expectation: domain.Duration(time.Second)}
+	raw, err := json.Marshal(changed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, refusal := a.Apply(context.Background(), string(raw), 1, "second", "test"); refusal != nil {
+		t.Fatal(refusal)
+	}
+	if _, refusal := a.Apply(context.Background(), string(raw), 1, "second", "test"); refusal != nil {
+		t.Errorf("the same change again, after a lost answer: %v", refusal)
+	}
+	eventually(t, "the cut-off instance has the new version", func() bool { return far.ConfigurationVersion() == 2 })
+	_, refusal := far.Apply(context.Background(), string(raw), 0, "third", "test")
+	if refusal == nil || refusal.Reason != domain.ReasonConflict {
+		t.Errorf("a change against an old version: %v", refusal)
+	}
+}
+
+func TestNewTokenWorksBesideTheOldOne(t *testing.T) {
+	s := newSite(t, "north")
+	in := s.start("north")
+	s.configure()
+	for _, token := range []string{"shop-old", "shop"} {
+		if response, raw, _ := in.call(t, http.MethodPost, "/v1/requests/quote", token, "q-"+token, "{}"); response.StatusCode != http.StatusOK {
+			t.Errorf("%s: %s", token, raw)
+		}
+	}
+}
--- a/instance/members.go
+++ b/instance/members.go
@@ -185,7 +185,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var snapshot configuration.Snapshot
-	if err := in.peers.Call(callCtx, address, methodConfiguration, struct{}{}, &snapshot); err != nil {
+	if err := in.peers.Call(callCtx, address, methodConfiguration, nil, &snapshot); err != nil {
 		return // the next probe tries again
 	}
 	if in.configuration.Adopt(snapshot) {
@@ -230,3 +230,14 @@
 	in.Metrics.planning.Set(value)
 	in.log.WithFields(logrus.Fields{"planning": planning}).Info("planner's role changed")
 }
+
+// Peers returns how many instances are believed to be there, this one included.
+func (in *Instance) Peers() int {
+	n := 0
+	for _, m := range in.members.all() {
+		if m.State == membership.Alive || m.State == membership.Suspect {
+			n++
+		}
+	}
+	return n
+}
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -211,7 +211,7 @@
 	if id == "" {
 		return 0, domain.Refuse(domain.ReasonInvalid, "change_id", "is missing", "name the change, so that it can be repeated safely")
 	}
-	if outcome, ok := in.configuration.Outcome(id); ok {
+	if outcome, ok := in.configuration.Outcome(id, base); ok {
 		return settled(outcome)
 	}
 	current := in.configuration.Current()
@@ -235,7 +235,7 @@
 	defer cancel()
 	_, appendErr := in.journal.Append(ctx, state.ConfigurationStream, record)
 	for {
-		outcome, ok := in.configuration.Outcome(change.ID)
+		outcome, ok := in.configuration.Outcome(change.ID, change.Base)
 		if ok {
 			return settled(outcome)
 		}
@@ -251,9 +251,6 @@
 	if o.Accepted {
 		return o.Version, nil
 	}
-	if len(o.Problems) > 0 {
-		return 0, domain.Refuse(domain.ReasonInvalid, o.Problems[0].Field, o.Problems.Error(), "mend the declarations")
-	}
 	return 0, conflict(o.Version)
 }
 
--- a/instance/records.go
+++ b/instance/records.go
@@ -328,7 +328,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 		var image state.Image
-		err := in.peers.Call(callCtx, m.Address, methodImage, struct{}{}, &image)
+		err := in.peers.Call(callCtx, m.Address, methodImage, nil, &image)
 		cancel()
 		if err == nil && in.jobs.Load(image) {
 			in.log.WithFields(logrus.Fields{"from": m.ID, "jobs": len(image.Jobs)}).Info("state taken from a peer")
--- a/planner/core.go
+++ b/planner/core.go
@@ -300,7 +300,8 @@
 	if !may {
 		return out
 	}
-	for _, m := range c.machines {
+	for _, id := range sortedJobs(c.machines) {
+		m := c.machines[id]
 		for _, worker := range m.Workers() {
 			if m.WantsRenewal(worker, now) {
 				out[worker] = append(out[worker], m)
--- a/planner/gangs.go
+++ b/planner/gangs.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,7 +28,8 @@
 			newest[id.Job] = id
 		}
 	}
-	for id, members := range found {
+	for _, id := range sortedGangs(found) {
+		members := found[id]
 		local := c.localOf(id.Job)
 		local.attempt = max(local.attempt, id.Attempt)
 		status, active := jobs[id.Job]
@@ -92,7 +95,8 @@
 			c.conclude(m, in)
 		}
 	}
-	for id, m := range c.orphans {
+	for _, id := range sortedGangs(c.orphans) {
+		m := c.orphans[id]
 		c.ask(m, in.Now)
 		if m.Phase() == gang.Ended {
 			delete(c.orphans, id)
@@ -101,15 +105,20 @@
 	}
 }
 
-func sortedJobs(machines map[domain.JobID]*gang.Machine) []domain.JobID {
-	ids := make([]domain.JobID, 0, len(machines))
-	for id := range machines {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
+// sortedGangs gives the keys in a fixed order, so that a planner does the same
+// on the same inputs.
+func sortedGangs[V any](gangs map[domain.Incarnation]V) []domain.Incarnation {
+	ids := slices.Collect(maps.Keys(gangs))
+	slices.SortFunc(ids, func(a, b domain.Incarnation) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Holder, b.Holder))
+	})
 	return ids
 }
 
+func sortedJobs(machines map[domain.JobID]*gang.Machine) []domain.JobID {
+	return slices.Sorted(maps.Keys(machines))
+}
+
 // starting tells whether the phase is one that only an authorised planner may
 // move on from.
 func starting(p gang.Phase) bool {
@@ -240,11 +249,12 @@
 	for _, status := range in.Jobs {
 		active[status.Job.ID] = true
 	}
-	for id, closing := range c.closing {
+	for _, id := range sortedGangs(c.closing) {
+		closing := c.closing[id]
 		if closing.final && active[closing.job] {
 			continue // its end is not in the log yet
 		}
-		for worker := range closing.workers {
+		for _, worker := range slices.Sorted(maps.Keys(closing.workers)) {
 			c.askToForget(id, worker, closing)
 		}
 		if len(closing.workers) == 0 {
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -35,7 +35,8 @@
 	for _, id := range sortedJobs(c.machines) {
 		s.Gangs = append(s.Gangs, c.gangView(c.machines[id], in.Now))
 	}
-	for _, m := range c.orphans {
+	for _, id := range sortedGangs(c.orphans) {
+		m := c.orphans[id]
 		s.Gangs = append(s.Gangs, c.gangView(m, in.Now))
 	}
 	for _, status := range in.Jobs {
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -269,11 +269,13 @@
 	return image
 }
 
-// Load replaces the state by an image, if the image is newer.
+// Load replaces the state by an image, if the image is newer. An empty state
+// takes any image: a peer may hold jobs that the log does not have yet.
 func (j *Jobs) Load(image Image) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if image.Offset <= j.offset {
+	empty := len(j.jobs) == 0 && len(image.Jobs) > 0
+	if image.Offset < j.offset || (image.Offset == j.offset && !empty) {
 		return false
 	}
 	j.jobs = make(map[domain.JobID]*Status, len(image.Jobs))
