Policy: large gangs wait on ground that no guarantee needs, borrowers move off it

Cause: on a week's trace large gangs starved: the reservation lay on cells, where guaranteed gangs kept starting; jobs smaller than their account's guarantee filled cells; cells that moved after a worker's loss never packed again.

--- a/guarantee/bind.go
+++ b/guarantee/bind.go
@@ -54,7 +54,7 @@
 // carries pinned use only; Bind adds the cells to it.
 func Bind(c *placement.Cluster, dc domain.DataCentre, accounts map[domain.AccountID]domain.ClientAccount, previous Binding) Binding {
 	b := NewBinder(c, dc, accounts)
-	b.Keep(previous)
+	b.Keep(previous, func(Cell) bool { return true })
 	return b.Finish()
 }
 
@@ -73,9 +73,11 @@
 	return &Binder{cluster: c, wanted: Wanted(dc, accounts)}
 }
 
-// Keep leaves the cells of the previous binding where they are, as long as
-// their workers last, so that running gangs keep their ground.
-func (b *Binder) Keep(previous Binding) {
+// Keep leaves those cells of the previous binding where they are that are in
+// use, as long as their workers last, so that running gangs keep their ground.
+// Cells that nobody uses are bound afresh: after workers were lost and came
+// back they pack together again, and leave the largest blocks beside them.
+func (b *Binder) Keep(previous Binding, inUse func(Cell) bool) {
 	old := make(map[cellKey]Cell, len(previous.Cells))
 	for _, cell := range previous.Cells {
 		old[cell.key()] = cell
@@ -83,7 +85,7 @@
 	var missing []Cell
 	for _, cell := range b.wanted {
 		before, had := old[cell.key()]
-		if !had || before.Shape != cell.Shape || !b.keeps(before) {
+		if !had || before.Shape != cell.Shape || !inUse(before) || !b.keeps(before) {
 			missing = append(missing, cell)
 		}
 	}
--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -45,6 +45,16 @@
 // Free returns what no gang holds.
 func (n *Node) Free() domain.Resources { return n.Worker.Capacity.Sub(n.Used) }
 
+// Beside returns what of the worker is neither in a cell nor held by gangs that
+// run outside their account's cells.
+func (n *Node) Beside() domain.Resources {
+	outside := n.Used
+	for i := range n.Cells {
+		outside = outside.Sub(n.Cells[i].Used)
+	}
+	return n.Worker.Capacity.Sub(n.CellTotal).Sub(outside)
+}
+
 // CellFree returns what is left of the account's cells on the worker.
 func (n *Node) CellFree(account domain.AccountID) domain.Resources {
 	for i := range n.Cells {
--- a/placement/find.go
+++ b/placement/find.go
@@ -38,6 +38,8 @@
 // the placement that it returns. Not safe for concurrent use.
 type Finder struct {
 	counts []int
+	// usable are the accelerators of each node that the search may use.
+	usable []int
 	order  []int
 }
 
@@ -61,10 +63,13 @@
 // count notes for every node how many tasks it could take.
 func (f *Finder) count(c *Cluster, shape domain.Shape, available Available) {
 	f.counts = slices.Grow(f.counts[:0], len(c.Nodes))[:len(c.Nodes)]
+	f.usable = slices.Grow(f.usable[:0], len(c.Nodes))[:len(c.Nodes)]
 	for i := range c.Nodes {
-		f.counts[i] = 0
+		f.counts[i], f.usable[i] = 0, 0
 		if c.Nodes[i].Schedulable {
-			f.counts[i] = available(&c.Nodes[i]).Count(shape.PerTask, shape.Tasks)
+			have := available(&c.Nodes[i])
+			f.counts[i] = have.Count(shape.PerTask, shape.Tasks)
+			f.usable[i] = max(0, have.Accelerators)
 		}
 	}
 }
@@ -79,7 +84,7 @@
 			best = i
 			break
 		}
-		free := c.Nodes[i].Free().Accelerators
+		free := f.spare(c, i, strategy)
 		if best < 0 || strategy.better(free, bestFree) {
 			best, bestFree = i, free
 		}
@@ -95,7 +100,7 @@
 	bestFirst, bestEnd, bestFree := -1, 0, 0
 	for r := range c.Racks {
 		first, end := c.Racks[r].First, c.windowEnd(r, width)
-		tasks, free := f.sum(c, first, end)
+		tasks, free := f.sum(c, first, end, strategy)
 		if tasks < shape.Tasks {
 			continue
 		}
@@ -120,17 +125,26 @@
 	return c.Racks[last].End
 }
 
-func (f *Finder) sum(c *Cluster, first, end int) (tasks, free int) {
+func (f *Finder) sum(c *Cluster, first, end int, strategy Strategy) (tasks, free int) {
 	for i := first; i < end; i++ {
 		tasks += f.counts[i]
-		free += max(0, c.Nodes[i].Free().Accelerators)
+		free += f.spare(c, i, strategy)
 	}
 	return tasks, free
 }
 
+// spare is what blocks are compared by: what the search may use, or, when
+// victims are to be few, what is free by now.
+func (f *Finder) spare(c *Cluster, i int, strategy Strategy) int {
+	if strategy == EmptiestFirst {
+		return max(0, c.Nodes[i].Free().Accelerators)
+	}
+	return f.usable[i]
+}
+
 // fill spreads the tasks over the nodes of one window, fullest nodes first.
 func (f *Finder) fill(c *Cluster, shape domain.Shape, strategy Strategy, first, end int) (domain.Placement, bool) {
-	tasks, _ := f.sum(c, first, end)
+	tasks, _ := f.sum(c, first, end, strategy)
 	if tasks < shape.Tasks {
 		return nil, false
 	}
@@ -142,7 +156,7 @@
 	}
 	switch strategy {
 	case BestFit:
-		f.sortFullestFirst(c, shape)
+		f.sortFullestFirst(shape)
 	case EmptiestFirst:
 		f.sortEmptiestFirst(c)
 	}
@@ -151,11 +165,10 @@
 
 // sortFullestFirst orders candidates by what they have free. A gang that fills
 // whole workers takes those that it fills exactly; the rest is broken up last.
-func (f *Finder) sortFullestFirst(c *Cluster, shape domain.Shape) {
+func (f *Finder) sortFullestFirst(shape domain.Shape) {
 	slices.SortStableFunc(f.order, func(i, j int) int {
-		freeI, freeJ := c.Nodes[i].Free().Accelerators, c.Nodes[j].Free().Accelerators
-		if freeI != freeJ {
-			return freeI - freeJ
+		if f.usable[i] != f.usable[j] {
+			return f.usable[i] - f.usable[j]
 		}
 		return f.counts[j] - f.counts[i]
 	})
@@ -218,11 +231,11 @@
 			width = neighbouringRacks
 		}
 		for r := range c.Racks {
-			tasks, _ := f.sum(c, c.Racks[r].First, c.windowEnd(r, width))
+			tasks, _ := f.sum(c, c.Racks[r].First, c.windowEnd(r, width), BestFit)
 			best = max(best, tasks)
 		}
 		return best
 	}
-	best, _ = f.sum(c, 0, len(c.Nodes))
+	best, _ = f.sum(c, 0, len(c.Nodes), BestFit)
 	return best
 }
--- a/scheduler/filter_borrow.go
+++ b/scheduler/filter_borrow.go
@@ -90,11 +90,7 @@
 		c.holdBack(w, HeldNoBlock, w.Job.Shape.Tasks, largest)
 		return hold
 	}
-	if c.policy.StarveAfter > 0 && c.Now.Sub(w.Since) > c.policy.StarveAfter {
-		return pass
-	}
-	c.holdBack(w, HeldReserved, w.Job.Shape.Tasks, largest)
-	return hold
+	return pass // the filters that follow may free its block
 }
 
 // renewReservation keeps the job's block, with the start expected now, or
@@ -103,18 +99,26 @@
 // start, but what has drained so far is not given away.
 func (c *cycle) renewReservation(w *Waiting) bool {
 	old, held := c.reserved[w.Job.ID]
-	if !held && len(c.reserved) >= c.policy.MaxReservations {
+	if !held && (len(c.reserved) >= c.maxReservations() || (c.candidates != nil && !c.candidates[w.Job.ID])) {
 		return false
 	}
-	within := map[domain.WorkerID]bool{}
+	within := make(map[domain.WorkerID]bool, len(old.Workers))
 	for _, id := range old.Workers {
 		within[id] = true
 	}
-	p, start, ok := c.earliestBlock(w, within)
-	if !ok && held {
-		c.unmark(w.Job.ID)
-		p, start, ok = c.earliestBlock(w, nil)
+	var p domain.Placement
+	var start time.Time
+	ok := false
+	if held {
+		if _, start, ok = c.earliestBlock(w, search{within: within}); !ok {
+			start = c.Now // gangs of this very plan are in the way
+		}
+		c.reserve(Reservation{Job: w.Job.ID, Workers: old.Workers, Start: start})
+		return true
 	}
+	// Ground that no guarantee needs can't be taken back while it drains. Only a
+	// gang that would not fit there even alone waits on cells.
+	p, start, ok = c.earliestBlock(w, search{beside: c.fitsBeside(w)})
 	if !ok {
 		return false
 	}
@@ -122,22 +126,42 @@
 	for _, a := range p {
 		r.Workers = append(r.Workers, a.Worker)
 	}
+	c.reserve(r)
+	return true
+}
+
+// reserve marks a block and keeps it for the next plan.
+func (c *cycle) reserve(r Reservation) {
 	c.mark(r)
 	c.plan.Reservations = append(c.plan.Reservations, r)
-	return true
+}
+
+// fitsBeside tells whether the gang would fit beside all cells if nothing else
+// ran.
+func (c *cycle) fitsBeside(w *Waiting) bool {
+	ground := func(n *placement.Node) domain.Resources { return n.Worker.Capacity.Sub(n.CellTotal) }
+	_, ok := c.finder.Find(c.cluster, w.Job.Shape, placement.FirstFit, ground)
+	return ok
+}
+
+// search restricts where a block may lie.
+type search struct {
+	// within, if not nil, are the only workers.
+	within map[domain.WorkerID]bool
+	// beside leaves the guarantees' cells out.
+	beside bool
 }
 
 // earliestBlock finds when, and where, the job will fit if gangs end as
-// expected. Workers reserved for others are left out; a non-empty within
-// restricts the search to those workers.
-func (c *cycle) earliestBlock(w *Waiting, within map[domain.WorkerID]bool) (domain.Placement, time.Time, bool) {
+// expected. Workers reserved for others are left out.
+func (c *cycle) earliestBlock(w *Waiting, where search) (domain.Placement, time.Time, bool) {
 	ends := c.ends()
 	lo, hi := 0, len(ends)
 	var best domain.Placement
 	found := false
 	for lo <= hi {
 		mid := (lo + hi) / 2
-		p, ok := c.findAfter(w, ends[:mid], within)
+		p, ok := c.findAfter(w, ends[:mid], where)
 		if ok {
 			best, found = p, true
 			hi = mid - 1
@@ -167,7 +191,7 @@
 	return out
 }
 
-func (c *cycle) findAfter(w *Waiting, ended []int, within map[domain.WorkerID]bool) (domain.Placement, bool) {
+func (c *cycle) findAfter(w *Waiting, ended []int, where search) (domain.Placement, bool) {
 	back := map[domain.WorkerID]domain.Resources{}
 	for _, i := range ended {
 		g := &c.gangs[i]
@@ -177,11 +201,11 @@
 	}
 	available := func(n *placement.Node) domain.Resources {
 		taken := n.ReservedFor != "" && n.ReservedFor != w.Job.ID
-		if taken || (len(within) > 0 && !within[n.Worker.ID]) {
+		if taken || (where.within != nil && !where.within[n.Worker.ID]) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
 		free := n.Free().Add(back[n.Worker.ID])
-		if !w.Class.Preemptible() {
+		if where.beside || !w.Class.Preemptible() {
 			free = least(free, n.Worker.Capacity.Sub(n.CellTotal))
 		}
 		return avoiding(w, n, free)
@@ -202,19 +226,25 @@
 }
 
 func (c *cycle) reclaimable(w *Waiting, n *placement.Node) domain.Resources {
-	have := n.Free().Add(n.Stopping).Add(c.victimsOn(n, w))
+	return c.reclaimableBy(w, n, w.mayStop)
+}
+
+// reclaimableBy returns what the job could have of a worker once the gangs that
+// may be stopped for it have gone.
+func (c *cycle) reclaimableBy(w *Waiting, n *placement.Node, mayStop func(*Gang) bool) domain.Resources {
+	have := n.Free().Add(n.Stopping).Add(c.victimsOn(n, mayStop))
 	if w.Class.Preemptible() {
 		return have
 	}
 	return least(have, n.Worker.Capacity.Sub(n.CellTotal).Sub(n.Pinned))
 }
 
-// victimsOn returns what the borrowers that w may stop hold of a worker.
-func (c *cycle) victimsOn(n *placement.Node, w *Waiting) domain.Resources {
+// victimsOn returns what the gangs that may be stopped hold of a worker.
+func (c *cycle) victimsOn(n *placement.Node, mayStop func(*Gang) bool) domain.Resources {
 	var sum domain.Resources
 	for _, i := range c.onNode[n.Worker.ID] {
 		g := &c.gangs[i]
-		if !w.mayStop(g) {
+		if !mayStop(g) {
 			continue
 		}
 		for _, a := range g.Placement {
@@ -243,18 +273,26 @@
 // large job however many small ones arrive.
 func starved(c *cycle, w *Waiting) verdict {
 	r, ok := c.reserved[w.Job.ID]
-	if !ok || !c.policy.Guarantees {
+	if !ok || !c.policy.Guarantees || !c.isStarved(w) {
 		return pass
 	}
+	c.closeBlock(w.Job.ID)
 	available := func(n *placement.Node) domain.Resources {
 		if !slices.Contains(r.Workers, n.Worker.ID) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
 		return avoiding(w, n, c.reclaimable(w, n))
 	}
-	if v := c.reclaim(w, available, false, w.mayStop); v != pass {
-		return v
+	return c.reclaim(w, available, false, w.mayStop)
+}
+
+// closeBlock keeps everybody else off a block from now on, however briefly: a
+// starved job is taking it back.
+func (c *cycle) closeBlock(job domain.JobID) {
+	for i := range c.plan.Reservations {
+		if c.plan.Reservations[i].Job == job {
+			c.plan.Reservations[i].Start = c.Now
+			c.mark(c.plan.Reservations[i])
+		}
 	}
-	c.holdBack(w, HeldReserved, w.Job.Shape.Tasks, 0)
-	return hold
 }
--- a/scheduler/filter_guaranteed.go
+++ b/scheduler/filter_guaranteed.go
@@ -17,17 +17,18 @@
 	}
 	account := w.Job.Account
 	cell := func(n *placement.Node) domain.Resources { return avoiding(w, n, n.CellFree(account)) }
-	free := func(n *placement.Node) domain.Resources { return least(cell(n), n.Free()) }
-	if p, ok := c.finder.Find(c.cluster, w.Job.Shape, placement.BestFit, free); ok {
-		c.start(w, p, true)
-		return done
-	}
 	return c.reclaim(w, cell, true, (*Gang).preemptible)
 }
 
-// reclaim books a place that borrowers hold, and stops those of them that are
-// not stopping yet. The job starts in a later plan, once they are gone.
+// reclaim starts the job on what is free of the place at hand. Else it books a
+// place that borrowers hold, and stops those of them that are not stopping yet;
+// the job then starts in a later plan, once they are gone.
 func (c *cycle) reclaim(w *Waiting, available placement.Available, guaranteed bool, mayStop func(*Gang) bool) verdict {
+	free := func(n *placement.Node) domain.Resources { return least(available(n), n.Free()) }
+	if p, ok := c.finder.Find(c.cluster, w.Job.Shape, placement.BestFit, free); ok {
+		c.start(w, p, guaranteed)
+		return done
+	}
 	soon := func(n *placement.Node) domain.Resources {
 		return least(available(n), n.Free().Add(n.Stopping))
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
@@ -26,8 +27,8 @@
 // were stopped for can't be borrowed again. spare are those that follow, once
 // all claims are settled.
 var (
-	claims = []filter{feasible, teamCeiling, guaranteed}
-	spare  = []filter{accountCeiling, borrow, urgent, starved}
+	claims = []filter{feasible, teamCeiling, beside, guaranteed}
+	spare  = []filter{accountCeiling, borrow, urgent, consolidate, starved}
 )
 
 // cycle is the state of one call of Plan.
@@ -43,7 +44,9 @@
 	onNode   map[domain.WorkerID][]int
 	reserved map[domain.JobID]Reservation
 	failed   map[failedKey]placementFailure
-	plan     Plan
+	// candidates may hold a reservation; nil when every job may.
+	candidates map[domain.JobID]bool
+	plan       Plan
 }
 
 // Make decides what starts now.
@@ -55,10 +58,11 @@
 			undecided = append(undecided, w)
 		}
 	}
+	c.largeFirst(undecided)
 	for _, w := range undecided {
 		v := c.consider(w, spare)
 		if v == pass {
-			c.holdBack(w, HeldNoBlock, w.Job.Shape.Tasks, 0)
+			c.holdBack(w, HeldReserved, w.Job.Shape.Tasks, 0)
 		}
 		if v != done && policy.NoBackfill {
 			break
@@ -67,6 +71,71 @@
 	return c.plan
 }
 
+// largeFirst moves jobs that hold a reservation, or are the next to get one,
+// behind the urgent ones and before all others: what they wait for is decided
+// before it is borrowed. Among them those that have waited past the bound go
+// first.
+func (c *cycle) largeFirst(jobs []*Waiting) {
+	if c.policy.FIFO {
+		return
+	}
+	c.chooseCandidates(jobs)
+	rank := func(w *Waiting) int {
+		switch {
+		case w.Class.Urgent:
+			return 0
+		case c.isStarved(w):
+			return 1
+		case c.candidates[w.Job.ID]:
+			return 2
+		}
+		return 3
+	}
+	slices.SortStableFunc(jobs, func(a, b *Waiting) int { return rank(a) - rank(b) })
+}
+
+func (c *cycle) maxReservations() int {
+	if c.policy.RacksPerReservation == 0 {
+		return 0
+	}
+	return max(1, len(c.cluster.Racks)/c.policy.RacksPerReservation)
+}
+
+// chooseCandidates gives the free reservations to the oldest large jobs.
+func (c *cycle) chooseCandidates(jobs []*Waiting) {
+	c.candidates = map[domain.JobID]bool{}
+	for id := range c.reserved {
+		c.candidates[id] = true
+	}
+	var large []*Waiting
+	for _, w := range jobs {
+		if c.isLarge(w) && !c.candidates[w.Job.ID] {
+			large = append(large, w)
+		}
+	}
+	slices.SortStableFunc(large, bySubmission)
+	for _, w := range large {
+		if len(c.candidates) >= c.maxReservations() {
+			return
+		}
+		c.candidates[w.Job.ID] = true
+	}
+}
+
+// isLarge tells whether a job needs more than one worker, or has waited so long
+// that it is treated like one that does.
+func (c *cycle) isLarge(w *Waiting) bool {
+	if c.policy.StarveAfter > 0 && c.Now.Sub(w.Since) > c.policy.StarveAfter {
+		return true
+	}
+	return w.Job.Shape.Tasks > 1 && w.Job.Shape.Adjacency != domain.SameWorker
+}
+
+func (c *cycle) isStarved(w *Waiting) bool {
+	_, reserved := c.reserved[w.Job.ID]
+	return reserved && c.policy.StarveAfter > 0 && c.Now.Sub(w.Since) > c.policy.StarveAfter
+}
+
 func (c *cycle) consider(w *Waiting, filters []filter) verdict {
 	for _, f := range filters {
 		if v := f(c, w); v != pass {
@@ -135,7 +204,7 @@
 // changed under them, is pinned.
 func BindCells(cluster *placement.Cluster, s Snapshot) guarantee.Binding {
 	binder := guarantee.NewBinder(cluster, s.DataCentre, s.Accounts)
-	binder.Keep(s.Binding)
+	binder.Keep(s.Binding, cellsInUse(s))
 	for i := range s.Gangs {
 		g := &s.Gangs[i]
 		if !g.Guaranteed || g.Stopping {
@@ -150,6 +219,41 @@
 	return binder.Finish()
 }
 
+// cellsInUse tells which cells must stay where they are: those with a gang of
+// their account's guarantee on them, and those of accounts with jobs waiting,
+// for which borrowers may be stopping right now.
+func cellsInUse(s Snapshot) func(guarantee.Cell) bool {
+	type place struct {
+		account domain.AccountID
+		worker  domain.WorkerID
+	}
+	used := map[place]bool{}
+	claimed := map[domain.AccountID]bool{}
+	for i := range s.Waiting {
+		claimed[s.Waiting[i].Job.Account] = true
+	}
+	for i := range s.Gangs {
+		g := &s.Gangs[i]
+		if !g.Guaranteed || g.Stopping {
+			continue
+		}
+		for _, a := range g.Placement {
+			used[place{g.Job.Account, a.Worker}] = true
+		}
+	}
+	return func(cell guarantee.Cell) bool {
+		if claimed[cell.Account] {
+			return true
+		}
+		for _, a := range cell.Placement {
+			if used[place{cell.Account, a.Worker}] {
+				return true
+			}
+		}
+		return false
+	}
+}
+
 // keepReservations drops reservations of jobs that no longer wait, and marks
 // the workers of the others.
 func (c *cycle) keepReservations() {
@@ -158,7 +262,7 @@
 		waiting[c.Waiting[i].Job.ID] = true
 	}
 	for _, r := range c.Reservations {
-		if waiting[r.Job] && len(c.reserved) < c.policy.MaxReservations {
+		if waiting[r.Job] && len(c.reserved) < c.maxReservations() {
 			c.mark(r)
 		}
 	}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -4,8 +4,8 @@
 // present again; a stale plan costs a reservation, never a promise.
 //
 // Every waiting job passes an ordered pipe of filters. First all claims are
-// settled: feasible, team-ceiling, guaranteed. Then the spare capacity goes:
-// account-ceiling, borrow, urgent, starved.
+// settled: feasible, team-ceiling, beside, guaranteed. Then the spare capacity goes:
+// account-ceiling, borrow, urgent, consolidate, starved.
 package scheduler
 
 import (
@@ -28,11 +28,18 @@
 	NoBackfill bool
 	// Guarantees turns cells, reclaim and urgency on.
 	Guarantees bool
-	// MaxReservations bounds the large jobs that hold a reservation at once.
-	MaxReservations int
+	// RacksPerReservation bounds the large jobs that hold a reservation at once:
+	// one for every so many racks, and at least one; 0 allows none.
+	RacksPerReservation int
 	// StarveAfter is the wait after which a job with a reservation takes back
 	// what borrowers that came later hold of it; 0 never does.
 	StarveAfter time.Duration
+	// ConsolidateGain is by how much the idle time that is saved has to exceed
+	// the work that is lost when borrowers are moved off a large job's block; 0
+	// never moves any.
+	ConsolidateGain float64
+	// ConsolidateAfter is how long a borrower runs before it is moved.
+	ConsolidateAfter time.Duration
 	// UrgentGrace bounds the time that borrowers get to checkpoint when urgent
 	// work needs their place.
 	UrgentGrace time.Duration
@@ -41,11 +48,13 @@
 // DefaultPolicy is the one that ships.
 func DefaultPolicy() Policy {
 	return Policy{
-		Strategy:        placement.BestFit,
-		Guarantees:      true,
-		MaxReservations: 4,
-		StarveAfter:     2 * time.Hour,
-		UrgentGrace:     3 * time.Second,
+		Strategy:            placement.BestFit,
+		Guarantees:          true,
+		RacksPerReservation: 2,
+		StarveAfter:         2 * time.Hour,
+		ConsolidateGain:     2,
+		ConsolidateAfter:    5 * time.Minute,
+		UrgentGrace:         3 * time.Second,
 	}
 }
 
