--- a/instance/instance.go
+++ b/instance/instance.go
@@ -111,8 +111,11 @@
 		platform: options.Platform,
 	}
 	in.log = logger(options.Log, s).WithFields(logrus.Fields{"instance": in.ID, "data_centre": s.DataCentre})
+	in.Metrics.countBytes("peers", in.PeerCounters)
 	if in.platform == nil {
-		in.platform = client.New(s.Platform.Log, s.Platform.List, s.DataCentre)
+		c := client.New(s.Platform.Log, s.Platform.List, s.DataCentre)
+		in.Metrics.countBytes("platform", c.Bytes)
+		in.platform = c
 	}
 	in.inventory.Store(&platform.Inventory{})
 	if err := in.listen(); err != nil {
--- a/instance/members.go
+++ b/instance/members.go
@@ -73,27 +73,21 @@
 	}
 	listCtx, cancel := context.WithTimeout(ctx, listEvery)
 	defer cancel()
-	inventory, err := in.platform.List(listCtx, self)
+	old := *in.inventory.Load()
+	answer, err := in.platform.List(listCtx, platform.ListQuery{Self: self, DataCentre: in.Settings.DataCentre, Known: old.Versions})
 	if err != nil {
 		return // the last list stands
 	}
+	inventory := old.Update(answer)
 	in.inventory.Store(&inventory)
-	in.table.Update(inventory.Backends)
+	if inventory.Versions.Backends != old.Versions.Backends {
+		in.table.Update(inventory.Backends)
+	}
 	in.members.with(func(t *membership.Table) { t.List(inventory.Instances, time.Now()) })
 }
 
 // fleet returns the data centre's workers as last listed.
-func (in *Instance) fleet() []domain.Worker { return in.workersOf(in.Settings.DataCentre) }
-
-func (in *Instance) workersOf(dc domain.DataCentre) []domain.Worker {
-	var out []domain.Worker
-	for _, worker := range in.inventory.Load().Workers {
-		if worker.DataCentre == dc {
-			out = append(out, worker)
-		}
-	}
-	return out
-}
+func (in *Instance) fleet() []domain.Worker { return in.inventory.Load().Workers }
 
 // ping is what a probe carries, both ways.
 type ping struct {
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -40,6 +40,18 @@
 	return m
 }
 
+// countBytes adds a counter of the bytes that cross a kind of sockets.
+func (m *Metrics) countBytes(with string, bytes func() (received, sent int64)) {
+	add := func(direction string, value func() int64) {
+		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "cobalttide_control_bytes_total", Help: "Bytes of control traffic, by the other side.",
+			ConstLabels: prometheus.Labels{"with": with, "direction": direction},
+		}, func() float64 { return float64(value()) }))
+	}
+	add("received", func() int64 { received, _ := bytes(); return received })
+	add("sent", func() int64 { _, sent := bytes(); return sent })
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 }
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -19,6 +19,7 @@
 	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/membership"
 	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/platform"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -96,7 +97,7 @@
 	declared, problems := decodeDeclarations(r.DeclarationsJson)
 	current := s.in.configuration.Current()
 	if len(problems) == 0 {
-		problems = s.in.unmeetable(declared)
+		problems = s.in.unmeetable(ctx, declared)
 	}
 	out := &cobalttidev1.PlanResponse{BaseVersion: uint64(current.Version)}
 	for _, p := range problems {
@@ -137,10 +138,10 @@
 
 // unmeetable finds guarantees that do not pack into the data centres' workers,
 // and classes that are removed while jobs of theirs have not ended.
-func (in *Instance) unmeetable(d configuration.Declarations) configuration.Problems {
+func (in *Instance) unmeetable(ctx context.Context, d configuration.Declarations) configuration.Problems {
 	var problems configuration.Problems
-	for _, dc := range in.dataCentres() {
-		cluster := placement.NewCluster(in.workersOf(dc))
+	for dc, workers := range in.allFleets(ctx) {
+		cluster := placement.NewCluster(workers)
 		for _, unmet := range guarantee.Bind(cluster, dc, d.Accounts, guarantee.Binding{}).Unmet {
 			problems = append(problems, configuration.Problem{
 				Field:   "accounts." + string(unmet.Account) + ".guarantees",
@@ -149,6 +150,7 @@
 			})
 		}
 	}
+	sort.Slice(problems, func(i, j int) bool { return problems[i].String() < problems[j].String() })
 	active, _ := in.jobs.Active()
 	for _, status := range active {
 		if _, kept := d.Classes[status.Job.Class]; !kept {
@@ -161,16 +163,19 @@
 	return problems
 }
 
-func (in *Instance) dataCentres() []domain.DataCentre {
-	seen := map[domain.DataCentre]bool{}
-	var out []domain.DataCentre
-	for _, worker := range in.inventory.Load().Workers {
-		if !seen[worker.DataCentre] {
-			seen[worker.DataCentre] = true
-			out = append(out, worker.DataCentre)
-		}
+// allFleets returns the workers of every data centre, or, while the platform's
+// list is away, of this one.
+func (in *Instance) allFleets(ctx context.Context) map[domain.DataCentre][]domain.Worker {
+	listCtx, cancel := context.WithTimeout(ctx, listEvery)
+	defer cancel()
+	workers := in.fleet()
+	if all, err := in.platform.List(listCtx, platform.ListQuery{}); err == nil {
+		workers = all.Workers
+	}
+	out := map[domain.DataCentre][]domain.Worker{}
+	for _, worker := range workers {
+		out[worker.DataCentre] = append(out[worker.DataCentre], worker)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
 
@@ -203,7 +208,7 @@
 func (in *Instance) Apply(ctx context.Context, declarations string, base configuration.Version, id, operator string) (configuration.Version, *domain.Refusal) {
 	declared, problems := decodeDeclarations(declarations)
 	if len(problems) == 0 {
-		problems = in.unmeetable(declared)
+		problems = in.unmeetable(ctx, declared)
 	}
 	if len(problems) > 0 {
 		return 0, domain.Refuse(domain.ReasonInvalid, problems[0].Field, strings.TrimSpace(problems.Error()), "mend the declarations; see cobaltctl plan")
--- a/planner/core.go
+++ b/planner/core.go
@@ -58,8 +58,8 @@
 func DefaultOptions() Options {
 	return Options{
 		Timing:                 gang.DefaultTiming(),
-		Poll:                   time.Second,
-		Authority:              4 * time.Second,
+		Poll:                   2 * time.Second,
+		Authority:              5 * time.Second,
 		PlanEvery:              2 * time.Second,
 		MaxFailures:            3,
 		MemoryAllowancePercent: 25,
