--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -51,7 +51,7 @@
 		Strategy:            placement.BestFit,
 		Guarantees:          true,
 		RacksPerReservation: 2,
-		StarveAfter:         2 * time.Hour,
+		StarveAfter:         30 * time.Minute,
 		ConsolidateGain:     2,
 		ConsolidateAfter:    5 * time.Minute,
 		UrgentGrace:         3 * time.Second,
