--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,10 @@
 generate:
 	tools/generate.sh
 
-# Measures the slopes of docs/CAPACITY.md again.
+# Measures the slopes of docs/CAPACITY.md again: real daemons, then functions.
 capacity:
-	go test ./bench -run TestCapacity -capacity -v -timeout 20m
+	bench/control.sh
+	go test ./bench -run XXX -bench 'BenchmarkPlan|BenchmarkRecovery|BenchmarkMemory|BenchmarkConfig' -benchtime 20x
 
 # The policy and routing benchmarks of docs/MEASUREMENTS.md.
 bench:
--- a/bench/control.sh
+++ b/bench/control.sh
@@ -4,6 +4,7 @@
 # Prints one line a configuration: processor time in percent of a core, resident
 # memory in MiB, and control bytes a second, for the planner and for the mean of
 # the other instances. Everything runs on loopback and ends by itself.
+# Names one series (instances, workers, gangs) or none for all.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds=${SECONDS_EACH:-15}
@@ -50,11 +51,10 @@
 D
   export COBALTTIDE_ADDRESS="127.0.0.1:$((base + 2))"
   COBALTTIDE_TOKEN=operator-development "$dir/cobaltctl" apply "$dir/declarations" >/dev/null
-  for i in $(seq 1 "$gangs"); do
-    curl -s -o /dev/null -H "Authorization: Bearer a" -d "{\"id\": \"g$i\", \"class\": \"long\", \"estimate\": \"9h\", \"payload\": \"{\\\"run\\\": \\\"9h\\\"}\", \"shape\": {\"tasks\": 1, \"per_task\": {\"accelerators\": 1}}}" \
-      "http://$COBALTTIDE_ADDRESS/v1/jobs" &
-    [ $((i % 50)) -eq 0 ] && wait $(jobs -p | tail -n 50) 2>/dev/null || true
-  done
+  export dir
+  seq 1 "$gangs" | xargs -r -P 16 -I{} curl -s -o /dev/null -H "Authorization: Bearer a" \
+    -d '{"id": "g{}", "class": "long", "estimate": "9h", "payload": "{\"run\": \"9h\"}", "shape": {"tasks": 1, "per_task": {"accelerators": 1}}}' \
+    "http://$COBALTTIDE_ADDRESS/v1/jobs"
   sleep 4
   local before=() after=() b0=() b1=()
   for i in $(seq 1 "$instances"); do before+=("$(ticks "${daemons[i - 1]}")"); b0+=("$(bytes $((base + 2 * i)))"); done
@@ -78,6 +78,8 @@
   stop
 }
 
-for n in 2 4 8 16 32; do measure 21000 "$n" 20 0; done
-for w in 20 100 200 400 900; do measure 22000 2 "$w" 0; done
-for g in 0 100 200 400 800; do measure 23000 2 100 "$g"; done
+case "${1:-all}" in
+instances | all) for n in 2 4 8 16 32; do measure 21000 "$n" 20 0; done ;;&
+workers | all) for w in 20 100 200 400 900; do measure 22000 2 "$w" 0; done ;;&
+gangs | all) for g in 0 100 200 400 800; do measure 23000 2 100 "$g"; done ;;
+esac
