--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -1,11 +1,11 @@
 package policy
 
 import (
-	"container/heap"
 	"math"
 	"sort"
 	"time"
 
+	"github.com/cobalttide/cobalttide/bench/virtual"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/estimate"
 	"github.com/cobalttide/cobalttide/guarantee"
@@ -60,33 +60,12 @@
 	began    time.Duration
 }
 
-// event is something at an instant: an end of a gang, or an outside one.
-type event struct {
-	at time.Duration
-	do func()
-	// valid is false for an end that no longer comes.
-	valid func() bool
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // run is the state of one run.
 type run struct {
 	trace    Trace
 	policy   Policy
 	now      time.Duration
-	events   events
+	queue    virtual.Queue
 	jobs     []*job
 	waiting  []*job
 	running  []*job
@@ -112,32 +91,27 @@
 		j := &job{Arrival: a, since: a.At, started: -1, done: -1, left: a.Run}
 		j.Job.Submitted = epoch.Add(a.At)
 		r.jobs = append(r.jobs, j)
-		r.at(a.At, func() { r.arrive(j) })
+		r.queue.At(a.At, func() { r.arrive(j) })
 	}
 	for _, o := range t.Outages {
-		r.at(o.From, func() { r.fail(o.Worker) })
-		r.at(o.To, func() { delete(r.down, o.Worker) })
+		r.queue.At(o.From, func() { r.fail(o.Worker) })
+		r.queue.At(o.To, func() { delete(r.down, o.Worker) })
 	}
 	r.loop()
 	return r.summarize()
 }
 
-func (r *run) at(t time.Duration, do func()) { heap.Push(&r.events, event{at: t, do: do}) }
-
 // grain is the span of virtual time whose events are decided on together.
 const grain = time.Second
 
 // loop plays events until the trace's length has passed twice over or all jobs
 // are done, so that late completions count.
 func (r *run) loop() {
-	for len(r.events) > 0 && r.now < 3*r.trace.Length {
-		next := r.events[0].at
+	for next, more := r.queue.Next(); more && r.now < 3*r.trace.Length; next, more = r.queue.Next() {
 		r.advance(next)
-		for len(r.events) > 0 && r.events[0].at <= next+grain {
-			e := heap.Pop(&r.events).(event)
-			if e.valid == nil || e.valid() {
-				e.do()
-			}
+		for at, more := r.queue.Next(); more && at <= next+grain; at, more = r.queue.Next() {
+			_, do := r.queue.Pop()
+			do()
 		}
 		r.plan()
 	}
@@ -261,9 +235,7 @@
 
 func (r *run) preempt(j *job, grace time.Duration) {
 	j.gang.Stopping = true
-	at := r.now + grace
-	serial := j.serial
-	heap.Push(&r.events, event{at: at, valid: func() bool { return j.serial == serial && j.gang != nil }, do: func() { r.stopped(j, j.Class.Checkpointable) }})
+	r.queue.At(r.now+grace, j.ifSame(func() { r.stopped(j, j.Class.Checkpointable) }))
 }
 
 func (r *run) start(j *job, s scheduler.Start) {
@@ -278,8 +250,17 @@
 		Started: epoch.Add(r.now), Saved: epoch.Add(r.now),
 	}
 	j.serial++
+	r.queue.At(r.now+j.left, j.ifSame(func() { r.finish(j) }))
+}
+
+// ifSame does something only if the job still runs in the attempt at hand.
+func (j *job) ifSame(do func()) func() {
 	serial := j.serial
-	heap.Push(&r.events, event{at: r.now + j.left, valid: func() bool { return j.serial == serial && j.gang != nil }, do: func() { r.finish(j) }})
+	return func() {
+		if j.serial == serial && j.gang != nil {
+			do()
+		}
+	}
 }
 
 func (r *run) finish(j *job) {
--- a/bench/route/route.go
+++ b/bench/route/route.go
@@ -4,12 +4,12 @@
 package route
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
 
+	"github.com/cobalttide/cobalttide/bench/virtual"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/routing"
 )
@@ -75,7 +75,6 @@
 	instance int
 	tries    int
 	tried    []*routing.Backend
-	began    time.Duration
 	ended    bool
 }
 
@@ -92,34 +91,12 @@
 	sent    time.Duration
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].seq < e[j].seq)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type world struct {
 	scenario Scenario
 	policy   string
 	random   *rand.Rand
 	now      time.Duration
-	events   events
-	seq      int
+	queue    virtual.Queue
 	servers  []*server
 	tables   []*routing.Table
 	handles  []map[int]*routing.Backend
@@ -142,19 +119,14 @@
 	w := &world{scenario: s, policy: policy, random: rand.New(rand.NewPCG(seed, 7)), down: -1}
 	w.build()
 	w.arrivals()
-	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.do()
+	for _, more := w.queue.Next(); more; _, more = w.queue.Next() {
+		at, do := w.queue.Pop()
+		w.now = at
+		do()
 	}
 	return w.result()
 }
 
-func (w *world) at(t time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.events, event{at: t, seq: w.seq, do: do})
-}
-
 func (w *world) clock() time.Time { return epoch.Add(w.now) }
 
 func (w *world) build() {
@@ -179,8 +151,8 @@
 	}
 	if w.scenario.Rolling {
 		for i := range backends {
-			w.at(time.Duration(2+2*i)*time.Second, func() { w.down = i })
-			w.at(time.Duration(3+2*i)*time.Second, func() { w.down = -1 })
+			w.queue.At(time.Duration(2+2*i)*time.Second, func() { w.down = i })
+			w.queue.At(time.Duration(3+2*i)*time.Second, func() { w.down = -1 })
 		}
 	}
 }
@@ -193,7 +165,7 @@
 			service: time.Duration(w.random.ExpFloat64() * float64(meanService)),
 		}
 		w.offered++
-		w.at(r.arrived, func() { w.arrive(r) })
+		w.queue.At(r.arrived, func() { w.arrive(r) })
 	}
 }
 
@@ -230,7 +202,7 @@
 	case i == w.down, len(s.waiting) >= queue:
 		w.answer(d, false)
 	case i == 0 && w.scenario.BlackHole:
-		w.at(w.now+time.Millisecond, func() { w.answer(d, false) })
+		w.queue.At(w.now+time.Millisecond, func() { w.answer(d, false) })
 	default:
 		s.waiting = append(s.waiting, d)
 		w.work(s)
@@ -266,7 +238,7 @@
 		d := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		s.busy++
-		w.at(w.now+w.serviceOf(s, d.r), func() {
+		w.queue.At(w.now+w.serviceOf(s, d.r), func() {
 			s.busy--
 			w.answer(d, true)
 			w.work(s)
@@ -294,7 +266,7 @@
 			}
 			s.busy++
 			w.attempts++
-			w.at(w.now+r.service, func() {
+			w.queue.At(w.now+r.service, func() {
 				s.busy--
 				w.finish(r, true)
 				w.feed()
--- a/scheduler/filter_quota.go
+++ b/scheduler/filter_quota.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/quota"
 )
 
 // feasible parks a job that the schedulable fleet could not hold even empty.
@@ -44,22 +45,20 @@
 
 // teamCeiling holds a job whose team would exceed its ceiling.
 func teamCeiling(c *cycle, w *Waiting) verdict {
-	block := c.usage.TeamBlock(w.Job, c.Accounts[w.Job.Account])
-	if block == nil {
-		return pass
-	}
-	c.unmark(w.Job.ID)
-	c.holdBack(w, HeldTeamCeiling, block.Need, block.Have)
-	return hold
+	return c.holdAtCeiling(w, HeldTeamCeiling, c.usage.TeamBlock(w.Job, c.Accounts[w.Job.Account]))
 }
 
 // accountCeiling holds a job that would borrow beyond its account's ceiling.
 func accountCeiling(c *cycle, w *Waiting) verdict {
-	block := c.usage.BorrowBlock(w.Job, c.Accounts[w.Job.Account])
+	return c.holdAtCeiling(w, HeldAccountCeiling, c.usage.BorrowBlock(w.Job, c.Accounts[w.Job.Account]))
+}
+
+// holdAtCeiling holds a job that a quota blocks; it gives its reservation up.
+func (c *cycle) holdAtCeiling(w *Waiting, reason HeldReason, block *quota.Block) verdict {
 	if block == nil {
 		return pass
 	}
 	c.unmark(w.Job.ID)
-	c.holdBack(w, HeldAccountCeiling, block.Need, block.Have)
+	c.holdBack(w, reason, block.Need, block.Have)
 	return hold
 }
