Holdover: copies outlive the replacement of instances; memory bounds fit 64 MB

New instances now take the held records too, and two instances elsewhere hold copies instead of one (docs/CAPACITY.md, failures). The TCP test kills all first holders before the log is back; with one of them left it passed before, without any it could not. Memory: attempts 324 B, jobs 615 B each; 100,000 attempts, 16 MiB of answers and 20,000 ended jobs come to about 80 MB, over the budget of 64; now 50,000, 8 MiB and 10,000, about 50 MB.

--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -75,8 +75,8 @@
 // Bounds of what a ledger remembers. Beyond them the oldest ids are forgotten;
 // docs/design/at-most-once.md gives the time that this lasts.
 const (
-	maxEntries     = 100_000
-	maxAnswerBytes = 16 << 20
+	maxEntries     = 50_000
+	maxAnswerBytes = 8 << 20
 )
 
 // Ledger is the fold of the attempt stream. Safe for concurrent use.
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -410,8 +410,10 @@
 		_, raw, _ := late.call(t, http.MethodGet, "/v1/jobs/g4", "shop", "", "")
 		return strings.Contains(raw, `"completed"`)
 	})
-	// The acceptor dies before the log is back; its peer has copies.
+	// All that were there when the jobs were accepted die before the log is back;
+	// the one that came later has taken their copies over.
 	a.Kill()
+	b.Kill()
 	s.platform.Log.SetFaults(standin.LogFaults{})
 	eventually(t, "every acceptance is in the log", func() bool { return s.accepted() == 5 })
 	c := s.start("north")
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -93,8 +93,15 @@
 	return in.configuration.Current(), nil
 }
 
-func (in *Instance) serveImage(context.Context) (state.Image, error) {
-	return in.jobs.Image(), nil
+// recovered is what a new instance takes from a peer: the jobs, and the records
+// that wait for the log, so that copies outlive the replacement of instances.
+type recovered struct {
+	Image state.Image `json:"image"`
+	Held  []hold      `json:"held,omitempty"`
+}
+
+func (in *Instance) serveImage(context.Context) (recovered, error) {
+	return recovered{Image: in.jobs.Image(), Held: in.held.all()}, nil
 }
 
 func (in *Instance) serveHold(_ context.Context, h hold) (bool, error) {
--- a/instance/records.go
+++ b/instance/records.go
@@ -35,6 +35,9 @@
 	// minCopies is how many instances hold a record before it is accepted, this
 	// one included.
 	minCopies = 2
+	// copiesElsewhere is how many instances of other data centres hold a record,
+	// in case the data centre is lost; docs/CAPACITY.md works out what two buy.
+	copiesElsewhere = 2
 	// maxHeld bounds the records that one instance holds.
 	maxHeld = 50_000
 	// heldEvery is the interval at which held records are offered to the log,
@@ -87,6 +90,16 @@
 	return len(h.records)
 }
 
+func (h *heldRecords) all() []hold {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]hold, 0, len(h.records))
+	for _, r := range h.records {
+		out = append(out, hold{Stream: r.stream, Record: r.record})
+	}
+	return out
+}
+
 // due returns records that their first holder has not got into the log in time.
 func (h *heldRecords) due(now time.Time) []heldRecord {
 	h.mu.Lock()
@@ -108,8 +121,8 @@
 }
 
 // spread copies a record to peers and returns how many instances have it. All
-// of the data centre get it, because any of them may have to plan, and one
-// elsewhere, in case the data centre is lost.
+// of the data centre get it, because any of them may have to plan, and some
+// elsewhere.
 func (in *Instance) spread(ctx context.Context, stream platform.Stream, record platform.Record) int {
 	in.held.add(stream, record, true)
 	in.foldHeld(stream, record)
@@ -136,16 +149,18 @@
 
 func (in *Instance) holders() []string {
 	var out []string
-	elsewhere := false
+	elsewhere := 0
 	for _, m := range in.members.all() {
 		if m.ID == in.ID || m.State == "dead" || m.State == "left" {
 			continue
 		}
 		home := m.DataCentre == in.Settings.DataCentre
-		if home || !elsewhere {
+		if home || elsewhere < copiesElsewhere {
 			out = append(out, m.Address)
 		}
-		elsewhere = elsewhere || !home
+		if !home {
+			elsewhere++
+		}
 	}
 	return out
 }
@@ -327,11 +342,17 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-		var image state.Image
-		err := in.peers.Call(callCtx, m.Address, methodImage, nil, &image)
+		var answer recovered
+		err := in.peers.Call(callCtx, m.Address, methodImage, nil, &answer)
 		cancel()
-		if err == nil && in.jobs.Load(image) {
-			in.log.WithFields(logrus.Fields{"from": m.ID, "jobs": len(image.Jobs)}).Info("state taken from a peer")
+		if err != nil {
+			continue
+		}
+		for _, h := range answer.Held {
+			in.held.add(h.Stream, h.Record, false)
+		}
+		if in.jobs.Load(answer.Image) {
+			in.log.WithFields(logrus.Fields{"from": m.ID, "jobs": len(answer.Image.Jobs)}).Info("state taken from a peer")
 			return
 		}
 	}
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -38,7 +38,7 @@
 }
 
 // keptFinal bounds how many ended jobs are remembered for their callers.
-const keptFinal = 20_000
+const keptFinal = 10_000
 
 // Jobs is the folded state of one data centre's jobs. Every fold is idempotent,
 // so records may arrive twice. Safe for concurrent use.
