Scheduler: no two jobs take a place from each other in turns for ever

Cause: one of two runs of the demo with faults ended with two gangs stopped and started in turns for 30 s. A property (every job ends once nothing new comes) found three ways: a small gang took the place beside the cells, as a claim, ahead of the urgent gang that had just stopped it; a gang kept off workers on which it had failed although no others could hold it; neither was seen by the reclaim property. Ruled out: consolidation (borrowers run 5 min before they are moved) and the reservation.

Change: a place beside the cells is no claim any more, urgent and large jobs have their turn first; avoidance holds only while other workers could hold the gang.

--- a/scheduler/filter_beside.go
+++ b/scheduler/filter_beside.go
@@ -7,27 +7,33 @@
 
 // beside places a job that is smaller than what its account is guaranteed on
 // capacity that no guarantee needs, if any is free. There nobody can reclaim
-// it, and its account's cells stay whole for the shapes they are made for.
+// it, and its account's cells stay whole for the shapes they are made for. It
+// is no claim: urgent and large jobs have their turn at that capacity first.
 func beside(c *cycle, w *Waiting) verdict {
-	if !c.policy.Guarantees || !c.smallerThanGuarantees(w) {
+	p, ok := c.findBeside(w)
+	if !ok {
 		return pass
 	}
+	c.start(w, p, false)
+	return done
+}
+
+// findBeside looks for such a place.
+func (c *cycle) findBeside(w *Waiting) (domain.Placement, bool) {
+	if !c.policy.Guarantees || !c.smallerThanGuarantees(w) {
+		return nil, false
+	}
+	if c.usage.BorrowBlock(w.Job, c.Accounts[w.Job.Account]) != nil {
+		return nil, false
+	}
 	ends := c.Now.Add(w.Expected)
 	available := func(n *placement.Node) domain.Resources {
 		if n.ReservedFor != "" && ends.After(n.ReservedUntil) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
-		return avoiding(w, n, least(n.Free(), n.Beside()))
+		return c.avoiding(w, n, least(n.Free(), n.Beside()))
 	}
-	if c.usage.BorrowBlock(w.Job, c.Accounts[w.Job.Account]) != nil {
-		return pass
-	}
-	p, ok := c.finder.Find(c.cluster, w.Job.Shape, c.policy.Strategy, available)
-	if !ok {
-		return pass
-	}
-	c.start(w, p, false)
-	return done
+	return c.finder.Find(c.cluster, w.Job.Shape, c.policy.Strategy, available)
 }
 
 // smallerThanGuarantees tells whether every block that the account is
--- a/scheduler/filter_borrow.go
+++ b/scheduler/filter_borrow.go
@@ -48,7 +48,7 @@
 		if n.ReservedFor != "" && n.ReservedFor != w.Job.ID && ends.After(n.ReservedUntil) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
-		return avoiding(w, n, c.borrowable(w, n))
+		return c.avoiding(w, n, c.borrowable(w, n))
 	}
 	p, ok := c.finder.Find(c.cluster, w.Job.Shape, c.policy.Strategy, available)
 	if ok {
@@ -208,7 +208,7 @@
 		if where.beside || !w.Class.Preemptible() {
 			free = least(free, n.Worker.Capacity.Sub(n.CellTotal))
 		}
-		return avoiding(w, n, free)
+		return c.avoiding(w, n, free)
 	}
 	return c.finder.Find(c.cluster, w.Job.Shape, placement.BestFit, available)
 }
@@ -220,7 +220,7 @@
 		return pass
 	}
 	available := func(n *placement.Node) domain.Resources {
-		return avoiding(w, n, c.reclaimable(w, n))
+		return c.avoiding(w, n, c.reclaimable(w, n))
 	}
 	return c.reclaim(w, available, false, w.mayStop)
 }
@@ -281,7 +281,7 @@
 		if !slices.Contains(r.Workers, n.Worker.ID) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
-		return avoiding(w, n, c.reclaimable(w, n))
+		return c.avoiding(w, n, c.reclaimable(w, n))
 	}
 	return c.reclaim(w, available, false, w.mayStop)
 }
--- a/scheduler/filter_consolidate.go
+++ b/scheduler/filter_consolidate.go
@@ -27,7 +27,7 @@
 		if !slices.Contains(r.Workers, n.Worker.ID) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
-		return avoiding(w, n, c.reclaimableBy(w, n, (*Gang).preemptible))
+		return c.avoiding(w, n, c.reclaimableBy(w, n, (*Gang).preemptible))
 	}
 	return c.reclaim(w, available, false, (*Gang).preemptible)
 }
--- a/scheduler/filter_guaranteed.go
+++ b/scheduler/filter_guaranteed.go
@@ -7,6 +7,16 @@
 	"github.com/cobalttide/cobalttide/placement"
 )
 
+// claimed settles a job's claim to its account's cells, unless it can do without
+// them: then its turn comes with the spare capacity, where it claims its cells
+// after all if the place beside them has gone.
+func claimed(c *cycle, w *Waiting) verdict {
+	if _, ok := c.findBeside(w); ok {
+		return pass
+	}
+	return guaranteed(c, w)
+}
+
 // guaranteed places a job within its account's cells: on what is free there,
 // else on what stopping gangs are about to give back, else by stopping the
 // borrowers that are in the way. The cells' invariant makes the last always
@@ -16,7 +26,7 @@
 		return pass
 	}
 	account := w.Job.Account
-	cell := func(n *placement.Node) domain.Resources { return avoiding(w, n, n.CellFree(account)) }
+	cell := func(n *placement.Node) domain.Resources { return c.avoiding(w, n, n.CellFree(account)) }
 	return c.reclaim(w, cell, true, (*Gang).preemptible)
 }
 
@@ -112,9 +122,10 @@
 	}
 }
 
-// avoiding returns nothing for workers on which the job has failed.
-func avoiding(w *Waiting, n *placement.Node, have domain.Resources) domain.Resources {
-	if len(w.Avoid) > 0 && slices.Contains(w.Avoid, n.Worker.ID) {
+// avoiding returns nothing for workers on which the job has failed, unless it
+// could run nowhere else.
+func (c *cycle) avoiding(w *Waiting, n *placement.Node, have domain.Resources) domain.Resources {
+	if c.avoids[w.Job.ID] && slices.Contains(w.Avoid, n.Worker.ID) {
 		return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 	}
 	return have
--- a/scheduler/filter_quota.go
+++ b/scheduler/filter_quota.go
@@ -21,6 +21,7 @@
 		c.failed[key] = failure
 	}
 	if !failure.failed && c.pinnable(w) {
+		c.settleAvoidance(w)
 		return pass
 	}
 	c.unmark(w.Job.ID)
@@ -28,14 +29,28 @@
 	return hold
 }
 
+// settleAvoidance decides whether the job keeps off the workers on which it has
+// failed: only if the others could hold it.
+func (c *cycle) settleAvoidance(w *Waiting) {
+	if len(w.Avoid) == 0 {
+		return
+	}
+	c.avoids[w.Job.ID] = true
+	whole := func(n *placement.Node) domain.Resources { return c.avoiding(w, n, n.Worker.Capacity) }
+	_, fits := c.finder.Find(c.cluster, w.Job.Shape, placement.FirstFit, whole)
+	c.avoids[w.Job.ID] = fits && c.pinnable(w)
+}
+
 // pinnable tells whether a gang that can't be preempted has room in its own
 // account's cells or beside everybody's.
 func (c *cycle) pinnable(w *Waiting) bool {
 	if w.Class.Preemptible() || !c.policy.Guarantees {
 		return true
 	}
-	own := func(n *placement.Node) domain.Resources { return n.CellSize(w.Job.Account) }
-	beside := func(n *placement.Node) domain.Resources { return n.Worker.Capacity.Sub(n.CellTotal) }
+	own := func(n *placement.Node) domain.Resources { return c.avoiding(w, n, n.CellSize(w.Job.Account)) }
+	beside := func(n *placement.Node) domain.Resources {
+		return c.avoiding(w, n, n.Worker.Capacity.Sub(n.CellTotal))
+	}
 	if _, ok := c.finder.Find(c.cluster, w.Job.Shape, placement.FirstFit, own); ok {
 		return true
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -27,8 +27,8 @@
 // were stopped for can't be borrowed again. spare are those that follow, once
 // all claims are settled.
 var (
-	claims = []filter{feasible, teamCeiling, beside, guaranteed}
-	spare  = []filter{accountCeiling, borrow, urgent, consolidate, starved}
+	claims = []filter{feasible, teamCeiling, claimed}
+	spare  = []filter{beside, guaranteed, accountCeiling, borrow, urgent, consolidate, starved}
 )
 
 // cycle is the state of one call of Plan.
@@ -45,7 +45,9 @@
 	failed   map[failedKey]placementFailure
 	// candidates may hold a reservation; nil when every job may.
 	candidates map[domain.JobID]bool
-	plan       Plan
+	// avoids are the jobs that keep off workers on which they have failed.
+	avoids map[domain.JobID]bool
+	plan   Plan
 }
 
 // Make decides what starts now.
@@ -153,6 +155,7 @@
 		onNode:   map[domain.WorkerID][]int{},
 		reserved: map[domain.JobID]Reservation{},
 		failed:   map[failedKey]placementFailure{},
+		avoids:   map[domain.JobID]bool{},
 	}
 	c.usage = quota.NewUsage(c.cluster.Capacity())
 	for i := range c.gangs {
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -315,3 +315,81 @@
 		})
 	}
 }
+
+// Whatever is submitted, if nothing new comes then everything that can run at
+// all ends: no two jobs take a place from each other in turns for ever. Found
+// by the demo with faults, where two borrowers and an urgent gang did. A gang
+// needs three undisturbed rounds; one that is stopped begins anew.
+func TestEveryJobEndsOnceNothingNewComes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(2, 12).Draw(t, "jobs") {
+			m.submit(t)
+		}
+		for i := range m.s.Waiting {
+			if rapid.Bool().Draw(t, "has failed somewhere") {
+				m.s.Waiting[i].Avoid = []domain.WorkerID{rapid.SampledFrom(m.s.Workers).Draw(t, "on").ID}
+			}
+			m.s.Waiting[i].Expected = time.Duration(rapid.SampledFrom([]int{1, 600, 4000}).Draw(t, "expected")) * time.Second
+		}
+		for range rapid.IntRange(0, 5).Draw(t, "lost workers") {
+			m.s.Unschedulable[rapid.SampledFrom(m.s.Workers).Draw(t, "lost").ID] = true
+		}
+		avoid := map[domain.JobID][]domain.WorkerID{}
+		for _, w := range m.s.Waiting {
+			avoid[w.Job.ID] = w.Avoid
+		}
+		total := len(m.s.Waiting)
+		ran := map[domain.JobID]int{}
+		for round := 0; len(m.s.Gangs)+len(m.s.Waiting) > 0; round++ {
+			plan := m.plan()
+			if stuck := len(m.s.Gangs) == 0 && neverRunnable(plan) == len(m.s.Waiting); stuck {
+				return // what is left can't run on this fleet beside the guarantees
+			}
+			if round > 100+20*total {
+				t.Fatalf("%d of %d jobs have not ended: running %v, held %+v", len(m.s.Gangs)+len(m.s.Waiting), total, ids(m.s.Gangs), plan.Held)
+			}
+			m.advance(ran)
+			for i := range m.s.Waiting {
+				m.s.Waiting[i].Avoid = avoid[m.s.Waiting[i].Job.ID]
+			}
+		}
+	})
+}
+
+func neverRunnable(p Plan) int {
+	n := 0
+	for _, held := range p.Held {
+		if held.Reason == HeldNeverRunnable {
+			n++
+		}
+	}
+	return n
+}
+
+func ids(gangs []Gang) []domain.JobID {
+	var out []domain.JobID
+	for _, g := range gangs {
+		out = append(out, g.Job.ID)
+	}
+	return out
+}
+
+// advance lets a round pass: gangs that were told to stop are gone, and those
+// that have had three rounds end.
+func (m *model) advance(ran map[domain.JobID]int) {
+	for _, g := range m.s.Gangs {
+		if g.Stopping {
+			ran[g.Job.ID] = 0
+		}
+	}
+	m.stopped()
+	var left []Gang
+	for _, g := range m.s.Gangs {
+		if ran[g.Job.ID]++; ran[g.Job.ID] < 3 {
+			left = append(left, g)
+		}
+	}
+	m.s.Gangs = left
+	m.s.Now = m.s.Now.Add(5 * time.Second)
+}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -4,8 +4,8 @@
 // present again; a stale plan costs a reservation, never a promise.
 //
 // Every waiting job passes an ordered pipe of filters. First all claims are
-// settled: feasible, team-ceiling, beside, guaranteed. Then the spare capacity goes:
-// account-ceiling, borrow, urgent, consolidate, starved.
+// settled: feasible, team-ceiling, claimed. Then the spare capacity goes:
+// beside, guaranteed, account-ceiling, borrow, urgent, consolidate, starved.
 package scheduler
 
 import (
