--- a/state/journal_test.go
+++ b/state/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,14 +69,16 @@
 	log.SetFaults(s.faults)
 	journal := NewJournal(log, DefaultJournalOptions())
 	results := make([]error, len(s.kept))
+	var wg sync.WaitGroup
 	for i, kept := range s.kept {
-		go func() {
+		wg.Go(func() {
 			time.Sleep(s.at[i])
 			results[i] = put(journal, fmt.Sprint("r", i), kept)
-		}()
+		})
 	}
 	time.Sleep(s.heal)
 	log.SetFaults(standin.LogFaults{})
+	wg.Wait()
 	time.Sleep(time.Minute)
 	in := readAll(t, log)
 	journal.Close()
--- /dev/null
+++ b/transport/peer/peer_test.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/creachadair/jrpc2"
+	"github.com/creachadair/jrpc2/channel"
+	"github.com/creachadair/jrpc2/handler"
+)
+
+func serve(t *testing.T, secret string) (address string, calls *int) {
+	t.Helper()
+	calls = new(int)
+	methods := handler.Map{"echo": handler.New(func(_ context.Context, words []string) (string, error) {
+		*calls++
+		return words[0], nil
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		NewServer([]byte(secret), methods, &Counters{}).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = listener.Close()
+		<-done
+	})
+	return listener.Addr().String(), calls
+}
+
+func call(t *testing.T, secret, address string) (string, error) {
+	t.Helper()
+	pool := NewPool([]byte(secret), &Counters{})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var answer string
+	err := pool.Call(ctx, address, "echo", []string{"hello"}, &answer)
+	return answer, err
+}
+
+func TestOnlyHoldersOfTheSecretAreAnswered(t *testing.T) {
+	address, calls := serve(t, "the-right-secret")
+	if answer, err := call(t, "the-right-secret", address); err != nil || answer != "hello" {
+		t.Errorf("with the secret: %q, %v", answer, err)
+	}
+	if _, err := call(t, "another-secret", address); !errors.Is(err, ErrSecret) {
+		t.Errorf("with another secret: %v", err)
+	}
+	if *calls != 1 {
+		t.Errorf("%d calls were served", *calls)
+	}
+}
+
+func TestCallsBeforeTheProofAreNotServed(t *testing.T) {
+	address, calls := serve(t, "the-right-secret")
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := jrpc2.NewClient(channel.Line(conn, conn), nil)
+	defer func() { _ = client.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var answer string
+	if err := client.CallResult(ctx, "echo", []string{"hello"}, &answer); err == nil {
+		t.Error("served without a proof")
+	}
+	var ok bool
+	if err := client.CallResult(ctx, methodProve, proof{Proof: "made up"}, &ok); err == nil {
+		t.Error("a made-up proof was taken")
+	}
+	if err := client.CallResult(ctx, "echo", []string{"hello"}, &answer); err == nil || *calls != 0 {
+		t.Error("served after a made-up proof")
+	}
+}
+
+func TestBlockedAddressIsNotReachedUntilItIsUnblocked(t *testing.T) {
+	address, _ := serve(t, "the-right-secret")
+	pool := NewPool([]byte("the-right-secret"), &Counters{})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var answer string
+	pool.Block(address)
+	if err := pool.Call(ctx, address, "echo", []string{"hello"}, &answer); err == nil {
+		t.Error("reached although blocked")
+	}
+	pool.Unblock()
+	if err := pool.Call(ctx, address, "echo", []string{"hello"}, &answer); err != nil {
+		t.Errorf("not reached after unblocking: %v", err)
+	}
+}
