Scheduler: a gang is stopped only for one that has its turn before it

With the bound shortened the property 'every job ends once nothing new comes' found a second pair: a small gang deferred its claim to its cells for a place beside them, an urgent gang of its account took that place and the cells, and was reclaimed, in turns. Change: urgent gangs are stopped for guarantees only; while urgent or large jobs wait, a job uses its cells and leaves the place beside them to those jobs.

--- a/scheduler/filter_borrow.go
+++ b/scheduler/filter_borrow.go
@@ -256,18 +256,20 @@
 	return sum
 }
 
-// mayStop tells whether a borrower gives way to w: to urgent work, if it is not
-// urgent itself; to a starved job, if it was submitted later.
+// mayStop tells whether a borrower gives way to w: to urgent work, and to a
+// starved job that was submitted earlier. Urgent gangs give way to neither, or
+// they would take the place back in the next plan: a gang is stopped only for
+// one that has its turn before it.
 func (w *Waiting) mayStop(g *Gang) bool {
-	if !g.preemptible() {
+	if !movable(g) {
 		return false
 	}
-	if w.Class.Urgent {
-		return !g.Class.Urgent
-	}
-	return g.Job.Submitted.After(w.Since)
+	return w.Class.Urgent || g.Job.Submitted.After(w.Since)
 }
 
+// movable tells whether a gang may be stopped for anything but a guarantee.
+func movable(g *Gang) bool { return g.preemptible() && !g.Class.Urgent }
+
 // starved lets a job that has waited past the bound take back its reserved
 // block from borrowers that were submitted after it. It bounds the wait of a
 // large job however many small ones arrive.
--- a/scheduler/filter_consolidate.go
+++ b/scheduler/filter_consolidate.go
@@ -18,8 +18,8 @@
 		return pass
 	}
 	gain := c.idle(r)
-	cost, movable := c.movingCost(r)
-	if !movable || gain < c.policy.ConsolidateGain*cost {
+	cost, settled := c.movingCost(r)
+	if !settled || gain < c.policy.ConsolidateGain*cost {
 		return pass
 	}
 	c.closeBlock(w.Job.ID)
@@ -27,9 +27,9 @@
 		if !slices.Contains(r.Workers, n.Worker.ID) {
 			return domain.Resources{Accelerators: -1, CPU: -1, MemoryMiB: -1}
 		}
-		return c.avoiding(w, n, c.reclaimableBy(w, n, (*Gang).preemptible))
+		return c.avoiding(w, n, c.reclaimableBy(w, n, movable))
 	}
-	return c.reclaim(w, available, false, (*Gang).preemptible)
+	return c.reclaim(w, available, false, movable)
 }
 
 // idle is the accelerator seconds that the block stands idle until its start.
@@ -44,13 +44,13 @@
 }
 
 // movingCost is the work that the borrowers on the block lose if they are moved
-// now. Movable is false while one of them has only just begun.
-func (c *cycle) movingCost(r Reservation) (cost float64, movable bool) {
+// now. Settled is false while one of them has only just begun.
+func (c *cycle) movingCost(r Reservation) (cost float64, settled bool) {
 	seen := map[int]bool{}
 	for _, id := range r.Workers {
 		for _, i := range c.onNode[id] {
 			g := &c.gangs[i]
-			if seen[i] || !g.preemptible() {
+			if seen[i] || !movable(g) {
 				continue
 			}
 			seen[i] = true
--- a/scheduler/filter_guaranteed.go
+++ b/scheduler/filter_guaranteed.go
@@ -8,11 +8,14 @@
 )
 
 // claimed settles a job's claim to its account's cells, unless it can do without
-// them: then its turn comes with the spare capacity, where it claims its cells
-// after all if the place beside them has gone.
+// them: then its turn comes with the spare capacity. While urgent or large jobs
+// wait, who would have their turn there first, it uses its cells and leaves that
+// capacity to them.
 func claimed(c *cycle, w *Waiting) verdict {
-	if _, ok := c.findBeside(w); ok {
-		return pass
+	if !c.crowded {
+		if _, ok := c.findBeside(w); ok {
+			return pass
+		}
 	}
 	return guaranteed(c, w)
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -47,7 +47,9 @@
 	candidates map[domain.JobID]bool
 	// avoids are the jobs that keep off workers on which they have failed.
 	avoids map[domain.JobID]bool
-	plan   Plan
+	// crowded is set while urgent or large jobs wait.
+	crowded bool
+	plan    Plan
 }
 
 // Make decides what starts now.
@@ -165,6 +167,10 @@
 		c.plan.Binding = BindCells(c.cluster, s)
 	}
 	c.keepReservations()
+	for i := range c.Waiting {
+		w := &c.Waiting[i]
+		c.crowded = c.crowded || w.Class.Urgent || c.isLarge(w)
+	}
 	return c
 }
 
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -323,6 +323,8 @@
 func TestEveryJobEndsOnceNothingNewComes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
+		m.policy.StarveAfter = 30 * time.Second
+		m.policy.ConsolidateAfter = 10 * time.Second
 		for range rapid.IntRange(2, 12).Draw(t, "jobs") {
 			m.submit(t)
 		}
