Acceptance: a refused job is not known anywhere it should not be

Cause: while the log is away the acceptor folded a job into its own state before it knew whether anybody else held a copy; with nobody, the caller was refused and the job still ran here. Found by reading publish against the promise that what is refused as not-run did not run; the test failed first (the refused job was known and waiting) and passes now. Change: the job is folded only once it is accepted; not-run is said only if the log certainly does not have it and no peer may have a copy.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -504,3 +504,23 @@
 		}
 	}
 }
+
+// A refusal that says not-run is true of jobs too: with the log down and nobody
+// to hold a copy, the job is refused and must not run.
+func TestRefusedJobIsNotKnownAndDoesNotRun(t *testing.T) {
+	s := newSite(t, "north")
+	in := s.start("north")
+	s.configure()
+	s.platform.Log.SetFaults(standin.LogFaults{Down: true})
+	_, raw, refusal := in.call(t, http.MethodPost, "/v1/jobs", "shop", "", gangBody("refused", 1, time.Millisecond))
+	if refusal.Reason != domain.ReasonLogUnavailable {
+		t.Fatalf("got %s", raw)
+	}
+	response, raw, _ := in.call(t, http.MethodGet, "/v1/jobs/refused", "shop", "", "")
+	if response.StatusCode != http.StatusNotFound {
+		t.Errorf("refused as %s, and yet known: %s", refusal.Outcome, raw)
+	}
+	if refusal.RetryAfter <= 0 {
+		t.Error("the refusal does not say when to come back")
+	}
+}
--- a/instance/records.go
+++ b/instance/records.go
@@ -120,13 +120,15 @@
 	Record platform.Record `json:"record"`
 }
 
-// spread copies a record to peers and returns how many instances have it. All
+// spread copies a record to peers and returns how many instances have it, and
+// whether some may have it whose answer was lost. All
 // of the data centre get it, because any of them may have to plan, and some
 // elsewhere.
-func (in *Instance) spread(ctx context.Context, stream platform.Stream, record platform.Record) int {
-	in.held.add(stream, record, true)
-	in.foldHeld(stream, record)
-	copies := 1
+func (in *Instance) spread(ctx context.Context, stream platform.Stream, record platform.Record) (copies int, unsure bool) {
+	if !in.held.add(stream, record, true) {
+		return 0, false
+	}
+	copies = 1
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, address := range in.holders() {
@@ -136,15 +138,17 @@
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			var ok bool
-			if err := in.peers.Call(callCtx, address, methodHold, hold{stream, record}, &ok); err == nil && ok {
-				mu.Lock()
+			err := in.peers.Call(callCtx, address, methodHold, hold{stream, record}, &ok)
+			mu.Lock()
+			defer mu.Unlock()
+			unsure = unsure || err != nil
+			if ok {
 				copies++
-				mu.Unlock()
 			}
 		}()
 	}
 	wg.Wait()
-	return copies
+	return copies, unsure
 }
 
 func (in *Instance) holders() []string {
@@ -214,14 +218,15 @@
 	if err == nil {
 		return InLog, nil
 	}
-	if copies := in.spread(ctx, stream, record); copies >= minCopies {
-		_, keepErr := in.journal.Keep(stream, record)
-		if keepErr == nil {
+	copies, unsure := in.spread(ctx, stream, record)
+	if copies >= minCopies {
+		if _, keepErr := in.journal.Keep(stream, record); keepErr == nil {
+			in.foldHeld(stream, record)
 			return InMemory, nil
 		}
 	}
 	in.held.seen(record.ID)
-	if errors.Is(err, state.ErrNotSent) {
+	if errors.Is(err, state.ErrNotSent) && copies <= 1 && !unsure {
 		return "", domain.Refuse(domain.ReasonLogUnavailable, "", "the log is away and no other instance could hold a copy",
 			"repeat it with the same id").After(logPatience)
 	}
@@ -246,6 +251,8 @@
 		select {
 		case <-done:
 		case <-time.After(logPatience):
+			// It is a fact, whether or not anybody else holds a copy.
+			in.foldHeld(stream, record)
 			in.spread(context.Background(), stream, record)
 		}
 	}()
