Readiness includes the lists; a call to an unknown data centre is refused as not-run

Now that is not-run, /readyz waits for the first list, and the tests wait until the instances are ready and know each other.

--- a/instance/http.go
+++ b/instance/http.go
@@ -19,6 +19,7 @@
 	"github.com/cobalttide/cobalttide/auth"
 	"github.com/cobalttide/cobalttide/dispatch"
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/platform"
 )
 
 // The headers of the callers' interface.
@@ -297,11 +298,18 @@
 func (in *Instance) health() health {
 	version := in.configuration.Current().Version
 	return health{
-		Ready: version > 0 && !in.leaving.Load(), Leaving: in.leaving.Load(), ConfigurationVersion: uint64(version),
+		Ready: in.Ready(), Leaving: in.leaving.Load(), ConfigurationVersion: uint64(version),
 		LogAgeMs: in.logAgeMs(), HeldRecords: in.held.count(),
 	}
 }
 
+// Ready tells whether callers are served: the configuration is known, the
+// platform's lists have been read once, and the instance is not leaving.
+func (in *Instance) Ready() bool {
+	listed := in.inventory.Load().Versions != platform.ListVersions{}
+	return in.configuration.Current().Version > 0 && listed && !in.leaving.Load()
+}
+
 func (in *Instance) healthz(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, in.health())
 }
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -123,7 +123,8 @@
 		s.t.Fatal(refusal)
 	}
 	for _, in := range s.instances {
-		eventually(s.t, "the configuration is in force", func() bool { return in.ConfigurationVersion() == 1 })
+		eventually(s.t, "the configuration is in force", func() bool { return in.ConfigurationVersion() == 1 && in.Ready() })
+		eventually(s.t, "the instances know each other", func() bool { return in.Peers() == len(s.instances) })
 	}
 }
 
@@ -393,7 +394,6 @@
 	s := newSite(t, "north")
 	a, b := s.start("north"), s.start("north")
 	s.configure()
-	eventually(t, "both know each other", func() bool { return a.Peers() == 2 && b.Peers() == 2 })
 	s.platform.Log.SetFaults(standin.LogFaults{Down: true})
 	for i := range 5 {
 		if _, raw, _ := a.call(t, http.MethodPost, "/v1/jobs", "shop", "", gangBody(fmt.Sprint("g", i), 1, 10*time.Millisecond)); !strings.Contains(raw, `"memory"`) {
@@ -442,7 +442,6 @@
 	s := newSite(t, "north", "south")
 	a, far := s.start("north"), s.start("south")
 	s.configure()
-	eventually(t, "both know each other", func() bool { return a.Peers() == 2 && far.Peers() == 2 })
 	s.platform.SetCut("south")
 	changed := declarations()
 	changed.Classes["late"] = domain.Class{Kind: domain.RequestClass, Expectation: domain.Duration(time.Second)}
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -80,7 +80,13 @@
 // elsewhere carries a call to an instance of another data centre. A submission
 // or a cancellation may be repeated: both are idempotent by the job's id.
 func (in *Instance) elsewhere(ctx context.Context, dc domain.DataCentre, method string, params, result any) error {
-	for _, m := range in.members.present(dc) {
+	present := in.members.present(dc)
+	if len(present) == 0 {
+		return domain.Refuse(domain.ReasonWrongDataCentre, "data_centre",
+			fmt.Sprintf("no instance of data centre %q is known at %q", dc, in.Settings.DataCentre),
+			"check the name; come back, or ask an instance of that data centre").After(time.Second)
+	}
+	for _, m := range present {
 		err := in.callPeer(ctx, m.Address, method, params, result)
 		if err == nil {
 			return nil
