Planner: a restarted worker gets work only after a majority has answered since

A new planner had claimed every worker and so did not wait; one worker restarted and forgot the token; the earlier planner, whose answers still counted for 5 s, gave it a gang. Ruled out: the takeover wait, which does not apply when all workers have answered. Change: a planner that notices a restart gives that worker nothing until a strict majority has answered commands sent after it.

--- a/planner/answers.go
+++ b/planner/answers.go
@@ -43,6 +43,7 @@
 		// A worker that restarts forgets the tokens it has seen, so an earlier
 		// planner may have been heard again: the wait begins anew.
 		c.majority = time.Time{}
+		w.rebooted = received
 	}
 	if !w.known || sent.After(w.reading.Sent) {
 		w.reading = gang.ReadingOf(report, sent, received)
--- a/planner/core.go
+++ b/planner/core.go
@@ -122,6 +122,8 @@
 	nextPoll time.Time
 	found    []platform.Member
 	listed   bool
+	// rebooted is when a restart of the worker was noticed.
+	rebooted time.Time
 }
 
 // Core is the planner of one data centre under one token. Not safe for
@@ -322,6 +324,22 @@
 	return n
 }
 
+// trusted tells whether a worker that has restarted may be given work again. It
+// has forgotten the tokens it had seen, so a majority of the others must have
+// answered since: had a new planner claimed them, they would have refused.
+func (c *Core) trusted(w *workerState) bool {
+	if w.rebooted.IsZero() {
+		return true
+	}
+	n := 0
+	for _, other := range c.workers {
+		if other.listed && other.claimed && other.acked.After(w.rebooted) {
+			n++
+		}
+	}
+	return 2*n > len(c.order)
+}
+
 func (c *Core) mayStart(now time.Time) bool { return 2*c.answering(now) > len(c.order) }
 
 func (c *Core) mayRenew(now time.Time) bool { return 2*c.answering(now) >= len(c.order) }
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -78,7 +78,7 @@
 	for _, spec := range c.order {
 		w := c.workers[spec.ID]
 		silent := !w.claimed || in.Now.Sub(w.acked) > c.options.Authority
-		if silent || in.Draining[spec.ID] {
+		if silent || in.Draining[spec.ID] || !c.trusted(w) {
 			out[spec.ID] = true
 		}
 	}
