--- a/attempt/keeper.go
+++ b/attempt/keeper.go
@@ -9,14 +9,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/state"
 )
 
 // Journal is what the keeper needs of state.Journal.
 type Journal interface {
-	Append(ctx context.Context, stream platform.Stream, record platform.Record) (int64, error)
-	Keep(stream platform.Stream, record platform.Record) (<-chan struct{}, error)
+	Append(ctx context.Context, stream port.Stream, record port.Record) (int64, error)
+	Keep(stream port.Stream, record port.Record) (<-chan struct{}, error)
 }
 
 // Options bound a keeper.
--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -9,7 +9,7 @@
 	"sync"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // The record kinds of the attempt stream.
@@ -111,7 +111,7 @@
 
 // FoldEntry folds one entry. Entries that can't be read are passed over by
 // every instance alike.
-func (l *Ledger) FoldEntry(e platform.Entry) error {
+func (l *Ledger) FoldEntry(e port.Entry) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e.Offset < l.offset {
@@ -124,7 +124,7 @@
 	return err
 }
 
-func (l *Ledger) fold(record platform.Record) error {
+func (l *Ledger) fold(record port.Record) error {
 	switch record.Kind {
 	case KindAttempt:
 		var a Attempt
--- a/bench/state_test.go
+++ b/bench/state_test.go
@@ -11,12 +11,12 @@
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/membership"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/state"
 )
 
-func jobRecords(n int) []platform.Record {
-	out := make([]platform.Record, 0, n)
+func jobRecords(n int) []port.Record {
+	out := make([]port.Record, 0, n)
 	for i := range n {
 		job := domain.Job{
 			ID: domain.JobID(fmt.Sprintf("job-%06d", i)), Account: "repair-shops", Class: "restock-forecast", DataCentre: "tyseley-hall",
@@ -41,7 +41,7 @@
 		records := jobRecords(n)
 		full := state.NewJobs()
 		for i, record := range records {
-			if err := full.FoldEntry(platform.Entry{Offset: int64(i), Record: record}); err != nil {
+			if err := full.FoldEntry(port.Entry{Offset: int64(i), Record: record}); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -53,7 +53,7 @@
 			for range b.N {
 				jobs := state.NewJobs()
 				for i, record := range records {
-					if err := jobs.FoldEntry(platform.Entry{Offset: int64(i), Record: record}); err != nil {
+					if err := jobs.FoldEntry(port.Entry{Offset: int64(i), Record: record}); err != nil {
 						b.Fatal(err)
 					}
 				}
@@ -130,7 +130,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if err := ledger.FoldEntry(platform.Entry{Offset: int64(i), Record: record}); err != nil {
+		if err := ledger.FoldEntry(port.Entry{Offset: int64(i), Record: record}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,7 +10,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/standin"
 )
 
 func main() { os.Exit(run()) }
--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Version counts the accepted changes of a deployment's configuration.
@@ -286,7 +286,7 @@
 
 // FoldEntry folds an entry of the configuration stream. Other kinds, and
 // changes that can't be read, are passed over by every instance alike.
-func (s *Store) FoldEntry(e platform.Entry) Outcome {
+func (s *Store) FoldEntry(e port.Entry) Outcome {
 	var change Change
 	if e.Record.Kind != KindChange || json.Unmarshal(e.Record.Data, &change) != nil {
 		s.mu.Lock()
--- a/configuration/fold_test.go
+++ b/configuration/fold_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/internal/seeded"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m) }
@@ -141,7 +141,7 @@
 
 func TestUnknownRecordKindsArePassedOver(t *testing.T) {
 	s := NewStore()
-	s.FoldEntry(platform.Entry{Offset: 0, Record: platform.Record{Kind: "of-a-later-version", Data: json.RawMessage(`{}`)}})
+	s.FoldEntry(port.Entry{Offset: 0, Record: port.Record{Kind: "of-a-later-version", Data: json.RawMessage(`{}`)}})
 	if got := s.Current().Offset; got != 1 {
 		t.Errorf("the reader stands at %d", got)
 	}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -16,8 +16,8 @@
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/instance"
-	"github.com/cobalttide/cobalttide/platform/standin"
 	"github.com/cobalttide/cobalttide/settings"
+	"github.com/cobalttide/cobalttide/standin"
 )
 
 // cluster is a running deployment.
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/standin"
 )
 
 // fault is one thing that goes wrong at a time of the run.
--- a/demo/load.go
+++ b/demo/load.go
@@ -15,7 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/state"
 )
 
--- a/demo/watcher.go
+++ b/demo/watcher.go
@@ -8,7 +8,7 @@
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/gang"
 	"github.com/cobalttide/cobalttide/placement"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // watcher looks at the workers themselves, which no instance can deceive, and
@@ -97,7 +97,7 @@
 	return out
 }
 
-func note(gangs map[domain.Incarnation]*view, m platform.Member) {
+func note(gangs map[domain.Incarnation]*view, m port.Member) {
 	v, ok := gangs[m.Gang]
 	if !ok {
 		v = &view{}
@@ -105,10 +105,10 @@
 	}
 	v.size = max(v.size, m.Members)
 	switch m.State {
-	case platform.TaskRunning:
+	case port.TaskRunning:
 		v.running++
 		v.present++
-	case platform.TaskArmed, platform.TaskFinished:
+	case port.TaskArmed, port.TaskFinished:
 		v.present++
 	}
 }
--- a/dispatch/once_test.go
+++ b/dispatch/once_test.go
@@ -17,8 +17,8 @@
 	"github.com/cobalttide/cobalttide/dispatch"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/internal/seeded"
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -83,7 +83,7 @@
 
 // cuttable is one instance's way to the log.
 type cuttable struct {
-	platform.Log
+	port.Log
 	mu  sync.Mutex
 	cut bool
 }
@@ -100,16 +100,16 @@
 	return c.cut
 }
 
-func (c *cuttable) Append(ctx context.Context, s platform.Stream, r []platform.Record) (int64, error) {
+func (c *cuttable) Append(ctx context.Context, s port.Stream, r []port.Record) (int64, error) {
 	if c.isCut() {
 		return 0, errors.New("cut off")
 	}
 	return c.Log.Append(ctx, s, r)
 }
 
-func (c *cuttable) Read(ctx context.Context, s platform.Stream, from int64) (platform.Page, error) {
+func (c *cuttable) Read(ctx context.Context, s port.Stream, from int64) (port.Page, error) {
 	if c.isCut() {
-		return platform.Page{}, errors.New("cut off")
+		return port.Page{}, errors.New("cut off")
 	}
 	return c.Log.Read(ctx, s, from)
 }
@@ -148,7 +148,7 @@
 		p.mutate(&options)
 	}
 	in.keeper = &attempt.Keeper{Instance: domain.InstanceID(fmt.Sprint("i", i)), Journal: in.journal, Ledger: ledger, Options: options}
-	follower := &state.Follower{Log: way, Stream: state.AttemptStream, From: ledger.Offset, Apply: func(e platform.Entry) {
+	follower := &state.Follower{Log: way, Stream: state.AttemptStream, From: ledger.Offset, Apply: func(e port.Entry) {
 		if err := ledger.FoldEntry(e); err != nil {
 			panic(err) // the script writes only records that can be read
 		}
--- a/dispatch/route.go
+++ b/dispatch/route.go
@@ -15,7 +15,7 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/retry"
 	"github.com/cobalttide/cobalttide/routing"
 )
@@ -151,9 +151,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make the backend server's request")
 	}
-	request.Header.Set(platform.HeaderID, call.ID)
-	request.Header.Set(platform.HeaderAccount, string(call.Account))
-	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
+	request.Header.Set(port.HeaderID, call.ID)
+	request.Header.Set(port.HeaderAccount, string(call.Account))
+	request.Header.Set(port.HeaderDeadline, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
@@ -179,16 +179,16 @@
 // judge takes in what the answer's head says, before any of it is passed on.
 func (r *Router) judge(call *Call, backend *routing.Backend, response *http.Response) *failure {
 	now := time.Now()
-	if load, err := strconv.Atoi(response.Header.Get(platform.HeaderLoad)); err == nil {
+	if load, err := strconv.Atoi(response.Header.Get(port.HeaderLoad)); err == nil {
 		backend.Report(load, now)
 	}
-	if response.Header.Get(platform.HeaderLeaving) != "" {
+	if response.Header.Get(port.HeaderLeaving) != "" {
 		backend.Leave()
 	}
-	if response.Header.Get(platform.HeaderNotRun) != "" {
+	if response.Header.Get(port.HeaderNotRun) != "" {
 		return &failure{reason: domain.ReasonDraining, notRun: true, err: errors.New("the backend server did not run it")}
 	}
-	if id := response.Header.Get(platform.HeaderID); id != call.ID {
+	if id := response.Header.Get(port.HeaderID); id != call.ID {
 		return &failure{reason: domain.ReasonAnswerIncomplete, err: errors.New("the backend server sent the answer to another request")}
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -228,7 +228,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.response.ContentLength < 0 && b.response.Trailer.Get(platform.HeaderEnd) != b.id {
+	if b.response.ContentLength < 0 && b.response.Trailer.Get(port.HeaderEnd) != b.id {
 		return n, ErrIncomplete
 	}
 	b.whole = true
--- a/gang/adopt.go
+++ b/gang/adopt.go
@@ -4,13 +4,13 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Found is a member that a claim has reported.
 type Found struct {
 	Worker  domain.WorkerID
-	Member  platform.Member
+	Member  port.Member
 	Reading Reading
 }
 
@@ -22,7 +22,7 @@
 	for _, f := range found {
 		state := f.Member.State
 		complete = complete && len(found) == f.Member.Members
-		complete = complete && (state == platform.TaskRunning || state == platform.TaskFinished)
+		complete = complete && (state == port.TaskRunning || state == port.TaskFinished)
 		m.Placement = append(m.Placement, domain.Assignment{Worker: f.Worker, Tasks: f.Member.Tasks})
 		lease := f.Reading.Until(timing.Lease)
 		m.members = append(m.members, &member{
--- a/gang/lease.go
+++ b/gang/lease.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Timing are the bounds that leases rest on.
@@ -48,7 +48,7 @@
 }
 
 // ReadingOf takes the clock out of a report.
-func ReadingOf(r platform.Report, sent, received time.Time) Reading {
+func ReadingOf(r port.Report, sent, received time.Time) Reading {
 	return Reading{Boot: r.Boot, Clock: r.Clock.Std(), Sent: sent, Received: received}
 }
 
--- a/gang/machine.go
+++ b/gang/machine.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Phase is where a gang is on its way.
@@ -43,7 +43,7 @@
 type member struct {
 	worker domain.WorkerID
 	tasks  int
-	state  platform.TaskState
+	state  port.TaskState
 	boot   string
 	// surely is the holder's time up to which the lease is certainly valid;
 	// gone the time from which it certainly is not.
@@ -88,7 +88,7 @@
 		timing: timing, phase: Reserving, deadline: now.Add(timing.Start),
 	}
 	for _, a := range p {
-		m.members = append(m.members, &member{worker: a.Worker, tasks: a.Tasks, state: platform.TaskAbsent})
+		m.members = append(m.members, &member{worker: a.Worker, tasks: a.Tasks, state: port.TaskAbsent})
 	}
 	return m
 }
@@ -120,7 +120,7 @@
 func (m *Machine) FailedOn() []domain.WorkerID {
 	var out []domain.WorkerID
 	for _, mem := range m.members {
-		if mem.state == platform.TaskFailed {
+		if mem.state == port.TaskFailed {
 			out = append(out, mem.worker)
 		}
 	}
@@ -130,16 +130,16 @@
 // Ask is one command for one worker.
 type Ask struct {
 	Worker  domain.WorkerID
-	Command platform.Command
+	Command port.Command
 }
 
 // verbs maps each phase to what it asks of members that are not there yet.
-var verbs = map[Phase]platform.Verb{
-	Reserving:     platform.VerbReserve,
-	Arming:        platform.VerbArm,
-	Releasing:     platform.VerbRelease,
-	Checkpointing: platform.VerbCheckpoint,
-	Stopping:      platform.VerbStop,
+var verbs = map[Phase]port.Verb{
+	Reserving:     port.VerbReserve,
+	Arming:        port.VerbArm,
+	Releasing:     port.VerbRelease,
+	Checkpointing: port.VerbCheckpoint,
+	Stopping:      port.VerbStop,
 }
 
 // Next returns what to ask now. Each ask is answered by Observe or Unanswered;
@@ -163,23 +163,23 @@
 	return out
 }
 
-func (m *Machine) ask(verb platform.Verb, mem *member, now time.Time, clocks Clocks) (Ask, bool) {
+func (m *Machine) ask(verb port.Verb, mem *member, now time.Time, clocks Clocks) (Ask, bool) {
 	reading, ok := clocks.Reading(mem.worker)
 	if !ok {
 		return Ask{}, false
 	}
 	until := reading.Until(m.timing.Lease)
-	command := platform.Command{Verb: verb, Gang: m.Gang, Members: len(m.members), Boot: mem.boot}
+	command := port.Command{Verb: verb, Gang: m.Gang, Members: len(m.members), Boot: mem.boot}
 	switch verb {
-	case platform.VerbReserve:
+	case port.VerbReserve:
 		mem.boot = reading.Boot
 		command.Boot = reading.Boot
 		command.Tasks = mem.tasks
 		command.PerTask = m.Job.Shape.PerTask
 		mem.gone = later(mem.gone, reading.Gone(until, m.timing))
-	case platform.VerbArm:
+	case port.VerbArm:
 		command.Payload = m.Job.Payload
-	case platform.VerbRelease:
+	case port.VerbRelease:
 		m.mayRun = true
 		if !m.unordered {
 			until = reading.At(m.releaseEnd(now), m.timing)
@@ -201,8 +201,8 @@
 	fresh := true
 	for _, mem := range m.members {
 		switch {
-		case mem.state == platform.TaskFinished:
-		case mem.state == platform.TaskAbsent && m.phase == Reserving:
+		case mem.state == port.TaskFinished:
+		case mem.state == port.TaskAbsent && m.phase == Reserving:
 		case !mem.state.Live() || now.After(mem.surely):
 			return false
 		case now.Add(m.timing.Lease / 2).After(mem.surely):
--- a/gang/machine_test.go
+++ b/gang/machine_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 type fixedClocks map[domain.WorkerID]Reading
@@ -27,13 +27,13 @@
 	m := New(job, domain.Class{}, gang, domain.Placement{{Worker: "w", Tasks: 1}}, false, timing, now)
 
 	reserve := m.Next(now, fixedClocks{"w": reading})[0].Command
-	live := platform.Report{Boot: "b", Members: []platform.Member{{Gang: gang, State: platform.TaskReserved}}}
+	live := port.Report{Boot: "b", Members: []port.Member{{Gang: gang, State: port.TaskReserved}}}
 	m.Observe("w", reserve, live, reading)
 	before := m.allSurely()
 
 	later := Reading{Boot: "b", Clock: 2 * time.Minute, Sent: now.Add(time.Minute), Received: now.Add(time.Minute)}
-	renew := platform.Command{Verb: platform.VerbRenew, Gangs: []domain.Incarnation{gang}, Until: domain.Duration(later.Until(timing.Lease))}
-	m.Observe("w", renew, platform.Report{Boot: "b"}, later)
+	renew := port.Command{Verb: port.VerbRenew, Gangs: []domain.Incarnation{gang}, Until: domain.Duration(later.Until(timing.Lease))}
+	m.Observe("w", renew, port.Report{Boot: "b"}, later)
 	if got := m.allSurely(); !got.Equal(before) {
 		t.Errorf("the lease counts as held for %v longer than it is", got.Sub(before))
 	}
--- a/gang/observe.go
+++ b/gang/observe.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // RenewalSent notes that a renewal up to until may reach the worker.
@@ -24,12 +24,12 @@
 
 // Observe takes in a worker's report. command is what it answers; granted is
 // the reading that the command's lease was computed from.
-func (m *Machine) Observe(worker domain.WorkerID, command platform.Command, report platform.Report, granted Reading) {
+func (m *Machine) Observe(worker domain.WorkerID, command port.Command, report port.Report, granted Reading) {
 	mem := m.member(worker)
 	if mem == nil {
 		return
 	}
-	own := command.Verb != platform.VerbRenew && command.Verb != platform.VerbClaim && command.Gang == m.Gang
+	own := command.Verb != port.VerbRenew && command.Verb != port.VerbClaim && command.Gang == m.Gang
 	if own {
 		mem.busy = false
 	}
@@ -43,16 +43,16 @@
 	if extends(command, m.Gang) && m.liveIn(report) {
 		mem.surely = later(mem.surely, granted.Surely(command.Until.Std(), m.timing))
 	}
-	if own && command.Verb == platform.VerbCheckpoint {
+	if own && command.Verb == port.VerbCheckpoint {
 		mem.saved = true
 	}
 }
 
-func extends(c platform.Command, gang domain.Incarnation) bool {
-	if c.Verb == platform.VerbReserve {
+func extends(c port.Command, gang domain.Incarnation) bool {
+	if c.Verb == port.VerbReserve {
 		return c.Gang == gang
 	}
-	if c.Verb != platform.VerbRenew {
+	if c.Verb != port.VerbRenew {
 		return false
 	}
 	for _, g := range c.Gangs {
@@ -63,7 +63,7 @@
 	return false
 }
 
-func (m *Machine) liveIn(report platform.Report) bool {
+func (m *Machine) liveIn(report port.Report) bool {
 	for _, reported := range report.Members {
 		if reported.Gang == m.Gang {
 			return reported.State.Live()
@@ -72,9 +72,9 @@
 	return false
 }
 
-func (m *Machine) observeState(mem *member, report platform.Report) {
+func (m *Machine) observeState(mem *member, report port.Report) {
 	if mem.boot != "" && report.Boot != mem.boot {
-		mem.state = platform.TaskAbsent
+		mem.state = port.TaskAbsent
 		mem.gone = time.Time{}
 		if m.phase != Reserving {
 			m.stop(CauseMemberLost)
@@ -96,31 +96,31 @@
 
 // rank orders a member's states; a report that was delayed never takes a
 // member back.
-var rank = map[platform.TaskState]int{
-	platform.TaskAbsent: 0, platform.TaskReserved: 1, platform.TaskArmed: 2, platform.TaskRunning: 3,
-	platform.TaskFinished: 4, platform.TaskFailed: 4, platform.TaskStopped: 4,
+var rank = map[port.TaskState]int{
+	port.TaskAbsent: 0, port.TaskReserved: 1, port.TaskArmed: 2, port.TaskRunning: 3,
+	port.TaskFinished: 4, port.TaskFailed: 4, port.TaskStopped: 4,
 }
 
-func advance(from, to platform.TaskState) platform.TaskState {
+func advance(from, to port.TaskState) port.TaskState {
 	if rank[to] > rank[from] {
 		return to
 	}
 	return from
 }
 
-func (m *Machine) observeRefusal(mem *member, own bool, command platform.Command) {
+func (m *Machine) observeRefusal(mem *member, own bool, command port.Command) {
 	if !own {
 		return
 	}
 	switch command.Verb {
-	case platform.VerbReserve:
+	case port.VerbReserve:
 		m.stop(CauseRefused)
-	case platform.VerbArm, platform.VerbRelease:
+	case port.VerbArm, port.VerbRelease:
 		m.stop(CauseMemberLost)
-	case platform.VerbCheckpoint:
+	case port.VerbCheckpoint:
 		mem.saved = true // nothing runs there that could be saved
-	case platform.VerbStop:
-		mem.state = platform.TaskStopped
+	case port.VerbStop:
+		mem.state = port.TaskStopped
 	}
 }
 
--- a/gang/phases.go
+++ b/gang/phases.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 func later(a, b time.Time) time.Time {
@@ -40,16 +40,16 @@
 func (m *Machine) settled(mem *member) bool {
 	switch m.phase {
 	case Reserving:
-		return mem.state != platform.TaskAbsent
+		return mem.state != port.TaskAbsent
 	case Arming:
-		return mem.state == platform.TaskArmed
+		return mem.state == port.TaskArmed
 	case Releasing:
-		return mem.state != platform.TaskArmed
+		return mem.state != port.TaskArmed
 	case Checkpointing:
 		return mem.saved
 	case Stopping:
 		// A reserve may have taken effect although its answer was lost.
-		asked := mem.state == platform.TaskAbsent && mem.boot != "" && !mem.gone.IsZero()
+		asked := mem.state == port.TaskAbsent && mem.boot != "" && !mem.gone.IsZero()
 		return !mem.state.Live() && !asked
 	}
 	return true
@@ -59,7 +59,7 @@
 // member that runs then does so beside all the others.
 func (m *Machine) mustWait(now time.Time) bool {
 	return m.phase == Stopping && m.any(func(mem *member) bool {
-		return mem.state == platform.TaskArmed && now.Before(mem.releasable)
+		return mem.state == port.TaskArmed && now.Before(mem.releasable)
 	})
 }
 
@@ -117,18 +117,18 @@
 }
 
 func (m *Machine) checkRunning(now time.Time) {
-	if m.all(func(mem *member) bool { return mem.state == platform.TaskFinished }) {
+	if m.all(func(mem *member) bool { return mem.state == port.TaskFinished }) {
 		m.phase = Ended
 		m.cause = CauseFinished
 		return
 	}
 	for _, mem := range m.members {
 		switch {
-		case mem.state == platform.TaskFailed:
+		case mem.state == port.TaskFailed:
 			m.stop(CauseTaskFailed)
-		case mem.state == platform.TaskStopped, mem.state == platform.TaskAbsent:
+		case mem.state == port.TaskStopped, mem.state == port.TaskAbsent:
 			m.stop(CauseMemberLost)
-		case mem.state == platform.TaskRunning && now.After(mem.surely):
+		case mem.state == port.TaskRunning && now.After(mem.surely):
 			m.stop(CauseMemberLost)
 		}
 	}
@@ -136,7 +136,7 @@
 
 func (m *Machine) checkStopped(now time.Time) {
 	ended := m.all(func(mem *member) bool {
-		return !mem.state.Live() && !(mem.state == platform.TaskAbsent && now.Before(mem.gone)) || now.After(mem.gone)
+		return !mem.state.Live() && !(mem.state == port.TaskAbsent && now.Before(mem.gone)) || now.After(mem.gone)
 	})
 	if ended {
 		m.phase = Ended
--- a/instance/example_test.go
+++ b/instance/example_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/cobalttide/cobalttide/auth"
 	"github.com/cobalttide/cobalttide/instance"
-	"github.com/cobalttide/cobalttide/platform/standin"
 	"github.com/cobalttide/cobalttide/settings"
+	"github.com/cobalttide/cobalttide/standin"
 )
 
 // An instance in a program of one's own, against a stand-in platform.
--- a/instance/http.go
+++ b/instance/http.go
@@ -19,7 +19,7 @@
 	"github.com/cobalttide/cobalttide/auth"
 	"github.com/cobalttide/cobalttide/dispatch"
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // The headers of the callers' interface.
@@ -306,7 +306,7 @@
 // Ready tells whether callers are served: the configuration is known, the
 // platform's lists have been read once, and the instance is not leaving.
 func (in *Instance) Ready() bool {
-	listed := in.inventory.Load().Versions != platform.ListVersions{}
+	listed := in.inventory.Load().Versions != port.ListVersions{}
 	return in.configuration.Current().Version > 0 && listed && !in.leaving.Load()
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -27,20 +27,20 @@
 	"github.com/cobalttide/cobalttide/limit"
 	"github.com/cobalttide/cobalttide/membership"
 	"github.com/cobalttide/cobalttide/planner"
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/client"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/retry"
 	"github.com/cobalttide/cobalttide/routing"
 	"github.com/cobalttide/cobalttide/settings"
+	"github.com/cobalttide/cobalttide/standin/client"
 	"github.com/cobalttide/cobalttide/state"
 	"github.com/cobalttide/cobalttide/transport/peer"
 )
 
 // Platform is everything that an instance asks of the platform.
 type Platform interface {
-	platform.Log
-	platform.Lister
-	platform.Workers
+	port.Log
+	port.Lister
+	port.Workers
 }
 
 // Instance is one running instance.
@@ -60,7 +60,7 @@
 	ledger        *attempt.Ledger
 	journal       *state.Journal
 	held          *heldRecords
-	followers     map[platform.Stream]*state.Follower
+	followers     map[port.Stream]*state.Follower
 
 	table    *routing.Table
 	gate     *limit.Gate
@@ -70,7 +70,7 @@
 	planner  *planner.Runner
 
 	members   memberTable
-	inventory atomic.Pointer[platform.Inventory]
+	inventory atomic.Pointer[port.Inventory]
 	draining  drainSet
 	leaving   atomic.Bool
 	planning  atomic.Bool
@@ -105,7 +105,7 @@
 		ID: domain.InstanceID(string(s.Instance) + "-" + suffix()), Settings: s,
 		Metrics: newMetrics(), secret: secret, counters: &peer.Counters{},
 		configuration: configuration.NewStore(), jobs: state.NewJobs(), ledger: attempt.NewLedger(),
-		followers: map[platform.Stream]*state.Follower{},
+		followers: map[port.Stream]*state.Follower{},
 		table:     routing.NewTable(s.DataCentre, routing.DefaultOptions()),
 		rates:     limit.NewRates(), draining: drainSet{workers: map[domain.WorkerID]bool{}},
 		platform: options.Platform,
@@ -117,7 +117,7 @@
 		in.Metrics.countBytes("platform", c.Bytes)
 		in.platform = c
 	}
-	in.inventory.Store(&platform.Inventory{})
+	in.inventory.Store(&port.Inventory{})
 	if err := in.listen(); err != nil {
 		return nil, err
 	}
@@ -253,8 +253,8 @@
 	in.Metrics.records.Add(float64(records))
 }
 
-func (in *Instance) follow(stream platform.Stream, from func() int64, apply func(platform.Entry), behind func(context.Context, int64)) {
-	in.followers[stream] = &state.Follower{Log: in.platform, Stream: stream, From: from, Behind: behind, Apply: func(e platform.Entry) {
+func (in *Instance) follow(stream port.Stream, from func() int64, apply func(port.Entry), behind func(context.Context, int64)) {
+	in.followers[stream] = &state.Follower{Log: in.platform, Stream: stream, From: from, Behind: behind, Apply: func(e port.Entry) {
 		apply(e)
 		in.journal.Seen(stream, e)
 	}}
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/state"
 )
 
--- a/instance/members.go
+++ b/instance/members.go
@@ -11,7 +11,7 @@
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/membership"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // memberTable guards the membership table.
@@ -68,13 +68,13 @@
 }
 
 func (in *Instance) list(ctx context.Context) {
-	self := platform.ListedInstance{
+	self := port.ListedInstance{
 		ID: in.ID, DataCentre: in.Settings.DataCentre, Address: in.PeersAddress(), Leaving: in.leaving.Load(),
 	}
 	listCtx, cancel := context.WithTimeout(ctx, listEvery)
 	defer cancel()
 	old := *in.inventory.Load()
-	answer, err := in.platform.List(listCtx, platform.ListQuery{Self: self, DataCentre: in.Settings.DataCentre, Known: old.Versions})
+	answer, err := in.platform.List(listCtx, port.ListQuery{Self: self, DataCentre: in.Settings.DataCentre, Known: old.Versions})
 	if err != nil {
 		return // the last list stands
 	}
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -19,7 +19,7 @@
 	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/membership"
 	"github.com/cobalttide/cobalttide/placement"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -169,7 +169,7 @@
 	listCtx, cancel := context.WithTimeout(ctx, listEvery)
 	defer cancel()
 	workers := in.fleet()
-	if all, err := in.platform.List(listCtx, platform.ListQuery{}); err == nil {
+	if all, err := in.platform.List(listCtx, port.ListQuery{}); err == nil {
 		workers = all.Workers
 	}
 	out := map[domain.DataCentre][]domain.Worker{}
--- a/instance/records.go
+++ b/instance/records.go
@@ -11,7 +11,7 @@
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/planner"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -50,8 +50,8 @@
 )
 
 type heldRecord struct {
-	stream  platform.Stream
-	record  platform.Record
+	stream  port.Stream
+	record  port.Record
 	since   time.Time
 	offered bool
 }
@@ -65,7 +65,7 @@
 
 func newHeldRecords() *heldRecords { return &heldRecords{records: map[string]*heldRecord{}} }
 
-func (h *heldRecords) add(stream platform.Stream, record platform.Record, offered bool) bool {
+func (h *heldRecords) add(stream port.Stream, record port.Record, offered bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if _, known := h.records[record.ID]; known {
@@ -116,15 +116,15 @@
 
 // hold is a record on its way to a peer's memory.
 type hold struct {
-	Stream platform.Stream `json:"stream"`
-	Record platform.Record `json:"record"`
+	Stream port.Stream `json:"stream"`
+	Record port.Record `json:"record"`
 }
 
 // spread copies a record to peers and returns how many instances have it, and
 // whether some may have it whose answer was lost. All
 // of the data centre get it, because any of them may have to plan, and some
 // elsewhere.
-func (in *Instance) spread(ctx context.Context, stream platform.Stream, record platform.Record) (copies int, unsure bool) {
+func (in *Instance) spread(ctx context.Context, stream port.Stream, record port.Record) (copies int, unsure bool) {
 	if !in.held.add(stream, record, true) {
 		return 0, false
 	}
@@ -170,7 +170,7 @@
 }
 
 // foldHeld makes a record count here although the log does not have it yet.
-func (in *Instance) foldHeld(stream platform.Stream, record platform.Record) {
+func (in *Instance) foldHeld(stream port.Stream, record port.Record) {
 	if stream != state.JobStream(in.Settings.DataCentre) {
 		return
 	}
@@ -210,7 +210,7 @@
 // publish accepts a record for good: in the log, or in the memory of enough
 // instances. The error is a refusal that says whether the record may still
 // appear.
-func (in *Instance) publish(ctx context.Context, record platform.Record) (Durability, error) {
+func (in *Instance) publish(ctx context.Context, record port.Record) (Durability, error) {
 	stream := state.JobStream(in.Settings.DataCentre)
 	appendCtx, cancel := context.WithTimeout(ctx, logPatience)
 	defer cancel()
@@ -289,7 +289,7 @@
 	return age < 0 || age > logAwayAfter
 }
 
-func (in *Instance) applyConfiguration(e platform.Entry) {
+func (in *Instance) applyConfiguration(e port.Entry) {
 	if e.Record.Kind != configuration.KindChange {
 		return
 	}
@@ -305,14 +305,14 @@
 	in.log.WithFields(logrus.Fields{"version": snapshot.Version, "change": snapshot.LastChange}).Info("configuration in force")
 }
 
-func (in *Instance) applyJob(e platform.Entry) {
+func (in *Instance) applyJob(e port.Entry) {
 	if err := in.jobs.FoldEntry(e); err != nil {
 		in.log.WithError(err).Warn("a record was passed over")
 	}
 	in.held.seen(e.Record.ID)
 }
 
-func (in *Instance) applyAttempt(e platform.Entry) {
+func (in *Instance) applyAttempt(e port.Entry) {
 	if err := in.ledger.FoldEntry(e); err != nil {
 		in.log.WithError(err).Warn("a record was passed over")
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // State is what is believed of a member.
@@ -97,7 +97,7 @@
 // List takes in the platform's list: members not heard of yet are taken for
 // alive until a probe says otherwise. A listed member that is believed dead
 // stays dead until it speaks for itself.
-func (t *Table) List(listed []platform.ListedInstance, now time.Time) {
+func (t *Table) List(listed []port.ListedInstance, now time.Time) {
 	for _, l := range listed {
 		if _, known := t.members[l.ID]; known || l.ID == t.self.ID || l.Leaving {
 			continue
--- a/planner/answers.go
+++ b/planner/answers.go
@@ -5,16 +5,16 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/gang"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Answer takes in the answer to a call, or its error.
-func (c *Core) Answer(call Call, report platform.Report, err error, sent, received time.Time) {
+func (c *Core) Answer(call Call, report port.Report, err error, sent, received time.Time) {
 	w, ok := c.workers[call.Worker.ID]
 	if !ok {
 		return
 	}
-	poll := call.Command.Verb == platform.VerbClaim || call.Command.Verb == platform.VerbRenew
+	poll := call.Command.Verb == port.VerbClaim || call.Command.Verb == port.VerbRenew
 	if poll {
 		w.busy = false
 	}
@@ -38,7 +38,7 @@
 	return a
 }
 
-func (c *Core) note(w *workerState, call Call, report platform.Report, sent, received time.Time) {
+func (c *Core) note(w *workerState, call Call, report port.Report, sent, received time.Time) {
 	if w.known && w.reading.Boot != report.Boot {
 		// A worker that restarts forgets the tokens it has seen, so an earlier
 		// planner may have been heard again: the wait begins anew.
@@ -52,7 +52,7 @@
 	if report.Refused == "" && sent.After(w.acked) {
 		w.acked = sent
 	}
-	if call.Command.Verb == platform.VerbClaim && report.Refused == "" && !w.claimed {
+	if call.Command.Verb == port.VerbClaim && report.Refused == "" && !w.claimed {
 		w.claimed = true
 		w.found = report.Members
 		w.nextPoll = time.Time{}
@@ -79,13 +79,13 @@
 	return nil
 }
 
-func (c *Core) observe(call Call, report platform.Report) {
+func (c *Core) observe(call Call, report port.Report) {
 	command := call.Command
-	if command.Verb == platform.VerbForget {
+	if command.Verb == port.VerbForget {
 		c.forgotten(command.Gang, call.Worker.ID, report)
 		return
 	}
-	if command.Verb != platform.VerbRenew {
+	if command.Verb != port.VerbRenew {
 		if m := c.machineOf(command.Gang); m != nil {
 			m.Observe(call.Worker.ID, command, report, call.Granted)
 		}
--- a/planner/core.go
+++ b/planner/core.go
@@ -26,7 +26,7 @@
 	"github.com/cobalttide/cobalttide/estimate"
 	"github.com/cobalttide/cobalttide/gang"
 	"github.com/cobalttide/cobalttide/guarantee"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/quarantine"
 	"github.com/cobalttide/cobalttide/scheduler"
 	"github.com/cobalttide/cobalttide/state"
@@ -90,7 +90,7 @@
 // Call is one command to carry out.
 type Call struct {
 	Worker  domain.Worker
-	Command platform.Command
+	Command port.Command
 	// Granted is the reading that the command's lease was computed from.
 	Granted gang.Reading
 }
@@ -120,7 +120,7 @@
 	acked    time.Time
 	busy     bool
 	nextPoll time.Time
-	found    []platform.Member
+	found    []port.Member
 	listed   bool
 	// rebooted is when a restart of the worker was noticed.
 	rebooted time.Time
@@ -274,21 +274,21 @@
 		w.busy = true
 		w.nextPoll = now.Add(c.options.Poll)
 		if !w.claimed {
-			c.call(w, platform.Command{Verb: platform.VerbClaim, Token: c.Token})
+			c.call(w, port.Command{Verb: port.VerbClaim, Token: c.Token})
 			continue
 		}
 		c.renew(w, gangs[spec.ID])
 	}
 }
 
-func (c *Core) call(w *workerState, command platform.Command) {
+func (c *Core) call(w *workerState, command port.Command) {
 	command.Token = c.Token
 	c.out.Calls = append(c.out.Calls, Call{Worker: w.spec, Command: command, Granted: w.reading})
 }
 
 func (c *Core) renew(w *workerState, gangs []*gang.Machine) {
 	until := w.reading.Until(c.options.Timing.Lease)
-	command := platform.Command{Verb: platform.VerbRenew, Boot: w.reading.Boot, Until: domain.Duration(until)}
+	command := port.Command{Verb: port.VerbRenew, Boot: w.reading.Boot, Until: domain.Duration(until)}
 	for _, m := range gangs {
 		command.Gangs = append(command.Gangs, m.Gang)
 		m.RenewalSent(w.spec.ID, w.reading, until)
--- a/planner/gangs.go
+++ b/planner/gangs.go
@@ -8,7 +8,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/gang"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -278,13 +278,13 @@
 		return
 	}
 	closing.asked[worker] = true
-	c.call(w, platform.Command{
-		Verb: platform.VerbForget, Gang: id, Boot: w.reading.Boot,
+	c.call(w, port.Command{
+		Verb: port.VerbForget, Gang: id, Boot: w.reading.Boot,
 		Until: domain.Duration(w.reading.Until(c.options.Timing.Lease)),
 	})
 }
 
-func (c *Core) forgotten(id domain.Incarnation, worker domain.WorkerID, report platform.Report) {
+func (c *Core) forgotten(id domain.Incarnation, worker domain.WorkerID, report port.Report) {
 	closing, ok := c.closing[id]
 	if !ok {
 		return
--- a/planner/interleave_test.go
+++ b/planner/interleave_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -25,7 +25,7 @@
 	options Options
 	specs   []domain.Worker
 	workers map[domain.WorkerID]*standin.Worker
-	log     []platform.Record
+	log     []port.Record
 	logDown bool
 	// ignoreOrder is a broken variant: a start counts as recorded wherever it
 	// stands in the log.
@@ -62,7 +62,7 @@
 	seat     *seat
 	call     Call
 	sent     time.Time
-	report   *platform.Report
+	report   *port.Report
 	original bool
 }
 
@@ -197,7 +197,7 @@
 func (w *world) lose(f *flight) {
 	w.remove(f)
 	if f.original {
-		f.seat.core.Answer(f.call, platform.Report{}, fmt.Errorf("timeout"), f.sent, w.now)
+		f.seat.core.Answer(f.call, port.Report{}, fmt.Errorf("timeout"), f.sent, w.now)
 	}
 }
 
@@ -233,11 +233,11 @@
 
 // check holds the invariants of gangs against what the workers do.
 func (w *world) check() {
-	members := map[domain.Incarnation]map[domain.WorkerID]platform.Member{}
+	members := map[domain.Incarnation]map[domain.WorkerID]port.Member{}
 	for id, worker := range w.workers {
 		for _, m := range worker.Members() {
 			if members[m.Gang] == nil {
-				members[m.Gang] = map[domain.WorkerID]platform.Member{}
+				members[m.Gang] = map[domain.WorkerID]port.Member{}
 			}
 			members[m.Gang][id] = m
 		}
@@ -246,7 +246,7 @@
 	for gang, on := range members {
 		w.checkWhole(gang, on)
 		for _, m := range on {
-			if m.State != platform.TaskRunning {
+			if m.State != port.TaskRunning {
 				continue
 			}
 			if other, twice := alive[gang.Job]; twice && other != gang {
@@ -260,17 +260,17 @@
 // checkWhole: a gang's first member is released only once all are in place,
 // and no member goes on for longer than one and a half leases after another has
 // ended.
-func (w *world) checkWhole(gang domain.Incarnation, on map[domain.WorkerID]platform.Member) {
+func (w *world) checkWhole(gang domain.Incarnation, on map[domain.WorkerID]port.Member) {
 	size, present, running, finished := 0, 0, 0, 0
 	for _, m := range on {
 		size = max(size, m.Members)
 		switch m.State {
-		case platform.TaskRunning:
+		case port.TaskRunning:
 			running++
 			present++
-		case platform.TaskArmed:
+		case port.TaskArmed:
 			present++
-		case platform.TaskFinished:
+		case port.TaskFinished:
 			finished++
 			present++
 		}
--- a/planner/mutants_test.go
+++ b/planner/mutants_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/internal/seeded"
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -109,7 +109,7 @@
 }
 
 func TestLostAnswersOfEveryVerbDoNotDoubleWork(t *testing.T) {
-	for _, verb := range []platform.Verb{platform.VerbReserve, platform.VerbArm, platform.VerbRelease, platform.VerbStop, platform.VerbForget, platform.VerbCheckpoint} {
+	for _, verb := range []port.Verb{port.VerbReserve, port.VerbArm, port.VerbRelease, port.VerbStop, port.VerbForget, port.VerbCheckpoint} {
 		t.Run(string(verb), func(t *testing.T) {
 			w, s := calmWorld(t)
 			id := w.submit("save", "b", 3, 4*time.Second)
@@ -131,7 +131,7 @@
 			if got := w.state(s, id); got != domain.JobCompleted {
 				t.Errorf("job is %s", got)
 			}
-			if lost == 0 && verb != platform.VerbStop && verb != platform.VerbCheckpoint {
+			if lost == 0 && verb != port.VerbStop && verb != port.VerbCheckpoint {
 				t.Errorf("no answer to %s was lost: the test tests nothing", verb)
 			}
 		})
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -6,7 +6,7 @@
 
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/scheduler"
 	"github.com/cobalttide/cobalttide/state"
 )
@@ -25,7 +25,7 @@
 	DataCentre domain.DataCentre
 	Instance   domain.InstanceID
 	Options    Options
-	Workers    platform.Workers
+	Workers    port.Workers
 	Publisher  Publisher
 	Jobs       *state.Jobs
 	// Configuration, Fleet, Draining and LogDown give the present view.
--- a/platform/backend.go
+++ b/port/backend.go
@@ -1,4 +1,4 @@
-package platform
+package port
 
 // The headers between instances and backend servers.
 const (
--- a/platform/platform.go
+++ b/port/port.go
@@ -1,8 +1,8 @@
-// Package platform states what the system needs of the platform: an
+// Package port states what the system needs of the platform: an
 // append-only log service, a list of instances and backend servers, and the
 // agents of workers. Implementations are clients over HTTP; package standin
 // has the small servers that take the platform's place in development.
-package platform
+package port
 
 import (
 	"context"
--- a/platform/standin/backend.go
+++ b/standin/backend.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Work is the request body that the backend stand-in understands.
@@ -99,12 +99,12 @@
 	b.mu.Unlock()
 	load := b.load.Add(1)
 	defer b.load.Add(-1)
-	w.Header().Set(platform.HeaderLoad, strconv.FormatInt(load-1, 10))
-	id := r.Header.Get(platform.HeaderID)
-	w.Header().Set(platform.HeaderID, id)
+	w.Header().Set(port.HeaderLoad, strconv.FormatInt(load-1, 10))
+	id := r.Header.Get(port.HeaderID)
+	w.Header().Set(port.HeaderID, id)
 	if faults.Leaving {
-		w.Header().Set(platform.HeaderLeaving, "1")
-		w.Header().Set(platform.HeaderNotRun, "1")
+		w.Header().Set(port.HeaderLeaving, "1")
+		w.Header().Set(port.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -130,7 +130,7 @@
 	}
 	defer func() { <-b.slots }()
 	b.mu.Lock()
-	b.ran[r.Header.Get(platform.HeaderAccount)+"/"+r.Header.Get(platform.HeaderID)]++
+	b.ran[r.Header.Get(port.HeaderAccount)+"/"+r.Header.Get(port.HeaderID)]++
 	b.last = time.Now()
 	b.mu.Unlock()
 	var work Work
@@ -146,19 +146,19 @@
 }
 
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, body []byte, faults BackendFaults) {
-	id := r.Header.Get(platform.HeaderID)
+	id := r.Header.Get(port.HeaderID)
 	if faults.DropAfter {
 		panic(http.ErrAbortHandler)
 	}
 	if faults.Swap {
-		w.Header().Set(platform.HeaderID, id+"-other")
+		w.Header().Set(port.HeaderID, id+"-other")
 	}
 	var work Work
 	_ = json.Unmarshal(body, &work) // a body that is not understood has no size
-	first := Answer(r.Header.Get(platform.HeaderAccount), id, body)
+	first := Answer(r.Header.Get(port.HeaderAccount), id, body)
 	w.Header().Set("Content-Type", "text/plain")
 	if work.Stream {
-		w.Header().Set("Trailer", platform.HeaderEnd)
+		w.Header().Set("Trailer", port.HeaderEnd)
 	} else {
 		w.Header().Set("Content-Length", strconv.Itoa(len(first)+work.Size))
 	}
@@ -169,7 +169,7 @@
 	_, _ = io.WriteString(w, first)
 	writeFill(w, work)
 	if work.Stream {
-		w.Header().Set(platform.HeaderEnd, id)
+		w.Header().Set(port.HeaderEnd, id)
 	}
 }
 
--- a/platform/client/client.go
+++ b/standin/client/client.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // HeaderDataCentre carries the caller's data centre.
@@ -80,15 +80,15 @@
 }
 
 var (
-	_ platform.Log     = (*Client)(nil)
-	_ platform.Lister  = (*Client)(nil)
-	_ platform.Workers = (*Client)(nil)
+	_ port.Log     = (*Client)(nil)
+	_ port.Lister  = (*Client)(nil)
+	_ port.Workers = (*Client)(nil)
 )
 
 // AppendRequest is the body of an append.
 type AppendRequest struct {
-	Stream  platform.Stream   `json:"stream"`
-	Records []platform.Record `json:"records"`
+	Stream  port.Stream   `json:"stream"`
+	Records []port.Record `json:"records"`
 }
 
 // AppendAnswer is its answer.
@@ -96,31 +96,31 @@
 	Offset int64 `json:"offset"`
 }
 
-// Append implements platform.Log.
-func (c *Client) Append(ctx context.Context, stream platform.Stream, records []platform.Record) (int64, error) {
+// Append implements port.Log.
+func (c *Client) Append(ctx context.Context, stream port.Stream, records []port.Record) (int64, error) {
 	var answer AppendAnswer
 	err := c.post(ctx, c.LogAddress, "/log/append", AppendRequest{Stream: stream, Records: records}, &answer)
 	return answer.Offset, err
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream platform.Stream, from int64) (platform.Page, error) {
+// Read implements port.Log.
+func (c *Client) Read(ctx context.Context, stream port.Stream, from int64) (port.Page, error) {
 	query := url.Values{"stream": {string(stream)}, "from": {strconv.FormatInt(from, 10)}}
-	var page platform.Page
+	var page port.Page
 	err := c.do(ctx, http.MethodGet, "http://"+c.LogAddress+"/log/read?"+query.Encode(), nil, &page)
 	return page, err
 }
 
-// List implements platform.Lister.
-func (c *Client) List(ctx context.Context, query platform.ListQuery) (platform.Inventory, error) {
-	var inventory platform.Inventory
+// List implements port.Lister.
+func (c *Client) List(ctx context.Context, query port.ListQuery) (port.Inventory, error) {
+	var inventory port.Inventory
 	err := c.post(ctx, c.ListAddress, "/list", query, &inventory)
 	return inventory, err
 }
 
-// Do implements platform.Workers.
-func (c *Client) Do(ctx context.Context, worker domain.Worker, command platform.Command) (platform.Report, error) {
-	var report platform.Report
+// Do implements port.Workers.
+func (c *Client) Do(ctx context.Context, worker domain.Worker, command port.Command) (port.Report, error) {
+	var report port.Report
 	err := c.post(ctx, worker.Address, "/workers/"+string(worker.ID)+"/do", command, &report)
 	return report, err
 }
--- a/platform/standin/log.go
+++ b/standin/log.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // LogFaults are the faults of the log service that can be switched on.
@@ -27,7 +27,7 @@
 // Log is an append-only log in memory. Safe for concurrent use.
 type Log struct {
 	mu      sync.Mutex
-	streams map[platform.Stream]*stream
+	streams map[port.Stream]*stream
 	faults  LogFaults
 	appends int
 	records int
@@ -39,13 +39,13 @@
 
 type stream struct {
 	oldest  int64
-	entries []platform.Entry
+	entries []port.Entry
 	changed chan struct{}
 }
 
 // NewLog returns an empty log whose empty reads wait for up to wait.
 func NewLog(wait time.Duration) *Log {
-	return &Log{streams: map[platform.Stream]*stream{}, Wait: wait}
+	return &Log{streams: map[port.Stream]*stream{}, Wait: wait}
 }
 
 // SetFaults switches faults on and off.
@@ -69,7 +69,7 @@
 	return l.appends, l.records
 }
 
-func (l *Log) stream(name platform.Stream) *stream {
+func (l *Log) stream(name port.Stream) *stream {
 	s, ok := l.streams[name]
 	if !ok {
 		s = &stream{changed: make(chan struct{})}
@@ -93,8 +93,8 @@
 	return nil
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, name platform.Stream, records []platform.Record) (int64, error) {
+// Append implements port.Log.
+func (l *Log) Append(ctx context.Context, name port.Stream, records []port.Record) (int64, error) {
 	if err := l.delay(ctx); err != nil {
 		return 0, err
 	}
@@ -103,7 +103,7 @@
 	s := l.stream(name)
 	first := s.oldest + int64(len(s.entries))
 	for i, record := range records {
-		s.entries = append(s.entries, platform.Entry{Offset: first + int64(i), Record: record})
+		s.entries = append(s.entries, port.Entry{Offset: first + int64(i), Record: record})
 	}
 	l.appends++
 	l.records += len(records)
@@ -122,27 +122,27 @@
 		return
 	}
 	drop := len(s.entries) - keep
-	s.entries = append([]platform.Entry(nil), s.entries[drop:]...)
+	s.entries = append([]port.Entry(nil), s.entries[drop:]...)
 	s.oldest += int64(drop)
 }
 
 // Expire drops a stream's oldest records, down to the number given.
-func (l *Log) Expire(name platform.Stream, keep int) {
+func (l *Log) Expire(name port.Stream, keep int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	drop := max(0, len(s.entries)-keep)
-	s.entries = append([]platform.Entry(nil), s.entries[drop:]...)
+	s.entries = append([]port.Entry(nil), s.entries[drop:]...)
 	s.oldest += int64(drop)
 }
 
 // maxPage bounds the entries of one page.
 const maxPage = 2000
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name platform.Stream, from int64) (platform.Page, error) {
+// Read implements port.Log.
+func (l *Log) Read(ctx context.Context, name port.Stream, from int64) (port.Page, error) {
 	if err := l.delay(ctx); err != nil {
-		return platform.Page{}, err
+		return port.Page{}, err
 	}
 	page, changed := l.page(name, from)
 	if len(page.Entries) > 0 || l.Wait == 0 {
@@ -152,22 +152,22 @@
 	case <-changed:
 	case <-time.After(l.Wait):
 	case <-ctx.Done():
-		return platform.Page{}, ctx.Err()
+		return port.Page{}, ctx.Err()
 	}
 	if l.Faults().Down {
-		return platform.Page{}, ErrLogDown
+		return port.Page{}, ErrLogDown
 	}
 	page, _ = l.page(name, from)
 	return page, nil
 }
 
-func (l *Log) page(name platform.Stream, from int64) (platform.Page, <-chan struct{}) {
+func (l *Log) page(name port.Stream, from int64) (port.Page, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	from = max(from, s.oldest)
 	end := s.oldest + int64(len(s.entries))
-	page := platform.Page{Oldest: s.oldest, Next: min(from, end), End: end}
+	page := port.Page{Oldest: s.oldest, Next: min(from, end), End: end}
 	if from < end {
 		entries := s.entries[from-s.oldest:]
 		entries = entries[:min(len(entries), maxPage)]
--- a/platform/standin/server.go
+++ b/standin/server.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/client"
+	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin/client"
 )
 
 // ListFaults are the faults of the platform's lists.
@@ -41,7 +41,7 @@
 const listLife = 3 * time.Second
 
 type listed struct {
-	platform.ListedInstance
+	port.ListedInstance
 	seen time.Time
 }
 
@@ -149,7 +149,7 @@
 		http.Error(w, "from is not a number", http.StatusBadRequest)
 		return
 	}
-	page, err := p.Log.Read(r.Context(), platform.Stream(r.URL.Query().Get("stream")), from)
+	page, err := p.Log.Read(r.Context(), port.Stream(r.URL.Query().Get("stream")), from)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -158,7 +158,7 @@
 }
 
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
-	var query platform.ListQuery
+	var query port.ListQuery
 	if !decode(w, r, &query) {
 		return
 	}
@@ -170,16 +170,16 @@
 	reply(w, inventory)
 }
 
-func (p *Platform) inventory(query platform.ListQuery, now time.Time) (platform.Inventory, bool) {
+func (p *Platform) inventory(query port.ListQuery, now time.Time) (port.Inventory, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.list.Down {
-		return platform.Inventory{}, false
+		return port.Inventory{}, false
 	}
 	if self := query.Self; self.ID != "" {
 		p.instances[self.ID] = listed{self, now}
 	}
-	var out platform.Inventory
+	var out port.Inventory
 	for id, l := range p.instances {
 		if now.Sub(l.seen) > listLife+p.list.Lag.Std() {
 			delete(p.instances, id)
@@ -197,7 +197,7 @@
 	}
 	sort.Slice(out.Instances, func(i, j int) bool { return out.Instances[i].ID < out.Instances[j].ID })
 	sort.Slice(out.Workers, func(i, j int) bool { return out.Workers[i].ID < out.Workers[j].ID })
-	out.Versions = platform.ListVersions{Instances: version(out.Instances), Workers: version(out.Workers), Backends: version(out.Backends)}
+	out.Versions = port.ListVersions{Instances: version(out.Instances), Workers: version(out.Workers), Backends: version(out.Backends)}
 	return withoutKnown(out, query.Known), true
 }
 
@@ -211,7 +211,7 @@
 	return hex.EncodeToString(sum[:8])
 }
 
-func withoutKnown(i platform.Inventory, known platform.ListVersions) platform.Inventory {
+func withoutKnown(i port.Inventory, known port.ListVersions) port.Inventory {
 	if i.Versions.Instances == known.Instances {
 		i.Instances = nil
 	}
@@ -234,7 +234,7 @@
 		http.Error(w, "no such worker", http.StatusNotFound)
 		return
 	}
-	var command platform.Command
+	var command port.Command
 	if decode(w, r, &command) {
 		reply(w, worker.Do(command))
 	}
--- a/platform/standin/worker.go
+++ b/standin/worker.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Clock returns a worker's monotonic time since its boot.
@@ -48,7 +48,7 @@
 }
 
 type heldMember struct {
-	platform.Member
+	port.Member
 	until    time.Duration
 	work     Workload
 	resumed  time.Duration // clock when it was released
@@ -105,7 +105,7 @@
 }
 
 // Members returns what the worker holds now.
-func (w *Worker) Members() []platform.Member {
+func (w *Worker) Members() []port.Member {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle()
@@ -113,7 +113,7 @@
 }
 
 // Do carries out one command.
-func (w *Worker) Do(c platform.Command) platform.Report {
+func (w *Worker) Do(c port.Command) port.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle()
@@ -121,21 +121,21 @@
 		return w.report(refused)
 	}
 	switch c.Verb {
-	case platform.VerbClaim:
+	case port.VerbClaim:
 		return w.report("")
-	case platform.VerbReserve:
+	case port.VerbReserve:
 		return w.report(w.reserve(c))
-	case platform.VerbArm:
+	case port.VerbArm:
 		return w.report(w.arm(c))
-	case platform.VerbRelease:
+	case port.VerbRelease:
 		return w.report(w.release(c))
-	case platform.VerbRenew:
+	case port.VerbRenew:
 		return w.report(w.renew(c))
-	case platform.VerbCheckpoint:
+	case port.VerbCheckpoint:
 		return w.report(w.checkpoint(c))
-	case platform.VerbStop:
+	case port.VerbStop:
 		return w.report(w.stop(c))
-	case platform.VerbForget:
+	case port.VerbForget:
 		return w.report(w.forget(c))
 	}
 	return w.report(fmt.Sprintf("unknown verb %q", c.Verb))
@@ -147,21 +147,21 @@
 
 // admit fences: a token lower than the highest seen is refused, and so is a
 // command meant for an earlier boot or whose lease has ended on the way.
-func (w *Worker) admit(c platform.Command) string {
+func (w *Worker) admit(c port.Command) string {
 	if w.faults.Unfenced {
 		return ""
 	}
 	if c.Token.Less(w.seen) {
 		return "token is lower than one seen"
 	}
-	if c.Verb == platform.VerbClaim {
+	if c.Verb == port.VerbClaim {
 		w.seen = c.Token
 		return ""
 	}
 	if c.Boot != w.bootName() {
 		return "worker has restarted"
 	}
-	if c.Until.Std() <= w.now() && (c.Verb == platform.VerbArm || c.Verb == platform.VerbRelease) {
+	if c.Until.Std() <= w.now() && (c.Verb == port.VerbArm || c.Verb == port.VerbRelease) {
 		return "its time ended on the way"
 	}
 	w.seen = c.Token
@@ -181,12 +181,12 @@
 }
 
 func (w *Worker) settleMember(m *heldMember, now time.Duration) {
-	if m.State == platform.TaskRunning && w.endsAt(m) <= min(now, m.until) {
+	if m.State == port.TaskRunning && w.endsAt(m) <= min(now, m.until) {
 		w.finish(m)
 		return
 	}
 	if m.State.Live() && now > m.until && !w.faults.IgnoreLeases {
-		m.State = platform.TaskStopped
+		m.State = port.TaskStopped
 	}
 }
 
@@ -198,10 +198,10 @@
 }
 
 func (w *Worker) finish(m *heldMember) {
-	m.State = platform.TaskFinished
+	m.State = port.TaskFinished
 	m.Result = fmt.Sprintf("%s done on %s", m.Gang.Job, w.Spec.ID)
 	if w.faults.FailTasks || m.work.Fail {
-		m.State = platform.TaskFailed
+		m.State = port.TaskFailed
 		m.Result = "task exited with status 1"
 	}
 }
@@ -216,7 +216,7 @@
 	return used
 }
 
-func (w *Worker) reserve(c platform.Command) string {
+func (w *Worker) reserve(c port.Command) string {
 	if _, known := w.members[c.Gang]; known {
 		return ""
 	}
@@ -228,18 +228,18 @@
 		return "lease ended on the way"
 	}
 	w.members[c.Gang] = &heldMember{
-		Member: platform.Member{Gang: c.Gang, Members: c.Members, State: platform.TaskReserved, Tasks: c.Tasks, PerTask: c.PerTask},
+		Member: port.Member{Gang: c.Gang, Members: c.Members, State: port.TaskReserved, Tasks: c.Tasks, PerTask: c.PerTask},
 		until:  c.Until.Std(),
 	}
 	return ""
 }
 
-func (w *Worker) arm(c platform.Command) string {
+func (w *Worker) arm(c port.Command) string {
 	m, ok := w.members[c.Gang]
 	if !ok || !m.State.Live() {
 		return "nothing reserved"
 	}
-	if m.State != platform.TaskReserved {
+	if m.State != port.TaskReserved {
 		return ""
 	}
 	if err := json.Unmarshal([]byte(c.Payload), &m.work); err != nil {
@@ -248,27 +248,27 @@
 	m.UsedMemoryMiB = m.work.UsedMemoryMiB
 	m.progress = w.saved[c.Gang.Job]
 	m.Progress = domain.Duration(m.progress)
-	m.State = platform.TaskArmed
+	m.State = port.TaskArmed
 	return ""
 }
 
-func (w *Worker) release(c platform.Command) string {
+func (w *Worker) release(c port.Command) string {
 	m, ok := w.members[c.Gang]
 	if !ok || !m.State.Live() {
 		return "nothing armed"
 	}
-	if m.State == platform.TaskReserved {
+	if m.State == port.TaskReserved {
 		return "not armed yet"
 	}
-	if m.State == platform.TaskArmed {
-		m.State = platform.TaskRunning
+	if m.State == port.TaskArmed {
+		m.State = port.TaskRunning
 		m.resumed = w.now()
 		w.starts = append(w.starts, c.Gang)
 	}
 	return ""
 }
 
-func (w *Worker) renew(c platform.Command) string {
+func (w *Worker) renew(c port.Command) string {
 	for _, gang := range c.Gangs {
 		if m, ok := w.members[gang]; ok && m.State.Live() {
 			m.until = max(m.until, c.Until.Std())
@@ -277,9 +277,9 @@
 	return ""
 }
 
-func (w *Worker) checkpoint(c platform.Command) string {
+func (w *Worker) checkpoint(c port.Command) string {
 	m, ok := w.members[c.Gang]
-	if !ok || m.State != platform.TaskRunning {
+	if !ok || m.State != port.TaskRunning {
 		return "not running"
 	}
 	m.progress += w.now() - m.resumed
@@ -289,24 +289,24 @@
 	return ""
 }
 
-func (w *Worker) stop(c platform.Command) string {
+func (w *Worker) stop(c port.Command) string {
 	m, ok := w.members[c.Gang]
 	if !ok {
 		// Remembered, so that a reserve that is still on its way stays without
 		// effect.
 		w.members[c.Gang] = &heldMember{
-			Member: platform.Member{Gang: c.Gang, State: platform.TaskStopped},
+			Member: port.Member{Gang: c.Gang, State: port.TaskStopped},
 			until:  c.Until.Std(),
 		}
 		return ""
 	}
 	if m.State.Live() {
-		m.State = platform.TaskStopped
+		m.State = port.TaskStopped
 	}
 	return ""
 }
 
-func (w *Worker) forget(c platform.Command) string {
+func (w *Worker) forget(c port.Command) string {
 	m, ok := w.members[c.Gang]
 	if !ok {
 		return ""
@@ -319,11 +319,11 @@
 	return ""
 }
 
-func (w *Worker) report(refused string) platform.Report {
-	r := platform.Report{
+func (w *Worker) report(refused string) port.Report {
+	r := port.Report{
 		Refused: refused, Seen: w.seen,
 		Boot: w.bootName(), Clock: domain.Duration(w.now()),
-		Members: []platform.Member{},
+		Members: []port.Member{},
 	}
 	for _, m := range w.members {
 		if !m.hidden {
--- a/state/follower.go
+++ b/state/follower.go
@@ -5,19 +5,19 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Follower reads one stream from an offset on and hands every entry over in
 // order. A reader that has fallen behind the log's retention is told the
 // oldest offset, so that it can load a snapshot.
 type Follower struct {
-	Log    platform.Log
-	Stream platform.Stream
+	Log    port.Log
+	Stream port.Stream
 	// From returns the offset to read from next.
 	From func() int64
 	// Apply takes one entry.
-	Apply func(platform.Entry)
+	Apply func(port.Entry)
 	// Behind is called when entries before oldest are gone; it may load a
 	// snapshot. May be nil.
 	Behind func(ctx context.Context, oldest int64)
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -10,7 +10,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/guarantee"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // Status is what is known of one job.
@@ -54,7 +54,7 @@
 	waiters map[domain.JobID][]chan struct{}
 	// early are records of jobs that are not known yet, in the order in which
 	// they came; earlyOrder bounds them.
-	early      map[domain.JobID][]platform.Record
+	early      map[domain.JobID][]port.Record
 	earlyOrder []domain.JobID
 }
 
@@ -67,7 +67,7 @@
 		jobs:    map[domain.JobID]*Status{},
 		active:  map[domain.JobID]*Status{},
 		waiters: map[domain.JobID][]chan struct{}{},
-		early:   map[domain.JobID][]platform.Record{},
+		early:   map[domain.JobID][]port.Record{},
 	}
 }
 
@@ -126,7 +126,7 @@
 }
 
 // FoldEntry folds one entry of the log.
-func (j *Jobs) FoldEntry(entry platform.Entry) error {
+func (j *Jobs) FoldEntry(entry port.Entry) error {
 	err := j.Fold(entry.Record)
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -137,13 +137,13 @@
 // Fold folds one record. Unknown kinds have no effect. Records that were held
 // in memory while the log was away reach it in any order, so what is said of a
 // job before its acceptance counts once that comes.
-func (j *Jobs) Fold(record platform.Record) error {
+func (j *Jobs) Fold(record port.Record) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.fold(record)
 }
 
-func (j *Jobs) fold(record platform.Record) error {
+func (j *Jobs) fold(record port.Record) error {
 	switch record.Kind {
 	case KindAccepted:
 		return fold(record, j.accepted)
@@ -163,7 +163,7 @@
 
 // ifKnown applies what a record says of a job, or keeps the record until the
 // job is known.
-func (j *Jobs) ifKnown(id domain.JobID, record platform.Record, apply func()) {
+func (j *Jobs) ifKnown(id domain.JobID, record port.Record, apply func()) {
 	if _, known := j.jobs[id]; known {
 		apply()
 		return
@@ -178,7 +178,7 @@
 	j.early[id] = append(j.early[id], record)
 }
 
-func fold[T any](record platform.Record, apply func(T)) error {
+func fold[T any](record port.Record, apply func(T)) error {
 	var payload T
 	if err := json.Unmarshal(record.Data, &payload); err != nil {
 		return errors.Wrapf(err, "record %s of kind %s is not readable; it is passed over", record.ID, record.Kind)
--- a/state/journal.go
+++ b/state/journal.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // ErrNotSent says that a record certainly is not in the log and never will be.
@@ -41,11 +41,11 @@
 // Journal groups records into few appends. At most one append a stream is
 // under way. Safe for concurrent use.
 type Journal struct {
-	log     platform.Log
+	log     port.Log
 	options JournalOptions
 
 	mu     sync.Mutex
-	queues map[platform.Stream]*queue
+	queues map[port.Stream]*queue
 	closed bool
 	wg     sync.WaitGroup
 	ctx    context.Context
@@ -59,7 +59,7 @@
 }
 
 type item struct {
-	record platform.Record
+	record port.Record
 	// keep repeats the append until the record is known to be in the log.
 	keep bool
 	// sent is set once the record has been handed to the log.
@@ -81,14 +81,14 @@
 }
 
 // NewJournal returns a journal that writes to the log until Close.
-func NewJournal(log platform.Log, options JournalOptions) *Journal {
+func NewJournal(log port.Log, options JournalOptions) *Journal {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Journal{log: log, options: options, queues: map[platform.Stream]*queue{}, ctx: ctx, cancel: cancel}
+	return &Journal{log: log, options: options, queues: map[port.Stream]*queue{}, ctx: ctx, cancel: cancel}
 }
 
 // Append adds one record and returns its offset. ErrNotSent and ErrUncertain
 // tell what is known after a failure; the record is not repeated.
-func (j *Journal) Append(ctx context.Context, stream platform.Stream, record platform.Record) (int64, error) {
+func (j *Journal) Append(ctx context.Context, stream port.Stream, record port.Record) (int64, error) {
 	it, err := j.enqueue(stream, record, false)
 	if err != nil {
 		return 0, err
@@ -103,7 +103,7 @@
 
 // Keep adds a record that has to get into the log whatever the log does: it is
 // repeated until it is there. The fold's idempotence makes a double harmless.
-func (j *Journal) Keep(stream platform.Stream, record platform.Record) (<-chan struct{}, error) {
+func (j *Journal) Keep(stream port.Stream, record port.Record) (<-chan struct{}, error) {
 	it, err := j.enqueue(stream, record, true)
 	if err != nil {
 		return nil, err
@@ -111,7 +111,7 @@
 	return it.done, nil
 }
 
-func (j *Journal) enqueue(stream platform.Stream, record platform.Record, keep bool) (*item, error) {
+func (j *Journal) enqueue(stream port.Stream, record port.Record, keep bool) (*item, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.closed {
@@ -138,7 +138,7 @@
 
 // withdraw takes an item back. It is certain that it was not sent only while
 // no append has carried it.
-func (j *Journal) withdraw(stream platform.Stream, it *item) error {
+func (j *Journal) withdraw(stream port.Stream, it *item) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if it.closed {
@@ -161,7 +161,7 @@
 
 // Seen tells the journal that a record was read from the log: an append whose
 // answer was lost is found again this way and not repeated.
-func (j *Journal) Seen(stream platform.Stream, entry platform.Entry) {
+func (j *Journal) Seen(stream port.Stream, entry port.Entry) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	q, ok := j.queues[stream]
@@ -198,7 +198,7 @@
 	j.wg.Wait()
 }
 
-func (j *Journal) run(stream platform.Stream, q *queue) {
+func (j *Journal) run(stream port.Stream, q *queue) {
 	defer j.wg.Done()
 	failures := 0
 	for {
@@ -249,12 +249,12 @@
 	return len(q.pending) == 0
 }
 
-func (j *Journal) flush(stream platform.Stream, q *queue) bool {
+func (j *Journal) flush(stream port.Stream, q *queue) bool {
 	batch := j.take(q)
 	if len(batch) == 0 {
 		return true
 	}
-	records := make([]platform.Record, len(batch))
+	records := make([]port.Record, len(batch))
 	for i, it := range batch {
 		records[i] = it.record
 	}
--- a/state/journal_test.go
+++ b/state/journal_test.go
@@ -13,13 +13,13 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/internal/seeded"
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m) }
 
-const stream = platform.Stream("s")
+const stream = port.Stream("s")
 
 func readAll(t *testing.T, log *standin.Log) map[string]int {
 	t.Helper()
@@ -99,7 +99,7 @@
 }
 
 func put(journal *Journal, id string, kept bool) error {
-	record := platform.Record{ID: id, Kind: "k"}
+	record := port.Record{ID: id, Kind: "k"}
 	if kept {
 		_, err := journal.Keep(stream, record)
 		return err
@@ -116,7 +116,7 @@
 		journal := NewJournal(log, DefaultJournalOptions())
 		const each, seconds = 5000, 2
 		for i := range each * seconds {
-			if _, err := journal.Keep(stream, platform.Record{ID: fmt.Sprint(i), Kind: "k"}); err != nil {
+			if _, err := journal.Keep(stream, port.Record{ID: fmt.Sprint(i), Kind: "k"}); err != nil {
 				t.Fatal(err)
 			}
 			time.Sleep(time.Second / each)
@@ -138,7 +138,7 @@
 		log := standin.NewLog(0)
 		log.SetFaults(standin.LogFaults{LoseAnswers: 1})
 		journal := NewJournal(log, DefaultJournalOptions())
-		record := platform.Record{ID: "r", Kind: "k"}
+		record := port.Record{ID: "r", Kind: "k"}
 		done, err := journal.Keep(stream, record)
 		if err != nil {
 			t.Fatal(err)
@@ -146,7 +146,7 @@
 		synctest.Wait()
 		time.Sleep(time.Nanosecond) // the append that loses its answer
 		synctest.Wait()
-		journal.Seen(stream, platform.Entry{Offset: 0, Record: record})
+		journal.Seen(stream, port.Entry{Offset: 0, Record: record})
 		<-done
 		time.Sleep(time.Minute)
 		journal.Close()
@@ -197,7 +197,7 @@
 		accepted := log[:len(jobIDs)]
 		rest := log[len(jobIDs):]
 		at := rapid.IntRange(0, len(rest)).Draw(t, "accepted after")
-		for _, record := range append(append(append([]platform.Record{}, rest[:at]...), accepted...), rest[at:]...) {
+		for _, record := range append(append(append([]port.Record{}, rest[:at]...), accepted...), rest[at:]...) {
 			mustFold(t, late, record)
 		}
 		for _, id := range jobIDs {
@@ -210,15 +210,15 @@
 	})
 }
 
-func mustFold(t *rapid.T, jobs *Jobs, record platform.Record) {
+func mustFold(t *rapid.T, jobs *Jobs, record port.Record) {
 	if err := jobs.Fold(record); err != nil {
 		t.Fatalf("%v", err)
 	}
 }
 
 // drawJobLog draws what one planner after another would write.
-func drawJobLog(t *rapid.T) []platform.Record {
-	var out []platform.Record
+func drawJobLog(t *rapid.T) []port.Record {
+	var out []port.Record
 	add := func(kind string, payload any) {
 		record, err := NewRecord(fmt.Sprint(len(out)), kind, payload)
 		if err != nil {
@@ -251,10 +251,10 @@
 
 func TestUnknownKindsAndBrokenRecordsDisturbNothing(t *testing.T) {
 	jobs := NewJobs()
-	if err := jobs.Fold(platform.Record{Kind: "of-a-later-version", Data: []byte(`[]`)}); err != nil {
+	if err := jobs.Fold(port.Record{Kind: "of-a-later-version", Data: []byte(`[]`)}); err != nil {
 		t.Errorf("an unknown kind: %v", err)
 	}
-	if err := jobs.Fold(platform.Record{Kind: KindEnded, Data: []byte(`{"job": 3}`)}); err == nil {
+	if err := jobs.Fold(port.Record{Kind: KindEnded, Data: []byte(`{"job": 3}`)}); err == nil {
 		t.Error("a record that can't be read is not reported")
 	}
 	if active, _ := jobs.Active(); len(active) != 0 {
@@ -268,7 +268,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := jobs.FoldEntry(platform.Entry{Offset: 7, Record: record}); err != nil {
+	if err := jobs.FoldEntry(port.Entry{Offset: 7, Record: record}); err != nil {
 		t.Fatal(err)
 	}
 	loaded := NewJobs()
--- a/state/records.go
+++ b/state/records.go
@@ -12,7 +12,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/guarantee"
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // The record kinds of a data centre's job stream. A daemon passes over kinds
@@ -27,14 +27,14 @@
 )
 
 // ConfigurationStream is the one stream of configuration changes.
-const ConfigurationStream platform.Stream = "configuration"
+const ConfigurationStream port.Stream = "configuration"
 
 // AttemptStream is the one stream of attempts at non-idempotent requests.
-const AttemptStream platform.Stream = "attempts"
+const AttemptStream port.Stream = "attempts"
 
 // JobStream returns the stream of a data centre's jobs.
-func JobStream(dc domain.DataCentre) platform.Stream {
-	return platform.Stream("jobs/" + string(dc))
+func JobStream(dc domain.DataCentre) port.Stream {
+	return port.Stream("jobs/" + string(dc))
 }
 
 // Accepted makes a job known. Digest identifies the body, so that an id that
@@ -81,10 +81,10 @@
 }
 
 // NewRecord wraps a payload as a record.
-func NewRecord(id, kind string, payload any) (platform.Record, error) {
+func NewRecord(id, kind string, payload any) (port.Record, error) {
 	data, err := json.Marshal(payload)
 	if err != nil {
-		return platform.Record{}, errors.Wrapf(err, "encode record %s", kind)
+		return port.Record{}, errors.Wrapf(err, "encode record %s", kind)
 	}
-	return platform.Record{ID: id, Kind: kind, Data: data}, nil
+	return port.Record{ID: id, Kind: kind, Data: data}, nil
 }
--- a/state/snapshots.go
+++ b/state/snapshots.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/port"
 )
 
 // The record kinds of a snapshot stream.
@@ -19,7 +19,7 @@
 )
 
 // SnapshotStream returns the stream in which another one's snapshots stand.
-func SnapshotStream(of platform.Stream) platform.Stream { return "snapshots/" + of }
+func SnapshotStream(of port.Stream) port.Stream { return "snapshots/" + of }
 
 // snapshotFormat is the format of the content; another one is passed over.
 const snapshotFormat = 1
@@ -48,7 +48,7 @@
 // WriteSnapshot puts a snapshot of a stream's fold into the log. It counts only
 // once its manifest is there, so it can be read while it is being written, and
 // one that was cut off is passed over.
-func WriteSnapshot(ctx context.Context, log platform.Log, of platform.Stream, id string, offset int64, content any) error {
+func WriteSnapshot(ctx context.Context, log port.Log, of port.Stream, id string, offset int64, content any) error {
 	raw, err := json.Marshal(content)
 	if err != nil {
 		return errors.Wrap(err, "encode snapshot")
@@ -69,12 +69,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func appendOne(ctx context.Context, log platform.Log, of platform.Stream, id, kind string, payload any) error {
+func appendOne(ctx context.Context, log port.Log, of port.Stream, id, kind string, payload any) error {
 	record, err := NewRecord(id, kind, payload)
 	if err != nil {
 		return err
 	}
-	_, err = log.Append(ctx, SnapshotStream(of), []platform.Record{record})
+	_, err = log.Append(ctx, SnapshotStream(of), []port.Record{record})
 	return errors.Wrapf(err, "append %s", kind)
 }
 
@@ -84,7 +84,7 @@
 // ReadSnapshot decodes the newest whole snapshot of a stream and returns the
 // offset at which reading goes on. A torn or corrupt one is passed over, and
 // the one before it is used.
-func ReadSnapshot(ctx context.Context, log platform.Log, of platform.Stream, into any) (int64, error) {
+func ReadSnapshot(ctx context.Context, log port.Log, of port.Stream, into any) (int64, error) {
 	r := snapshotReader{parts: map[string]map[int][]byte{}}
 	for from := int64(0); ; {
 		page, err := log.Read(ctx, SnapshotStream(of), from)
@@ -112,7 +112,7 @@
 	offset int64
 }
 
-func (r *snapshotReader) take(record platform.Record) {
+func (r *snapshotReader) take(record port.Record) {
 	switch record.Kind {
 	case KindChunk:
 		var c chunk
--- a/state/snapshots_test.go
+++ b/state/snapshots_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cobalttide/cobalttide/platform"
-	"github.com/cobalttide/cobalttide/platform/standin"
+	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin"
 )
 
 // tearing loses or spoils the records whose number is named.
@@ -19,7 +19,7 @@
 	spoil   int
 }
 
-func (l *tearing) Append(ctx context.Context, s platform.Stream, records []platform.Record) (int64, error) {
+func (l *tearing) Append(ctx context.Context, s port.Stream, records []port.Record) (int64, error) {
 	l.appends++
 	switch l.appends {
 	case l.lose:
