--- /dev/null
+++ b/events/log.go
@@ -0,0 +1,118 @@
+// Package events writes one structured line a decision to standard output. The
+// volume is bounded, and writing never blocks a decision: lines that have no
+// room are counted by event and the count is written when there is room again.
+package events
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+)
+
+// Fields are the fields of one line.
+type Fields map[string]any
+
+// Bounds of the volume.
+const (
+	// LinesPerSecond is the budget over a longer time.
+	LinesPerSecond = 300
+	// LinesBurst is how many lines may come at once.
+	LinesBurst = 1500
+	// queueLength is how many lines wait for a slow reader.
+	queueLength = 1024
+)
+
+// Log writes events. Its methods are safe for concurrent use and never block.
+type Log struct {
+	logger *logrus.Logger
+	lines  chan []byte
+	budget *rate.Limiter
+	base   logrus.Fields
+	done   chan struct{}
+
+	mu      sync.Mutex
+	leftOut map[Name]int
+}
+
+// New returns a log that writes to out; base stands in every line.
+func New(out io.Writer, base Fields) *Log {
+	l := &Log{
+		lines: make(chan []byte, queueLength), budget: rate.NewLimiter(LinesPerSecond, LinesBurst),
+		base: logrus.Fields(base), done: make(chan struct{}), leftOut: map[Name]int{},
+	}
+	l.logger = logrus.New()
+	l.logger.SetOutput(writer{l})
+	l.logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
+	go l.drain(out)
+	return l
+}
+
+// writer hands finished lines to the goroutine that writes them.
+type writer struct{ l *Log }
+
+func (w writer) Write(line []byte) (int, error) {
+	select {
+	case w.l.lines <- append([]byte(nil), line...):
+	default:
+	}
+	return len(line), nil
+}
+
+func (l *Log) drain(out io.Writer) {
+	for line := range l.lines {
+		_, _ = out.Write(line)
+	}
+	close(l.done)
+}
+
+// essential events end the story of a job or of a process, and are never left
+// out before others.
+var essential = map[Name]bool{
+	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true,
+	"job-completed": true, "job-failed": true, PlannerBegins: true, PlannerEnds: true,
+	DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
+}
+
+// reserve is the part of the queue that only essential events may use.
+const reserve = queueLength / 4
+
+// Info writes one line, or counts it as left out.
+func (l *Log) Info(event Name, fields Fields) {
+	if l == nil {
+		return
+	}
+	full := len(l.lines) >= queueLength-1 || (!essential[event] && len(l.lines) >= queueLength-reserve)
+	if full || (!essential[event] && !l.budget.Allow()) {
+		l.mu.Lock()
+		l.leftOut[event]++
+		l.mu.Unlock()
+		return
+	}
+	l.report()
+	l.logger.WithFields(l.base).WithFields(logrus.Fields(fields)).Info(string(event))
+}
+
+// report writes what was left out, when there is room again.
+func (l *Log) report() {
+	l.mu.Lock()
+	out := l.leftOut
+	if len(out) > 0 {
+		l.leftOut = map[Name]int{}
+	}
+	l.mu.Unlock()
+	for event, n := range out {
+		l.logger.WithFields(l.base).WithFields(logrus.Fields{"event": event, "lines": n}).Info(string(LinesLeftOut))
+	}
+}
+
+// Close writes what waits, for at most the time given.
+func (l *Log) Close(most time.Duration) {
+	close(l.lines)
+	select {
+	case <-l.done:
+	case <-time.After(most):
+	}
+}
--- /dev/null
+++ b/events/names.go
@@ -0,0 +1,37 @@
+package events
+
+// Name is the stable name of an event.
+type Name string
+
+// The events of an instance. Those of the planner's core are listed in
+// docs/OPERATIONS.md with the fields that they carry.
+const (
+	// Started and Stopping frame the life of a process.
+	Started  Name = "started"
+	Stopping Name = "stopping"
+	Stopped  Name = "stopped"
+	// SettingsReloaded: the settings file has changed.
+	SettingsReloaded Name = "settings-reloaded"
+	// DependencyLost and DependencyRegained: a topic of the log can't be read,
+	// or can be read again.
+	DependencyLost     Name = "dependency-lost"
+	DependencyRegained Name = "dependency-regained"
+	// ConfigurationInForce: a version was taken over.
+	ConfigurationInForce Name = "configuration-in-force"
+	// RecordUnreadable: a record of the log was passed over.
+	RecordUnreadable Name = "record-unreadable"
+	// JobAccepted, JobRepeated, JobRefused, JobCancelled: answers to callers.
+	JobAccepted  Name = "job-accepted"
+	JobRepeated  Name = "job-repeated"
+	JobRefused   Name = "job-refused"
+	JobCancelled Name = "job-cancelled"
+	// ClaimTaken, ClaimFailed, PlannerBegins, PlannerEnds: the planner's role.
+	ClaimTaken    Name = "claim-taken"
+	ClaimFailed   Name = "claim-failed"
+	PlannerBegins Name = "planner-begins"
+	PlannerEnds   Name = "planner-ends"
+	// AppendRepeated: the planner's append had no answer for some time.
+	AppendRepeated Name = "append-repeated"
+	// LinesLeftOut: lines went over the budget or had no room.
+	LinesLeftOut Name = "lines-left-out"
+)
--- /dev/null
+++ b/workload/book.go
@@ -0,0 +1,193 @@
+package workload
+
+import (
+	"encoding/json"
+	"sync"
+)
+
+// Keys of records. Each record carries the whole of what its key names, so
+// that the newest record of each key is a snapshot of the book.
+const (
+	acceptedPrefix  = "j/"
+	cancelledPrefix = "c/"
+	progressPrefix  = "p/"
+)
+
+// AcceptedKey is the key of a job's acceptance.
+func AcceptedKey(id JobID) string { return acceptedPrefix + string(id) }
+
+// CancelledKey is the key of the request to cancel a job.
+func CancelledKey(id JobID) string { return cancelledPrefix + string(id) }
+
+// ProgressKey is the key of a job's progress.
+func ProgressKey(id JobID) string { return progressPrefix + string(id) }
+
+// Entry is what the book has of one job. Job is nil while only its
+// cancellation or progress has been read.
+type Entry struct {
+	Job       *Job
+	Cancelled bool
+	// State and Begun are the head of the progress.
+	State State
+	Begun bool
+	// Progress is the record as written; it is decoded only by a planner.
+	Progress []byte
+}
+
+// Book folds the log's records. It is safe for concurrent use.
+type Book struct {
+	mu      sync.Mutex
+	entries map[JobID]*Entry
+	pending map[string]int
+	// fresh are jobs that were accepted or cancelled since Fresh was called.
+	fresh map[JobID]bool
+	wake  chan struct{}
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{entries: map[JobID]*Entry{}, pending: map[string]int{}, fresh: map[JobID]bool{}, wake: make(chan struct{}, 1)}
+}
+
+// Wake is signalled when Fresh has something new.
+func (b *Book) Wake() <-chan struct{} { return b.wake }
+
+// Fresh returns the jobs that were accepted or cancelled since the last call.
+func (b *Book) Fresh() []JobID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]JobID, 0, len(b.fresh))
+	for id := range b.fresh {
+		out = append(out, id)
+	}
+	clear(b.fresh)
+	return out
+}
+
+func (b *Book) freshen(id JobID) {
+	b.fresh[id] = true
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Book) entry(id JobID) *Entry {
+	e := b.entries[id]
+	if e == nil {
+		e = &Entry{State: Queued}
+		b.entries[id] = e
+	}
+	return e
+}
+
+// Fold takes one record in; records of other kinds are passed over. Folding a
+// record twice, or an older one of a job's acceptance again, changes nothing.
+func (b *Book) Fold(key string, value []byte) error {
+	if len(key) < 2 {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := JobID(key[2:])
+	switch key[:2] {
+	case acceptedPrefix:
+		return b.foldAccepted(id, value)
+	case cancelledPrefix:
+		if e := b.entries[id]; e != nil && e.Cancelled {
+			return nil
+		}
+		b.change(id, func(e *Entry) { e.Cancelled = true })
+		b.freshen(id)
+	case progressPrefix:
+		return b.foldProgress(id, value)
+	}
+	return nil
+}
+
+func (b *Book) foldAccepted(id JobID, value []byte) error {
+	if e := b.entries[id]; e != nil && e.Job != nil {
+		return nil
+	}
+	job := &Job{}
+	if err := json.Unmarshal(value, job); err != nil {
+		return err
+	}
+	b.change(id, func(e *Entry) { e.Job = job })
+	b.freshen(id)
+	return nil
+}
+
+type progressHead struct {
+	State State `json:"state"`
+	Begun bool  `json:"begun"`
+}
+
+func (b *Book) foldProgress(id JobID, value []byte) error {
+	head := progressHead{}
+	if err := json.Unmarshal(value, &head); err != nil {
+		return err
+	}
+	b.change(id, func(e *Entry) {
+		e.State = head.State
+		e.Begun = head.Begun
+		e.Progress = value
+	})
+	return nil
+}
+
+// change applies f and keeps the count of jobs that have not begun.
+func (b *Book) change(id JobID, f func(*Entry)) {
+	e := b.entry(id)
+	b.count(e, -1)
+	f(e)
+	b.count(e, 1)
+}
+
+func (b *Book) count(e *Entry, by int) {
+	if e.Job != nil && !e.Begun && !e.Cancelled && !e.State.Final() {
+		b.pending[e.Job.Queue] += by
+	}
+}
+
+// Get returns a copy of a job's entry; ok is false for a job that nobody
+// handed in.
+func (b *Book) Get(id JobID) (Entry, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[id]
+	if e == nil || e.Job == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Shown is the state that callers see.
+func (e Entry) Shown() State {
+	if e.Cancelled && !e.State.Final() {
+		return Cancelled
+	}
+	return e.State
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (b *Book) Pending(queue string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pending[queue]
+}
+
+// All calls f with a copy of each job's entry.
+func (b *Book) All(f func(JobID, Entry)) {
+	b.mu.Lock()
+	entries := make(map[JobID]Entry, len(b.entries))
+	for id, e := range b.entries {
+		if e.Job != nil {
+			entries[id] = *e
+		}
+	}
+	b.mu.Unlock()
+	for id, e := range entries {
+		f(id, e)
+	}
+}
--- /dev/null
+++ b/workload/control/core.go
@@ -0,0 +1,276 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/decide"
+)
+
+// Core is the planner's state. It is not safe for concurrent use.
+type Core struct {
+	bounds Bounds
+	// token is the fencing token of this planner.
+	token   int64
+	config  Configuration
+	workers map[string]*worker
+	jobs    map[workload.JobID]*job
+	live    map[workload.TaskID]*live
+	steps   map[decide.UnitKey]int
+	dirty   map[workload.JobID]bool
+	starts  []*live
+	batch   []*live
+	stops   []StopOrder
+	notes   []Note
+	pace    *estimates
+	// strangersUntil is when the leases that an earlier planner gave to workers
+	// that have not answered yet must have lapsed.
+	strangersUntil time.Time
+	deposed        bool
+}
+
+// job is one that has not ended, or whose tasks may still run.
+type job struct {
+	*workload.Job
+	progress  *workload.Progress
+	cancelled bool
+	// order is the sequence in which jobs came.
+	order int
+	// stepsSince is when each open step could first start.
+	since map[decide.UnitKey]time.Time
+	avoid map[string]bool
+	held  map[decide.UnitKey]decide.Reason
+}
+
+// live is a run that was ordered and may be at work.
+type live struct {
+	id     workload.TaskID
+	key    decide.UnitKey
+	step   *workload.Step
+	job    *job
+	worker *worker
+	run    int64
+	saved  string
+	// ordered tells whether this planner ordered it; otherwise it was adopted.
+	ordered    bool
+	orderedAt  time.Time
+	answeredAt time.Time
+	answered   bool
+	confirmed  bool
+	far        bool
+	tries      int
+	retryAt    time.Time
+	stopping   bool
+	stopAt     time.Time
+	barred     bool
+	// over tells that the task's outcome is settled; its room is still taken.
+	over    bool
+	percent int
+	movedAt time.Time
+}
+
+// New returns the core of a planner that has just claimed the token. It may
+// give workers that do not answer to others only after the leases that its
+// predecessor gave must have lapsed.
+func New(bounds Bounds, token int64, now time.Time) *Core {
+	return &Core{
+		bounds:         bounds,
+		token:          token,
+		workers:        map[string]*worker{},
+		jobs:           map[workload.JobID]*job{},
+		live:           map[workload.TaskID]*live{},
+		steps:          map[decide.UnitKey]int{},
+		dirty:          map[workload.JobID]bool{},
+		pace:           newEstimates(),
+		strangersUntil: now.Add(bounds.Authority + stretched(bounds.Lease) + lapseSlack),
+	}
+}
+
+// Deposed tells whether a worker has refused this planner's token.
+func (c *Core) Deposed() bool { return c.deposed }
+
+// Configure takes a configuration over.
+func (c *Core) Configure(config Configuration) { c.config = config }
+
+// Notes hands out what was decided since the last call.
+func (c *Core) Notes() []Note {
+	out := c.notes
+	c.notes = nil
+	return out
+}
+
+func (c *Core) note(n Note) { c.notes = append(c.notes, n) }
+
+// Adopt takes a job of the book over. Tasks that the book has as placed may be
+// at work on their workers.
+func (c *Core) Adopt(id workload.JobID, e workload.Entry) {
+	if known := c.jobs[id]; known != nil {
+		if e.Cancelled {
+			c.Cancel(id)
+		}
+		return
+	}
+	progress := workload.NewProgress()
+	if len(e.Progress) > 0 {
+		if err := json.Unmarshal(e.Progress, progress); err != nil {
+			c.note(Note{Event: "progress-unreadable", Job: id, Why: err.Error()})
+			return
+		}
+	}
+	if progress.State.Final() && len(progress.Open) == 0 {
+		return
+	}
+	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, held: map[decide.UnitKey]decide.Reason{}}
+	c.jobs[id] = j
+	c.adoptPlaced(j)
+	if e.Cancelled {
+		c.Cancel(id)
+	}
+}
+
+func (c *Core) adoptPlaced(j *job) {
+	for _, o := range j.progress.Open {
+		for s := range o.Steps {
+			for i := range o.Steps[s] {
+				t := &o.Steps[s][i]
+				if t.Phase == workload.Placed {
+					c.addLive(j, workload.TaskID{Job: j.ID, K: o.K, Step: s, Index: i}, t)
+				}
+			}
+		}
+	}
+}
+
+func (c *Core) addLive(j *job, id workload.TaskID, t *workload.Task) *live {
+	l := &live{
+		id: id, key: decide.UnitKey{Job: id.Job, K: id.K, Step: id.Step},
+		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.Saved,
+		worker: c.workerFor(t.Worker),
+	}
+	c.live[id] = l
+	c.steps[l.key]++
+	l.worker.tasks[id] = l
+	return l
+}
+
+func (c *Core) dropLive(l *live) {
+	if c.live[l.id] != l {
+		return
+	}
+	delete(c.live, l.id)
+	delete(l.worker.tasks, l.id)
+	c.steps[l.key]--
+	if c.steps[l.key] == 0 {
+		delete(c.steps, l.key)
+	}
+}
+
+func (c *Core) task(l *live) *workload.Task { return l.job.progress.Find(l.id) }
+
+func (c *Core) change(j *job) { c.dirty[j.ID] = true }
+
+// Cancel stops a job for good.
+func (c *Core) Cancel(id workload.JobID) {
+	j := c.jobs[id]
+	if j == nil || j.cancelled || j.progress.State.Final() {
+		return
+	}
+	j.cancelled = true
+	c.note(Note{Event: "cancelling", Job: id})
+	c.stopAll(j)
+	c.settle(j)
+}
+
+func (c *Core) stopAll(j *job) {
+	for _, l := range c.live {
+		if l.job == j {
+			c.stop(l, "job-over")
+		}
+	}
+}
+
+// settle writes a job's final state once nothing of it may be at work, and
+// forgets it after.
+func (c *Core) settle(j *job) {
+	if j.cancelled && !j.progress.State.Final() {
+		j.progress.State = workload.Cancelled
+		c.change(j)
+	}
+	if !j.progress.State.Final() || c.anyLive(j) {
+		return
+	}
+	if j.progress.Open != nil {
+		j.progress.Open = nil
+		c.change(j)
+	}
+}
+
+func (c *Core) anyLive(j *job) bool {
+	for _, l := range c.live {
+		if l.job == j {
+			return true
+		}
+	}
+	return false
+}
+
+// Changes returns the records of all jobs that have changed. Persisted has to
+// follow once they are in the log.
+func (c *Core) Changes() []Record {
+	var out []Record
+	for id := range c.dirty {
+		j := c.jobs[id]
+		if j == nil {
+			continue
+		}
+		value, err := json.Marshal(j.progress)
+		if err != nil {
+			c.note(Note{Event: "progress-unwritable", Job: id, Why: err.Error()})
+			continue
+		}
+		out = append(out, Record{Key: workload.ProgressKey(id), Value: value})
+	}
+	c.dirty = map[workload.JobID]bool{}
+	c.batch = c.starts
+	c.starts = nil
+	for _, w := range c.workers {
+		w.batchCursor = w.seen
+	}
+	return out
+}
+
+// Persisted releases what waited for the records of the last Changes: starts
+// may be ordered, ends may be forgotten by their workers.
+func (c *Core) Persisted(now time.Time) []StartOrder {
+	for _, w := range c.workers {
+		w.cursor = max(w.cursor, w.batchCursor)
+	}
+	var out []StartOrder
+	for _, l := range c.batch {
+		if c.live[l.id] != l || l.stopping {
+			continue
+		}
+		l.ordered = true
+		l.orderedAt = now
+		out = append(out, c.startOrder(l, now))
+	}
+	c.batch = nil
+	c.forgetEnded()
+	return out
+}
+
+func (c *Core) forgetEnded() {
+	for id, j := range c.jobs {
+		if j.progress.State.Final() && j.progress.Open == nil && !c.dirty[id] {
+			delete(c.jobs, id)
+		}
+	}
+}
+
+// Stops hands out the stop orders that are due.
+func (c *Core) Stops() []StopOrder {
+	out := c.stops
+	c.stops = nil
+	return out
+}
--- /dev/null
+++ b/workload/control/holds.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+const (
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 200 * time.Millisecond
+	// ackPause is the pause before a hold that only brings the cursor.
+	ackPause = 50 * time.Millisecond
+)
+
+// Held takes the answer to a hold that was sent at the given time.
+func (c *Core) Held(order HoldOrder, answer HoldAnswer, sent, now time.Time) {
+	w := c.workers[order.Worker]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	switch answer.Verdict {
+	case Accepted:
+		c.news(w, order, answer, sent, now)
+	case Fenced:
+		c.depose(w)
+	case Gone:
+		c.lose(w, "another-life")
+	default:
+		c.silence(w, now)
+		w.holdAt = now.Add(holdRetry)
+	}
+}
+
+func (c *Core) depose(w *worker) {
+	if !c.deposed {
+		c.note(Note{Event: "token-refused", Worker: w.ID})
+	}
+	c.deposed = true
+}
+
+func (c *Core) news(w *worker, order HoldOrder, answer HoldAnswer, sent, now time.Time) {
+	c.readClock(w, answer.ClockMS, now)
+	if !w.met {
+		c.note(Note{Event: "worker-answers", Worker: w.ID})
+	}
+	w.met = true
+	w.ever = true
+	w.told = max(w.told, order.Cursor)
+	listed := c.takeRunning(w, answer.Running, now)
+	for _, row := range answer.Ended {
+		c.takeEnd(w, row, now)
+	}
+	c.missing(w, listed, sent, now)
+	if order.Wait == 0 {
+		w.holdAt = now.Add(ackPause)
+	}
+}
+
+// takeRunning compares what runs with what should, and returns what was listed.
+func (c *Core) takeRunning(w *worker, rows []RunningRow, now time.Time) map[workload.TaskID]bool {
+	listed := make(map[workload.TaskID]bool, len(rows))
+	strange := map[workload.TaskID]int64{}
+	for _, row := range rows {
+		l := w.tasks[row.Task]
+		if l == nil || l.run != row.Run {
+			strange[row.Task] = row.Run
+			continue
+		}
+		listed[row.Task] = true
+		c.seenRunning(l, row, now)
+	}
+	for id, run := range strange {
+		c.note(Note{Event: "strange-run", Job: id.Job, Task: id.String(), Worker: w.ID, Run: run})
+		c.stops = append(c.stops, StopOrder{Worker: w.ID, Address: w.Address, Task: id, Run: run, Token: c.token})
+	}
+	w.strange = strange
+	return listed
+}
+
+func (c *Core) seenRunning(l *live, row RunningRow, now time.Time) {
+	if !l.confirmed {
+		l.confirmed = true
+		if l.orderedAt.IsZero() {
+			l.orderedAt = now
+		}
+	}
+	if row.Percent > l.percent || l.movedAt.IsZero() {
+		l.percent = row.Percent
+		l.movedAt = now
+	}
+	if row.Saved != "" {
+		l.saved = row.Saved
+	}
+}
+
+// takeEnd takes one end in. Its worker may forget it once it is in the log.
+func (c *Core) takeEnd(w *worker, row EndedRow, now time.Time) {
+	if row.Number <= w.seen {
+		return
+	}
+	w.seen = row.Number
+	l := w.tasks[row.Task]
+	if l == nil || l.run != row.Run {
+		return
+	}
+	c.note(Note{Event: "run-ended", Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: string(row.How)})
+	c.learn(w, l, row.How, now)
+	c.ended(l, row.How, row.Saved)
+}
+
+// missing settles tasks that the worker neither runs nor has ended. A task that
+// an earlier planner ordered can't start any more, because the worker has seen
+// this planner's token. One that this planner ordered may be on its way, unless
+// the worker had confirmed it before it was asked.
+func (c *Core) missing(w *worker, listed map[workload.TaskID]bool, sent, now time.Time) {
+	for id, l := range w.tasks {
+		if listed[id] {
+			continue
+		}
+		switch {
+		case !l.ordered && !c.inBatch(l):
+			c.note(Note{Event: "run-never-began", Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run})
+			c.ended(l, EndLapsed, "")
+		case l.answered && l.answeredAt.Before(sent):
+			c.note(Note{Event: "run-vanished", Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run})
+			c.ended(l, EndLapsed, "")
+		case l.barred && l.stopAt.Before(sent):
+			c.ended(l, EndStopped, "")
+		}
+	}
+}
+
+func (c *Core) inBatch(l *live) bool {
+	for _, list := range [][]*live{c.batch, c.starts} {
+		for _, other := range list {
+			if other == l {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ended settles a run. The room is free from here on.
+func (c *Core) ended(l *live, how End, saved string) {
+	c.dropLive(l)
+	j := l.job
+	t := c.task(l)
+	if t == nil || l.over {
+		c.settle(j)
+		return
+	}
+	l.over = true
+	c.change(j)
+	if saved == "" {
+		saved = l.saved
+	}
+	if how == EndDone && !l.step.Perpetual {
+		c.finish(l)
+		return
+	}
+	c.back(l, t, how, saved)
+}
+
+// finish takes a task, or with one member the whole gang, as done.
+func (c *Core) finish(l *live) {
+	j := l.job
+	for _, o := range j.progress.Open {
+		if o.K != l.id.K {
+			continue
+		}
+		if !l.step.Gang {
+			o.Steps[l.id.Step][l.id.Index] = workload.Task{Phase: workload.Done}
+			break
+		}
+		for i := range o.Steps[l.id.Step] {
+			o.Steps[l.id.Step][i] = workload.Task{Phase: workload.Done}
+		}
+		c.settleGang(l)
+	}
+	c.advance(j)
+}
+
+// settleGang marks the other members of a gang as over; they keep their room
+// until their ends are listed.
+func (c *Core) settleGang(l *live) {
+	for _, other := range c.live {
+		if other.key == l.key {
+			other.over = true
+		}
+	}
+}
+
+// back puts a task in line again, or ends its job where it has failed too often.
+func (c *Core) back(l *live, t *workload.Task, how End, saved string) {
+	t.Phase = workload.Waiting
+	t.Worker = ""
+	if saved != "" && l.step.Checkpoint {
+		t.Saved = saved
+	}
+	if l.step.Gang {
+		c.breakGang(l, how, t.Saved)
+	}
+	if how == EndFailed && !l.step.Perpetual {
+		c.fail(l)
+	}
+	c.settle(l.job)
+}
+
+// breakGang stops what is left of a gang's run.
+func (c *Core) breakGang(l *live, how End, saved string) {
+	for _, other := range c.live {
+		if other.key == l.key {
+			c.stop(other, "gang-"+string(how))
+		}
+	}
+	if saved == "" {
+		return
+	}
+	for _, o := range l.job.progress.Open {
+		if o.K != l.id.K {
+			continue
+		}
+		for i := range o.Steps[l.id.Step] {
+			o.Steps[l.id.Step][i].Saved = saved
+		}
+	}
+}
+
+// fail counts a failure against the task, or once a run against its gang.
+func (c *Core) fail(l *live) {
+	counted := c.task(l)
+	if l.step.Gang {
+		first := l.id
+		first.Index = 0
+		counted = l.job.progress.Find(first)
+		if counted.FailedRun == l.run {
+			return
+		}
+		counted.FailedRun = l.run
+	}
+	counted.Fails++
+	l.job.avoid[l.worker.ID] = true
+	attempts := max(1, c.terms(l.job).Attempts)
+	if counted.Fails < attempts || l.job.progress.State.Final() {
+		return
+	}
+	c.note(Note{Event: "job-failed", Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Why: "attempts-used"})
+	l.job.progress.State = workload.Failed
+	c.stopAll(l.job)
+}
+
+// advance closes occurrences that are done, and the job after its last.
+func (c *Core) advance(j *job) {
+	open := j.progress.Open[:0]
+	for _, o := range j.progress.Open {
+		if !o.Done() {
+			open = append(open, o)
+		}
+	}
+	j.progress.Open = open
+	if len(open) == 0 && j.progress.Next >= j.Occurrences() && !j.progress.State.Final() {
+		j.progress.State = workload.Completed
+		c.note(Note{Event: "job-completed", Job: j.ID})
+	}
+	c.settle(j)
+}
--- /dev/null
+++ b/workload/control/orders.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/decide"
+)
+
+const (
+	// orderRetry is the pause before an order without an answer is repeated; a
+	// repeated start of the same run has no further effect on its worker.
+	orderRetry = 250 * time.Millisecond
+	// stopRetry is the pause before a stop is repeated.
+	stopRetry = 500 * time.Millisecond
+)
+
+func (c *Core) startOrder(l *live, now time.Time) StartOrder {
+	l.tries++
+	return StartOrder{
+		Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Spec: l.job.Spec,
+		Saved: l.saved, DeadlineMS: c.deadline(l.worker, now), Token: c.token, Try: l.tries,
+	}
+}
+
+// Started takes the answer to a start.
+func (c *Core) Started(order StartOrder, answer Answer, now time.Time) {
+	l := c.live[order.Task]
+	w := c.workers[order.Worker]
+	if w != nil {
+		c.readClock(w, answer.ClockMS, now)
+	}
+	if l == nil || l.run != order.Run || l.worker != w {
+		return
+	}
+	switch answer.Verdict {
+	case Accepted:
+		l.answered = true
+		if l.answeredAt.IsZero() {
+			l.answeredAt = now
+		}
+	case Fenced:
+		c.depose(w)
+	case Gone:
+		c.lose(w, "another-life")
+	case Superseded:
+		c.superseded(l, now)
+	case Unanswered, Unreached:
+		c.unanswered(l, now)
+	default:
+		c.refused(l, answer.Verdict, now)
+	}
+}
+
+// superseded: a stop of this run was carried out, or it has ended. Its end is in
+// the worker's list, unless the run never was there.
+func (c *Core) superseded(l *live, now time.Time) {
+	l.answered = true
+	if l.answeredAt.IsZero() {
+		l.answeredAt = now
+	}
+}
+
+// unanswered: the start may have been carried out, or may be later. It is
+// repeated until the worker answers or its lease must have lapsed; a gang that
+// waits for one member is given up before the others give up themselves.
+func (c *Core) unanswered(l *live, now time.Time) {
+	c.note(Note{Event: "start-unanswered", Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run})
+	c.silence(l.worker, now)
+	l.retryAt = now.Add(orderRetry)
+	if l.step.Gang && now.Sub(l.orderedAt) > c.bounds.GangTimeout/3 {
+		c.breakGang(l, EndAlone, "")
+	}
+}
+
+// refused: the worker has done nothing, and this order has no effect any more
+// once the run is barred.
+func (c *Core) refused(l *live, verdict Verdict, now time.Time) {
+	c.note(Note{Event: "start-refused", Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Why: string(verdict)})
+	if verdict == Unhealthy {
+		l.worker.trust.refuse(now)
+	}
+	if verdict == Full {
+		l.worker.trust.full(now)
+	}
+	if l.tries == 1 {
+		c.ended(l, EndStopped, "")
+		return
+	}
+	// An earlier try had no answer and may still be carried out.
+	c.stop(l, "refused-"+string(verdict))
+}
+
+// stop tells a worker to stop a run, and to refuse it where it is not there yet.
+func (c *Core) stop(l *live, why string) {
+	if l.stopping {
+		return
+	}
+	if c.inBatch(l) {
+		// It has not been ordered and will not be.
+		c.note(Note{Event: "run-withdrawn", Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Why: why})
+		c.ended(l, EndStopped, "")
+		return
+	}
+	l.stopping = true
+	c.note(Note{Event: "run-stopping", Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Why: why})
+	c.stops = append(c.stops, StopOrder{Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Token: c.token})
+}
+
+// Stopped takes the answer to a stop.
+func (c *Core) Stopped(order StopOrder, answer Answer, now time.Time) {
+	w := c.workers[order.Worker]
+	if w == nil {
+		return
+	}
+	c.readClock(w, answer.ClockMS, now)
+	switch answer.Verdict {
+	case Fenced:
+		c.depose(w)
+		return
+	case Gone:
+		c.lose(w, "another-life")
+		return
+	}
+	l := c.live[order.Task]
+	if l == nil || l.run != order.Run || l.worker != w {
+		return
+	}
+	if answer.Verdict == Accepted {
+		l.barred = true
+		l.stopAt = now
+		return
+	}
+	l.retryAt = now.Add(stopRetry)
+	if answer.Verdict == Unanswered || answer.Verdict == Unreached {
+		c.silence(w, now)
+	}
+}
+
+// Due hands out the orders that are to be repeated.
+func (c *Core) Due(now time.Time) []StartOrder {
+	var out []StartOrder
+	for _, l := range c.live {
+		if l.retryAt.IsZero() || now.Before(l.retryAt) {
+			continue
+		}
+		l.retryAt = time.Time{}
+		switch {
+		case l.stopping && !l.barred:
+			c.stops = append(c.stops, StopOrder{Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Token: c.token})
+		case !l.stopping && l.ordered && !l.answered && !l.confirmed:
+			out = append(out, c.startOrder(l, now))
+		}
+	}
+	return out
+}
+
+// expire releases what workers without an answer must have lost.
+func (c *Core) expire(now time.Time) {
+	for _, w := range c.workers {
+		if len(w.tasks) == 0 || !c.lapsed(w, now) {
+			continue
+		}
+		c.release(w, "lease-over")
+		w.clockMS = 0
+		w.deadlineMS = 0
+	}
+}
+
+func (c *Core) terms(j *job) workload.Terms {
+	if t, ok := c.config.Queues[j.Queue]; ok {
+		return t
+	}
+	return j.Terms
+}
+
+func (c *Core) guaranteed() map[workload.JobID]bool {
+	claims := map[string]int64{}
+	for _, j := range c.jobs {
+		if c.claims(j) {
+			claims[string(j.Account)] += j.ClaimAccelerators()
+		}
+	}
+	out := map[workload.JobID]bool{}
+	for id, j := range c.jobs {
+		if c.claims(j) && claims[string(j.Account)] <= c.config.Guaranteed[j.Account] {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// claims tells whether a job counts against its account's guarantee.
+func (c *Core) claims(j *job) bool {
+	return !j.cancelled && !j.progress.State.Final() && c.terms(j).Priority == 0
+}
+
+func unitKey(id workload.JobID, k, step int) decide.UnitKey {
+	return decide.UnitKey{Job: id, K: k, Step: step}
+}
--- /dev/null
+++ b/workload/control/round.go
@@ -0,0 +1,287 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/decide"
+)
+
+// Round decides on everything that waits. wallMS is the time of day, which
+// schedules refer to.
+func (c *Core) Round(now time.Time, wallMS int64) {
+	c.expire(now)
+	c.create(wallMS)
+	c.overdue(now)
+	s, units := c.snapshot(now, wallMS)
+	plan := decide.Make(s)
+	for _, index := range plan.Stops {
+		c.preempt(s.Running[index], now)
+	}
+	c.apply(s, units, plan.Starts, now)
+	c.explain(s, units, plan.Held)
+}
+
+// create opens the occurrences whose time has come.
+func (c *Core) create(wallMS int64) {
+	for _, j := range c.jobs {
+		if j.cancelled || j.progress.State.Final() {
+			continue
+		}
+		for j.progress.Next < j.Occurrences() && wallMS >= j.DueMS(j.progress.Next) {
+			j.progress.Create(j.Job)
+			if j.Repetitions == 0 {
+				break
+			}
+		}
+	}
+}
+
+// unit is a waiting step with what it stands for.
+type unit struct {
+	job  *job
+	open *workload.Occurrence
+	step int
+}
+
+func (c *Core) snapshot(now time.Time, wallMS int64) (*decide.Snapshot, []unit) {
+	s := &decide.Snapshot{Now: now, FarFactor: c.bounds.FarFactor, ReclaimWithin: c.bounds.ReclaimWithin}
+	guaranteed := c.guaranteed()
+	c.addWorkers(s, now)
+	c.addRunning(s, guaranteed, now)
+	units := c.addWaiting(s, guaranteed, now, wallMS)
+	return s, units
+}
+
+func (c *Core) addWorkers(s *decide.Snapshot, now time.Time) {
+	ids := make([]string, 0, len(c.workers))
+	for id := range c.workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		w := c.workers[id]
+		if w.gone || !w.listed {
+			continue
+		}
+		one := decide.Worker{ID: id, Rack: w.Rack, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity}
+		one.Closed = !w.met || w.Draining || w.trust.closed(now) || len(w.strange) > 0
+		for _, l := range w.tasks {
+			need := l.step.Counted()
+			one.Free = one.Free.Sub(need)
+			if l.stopping || l.over {
+				one.Coming = one.Coming.Add(need)
+			}
+		}
+		s.Workers = append(s.Workers, one)
+	}
+}
+
+// addRunning groups what runs: gangs by their run, other tasks alone.
+func (c *Core) addRunning(s *decide.Snapshot, guaranteed map[workload.JobID]bool, now time.Time) {
+	gangs := map[decide.UnitKey]int{}
+	for _, id := range c.liveOrder() {
+		l := c.live[id]
+		index, known := gangs[l.key]
+		if !l.step.Gang || !known {
+			index = len(s.Running)
+			s.Running = append(s.Running, c.group(l, guaranteed))
+			if l.step.Gang {
+				gangs[l.key] = index
+			}
+		}
+		g := &s.Running[index]
+		g.Held[l.worker.ID] = g.Held[l.worker.ID].Add(l.step.Counted())
+		g.Lost += c.lost(l, now)
+		g.Stopping = g.Stopping || l.stopping || l.over
+	}
+}
+
+func (c *Core) liveOrder() []workload.TaskID {
+	ids := make([]workload.TaskID, 0, len(c.live))
+	for id := range c.live {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return lessTask(ids[a], ids[b]) })
+	return ids
+}
+
+func lessTask(a, b workload.TaskID) bool {
+	if a.Job != b.Job {
+		return a.Job < b.Job
+	}
+	if a.K != b.K {
+		return a.K < b.K
+	}
+	if a.Step != b.Step {
+		return a.Step < b.Step
+	}
+	return a.Index < b.Index
+}
+
+func (c *Core) group(l *live, guaranteed map[workload.JobID]bool) decide.Group {
+	return decide.Group{
+		Key: l.key, Index: l.id.Index, Held: map[string]workload.Resources{},
+		Priority: c.terms(l.job).Priority, Guaranteed: guaranteed[l.id.Job],
+	}
+}
+
+// lost is the work in core-seconds that a stop of the task would throw away.
+func (c *Core) lost(l *live, now time.Time) float64 {
+	if l.orderedAt.IsZero() {
+		return 0
+	}
+	ran := now.Sub(l.orderedAt)
+	if l.step.Checkpoint {
+		ran = min(ran, c.bounds.Restore)
+	}
+	return ran.Seconds() * l.step.Need.CoreEquivalent()
+}
+
+func (c *Core) addWaiting(s *decide.Snapshot, guaranteed map[workload.JobID]bool, now time.Time, wallMS int64) []unit {
+	var units []unit
+	for _, j := range c.jobOrder() {
+		if j.cancelled || j.progress.State.Final() {
+			continue
+		}
+		for _, o := range j.progress.Open {
+			for step := range j.Steps {
+				if u, ok := c.waiting(j, o, step, guaranteed[j.ID], now, wallMS); ok {
+					s.Waiting = append(s.Waiting, u)
+					units = append(units, unit{j, o, step})
+				}
+			}
+		}
+	}
+	return units
+}
+
+func (c *Core) jobOrder() []*job {
+	out := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].AcceptedMS != out[b].AcceptedMS {
+			return out[a].AcceptedMS < out[b].AcceptedMS
+		}
+		return out[a].ID < out[b].ID
+	})
+	return out
+}
+
+// waiting describes a step with tasks that may start; ok is false if none may.
+func (c *Core) waiting(j *job, o *workload.Occurrence, step int, guaranteed bool, now time.Time, wallMS int64) (decide.Unit, bool) {
+	key := unitKey(j.ID, o.K, step)
+	spec := &j.Steps[step]
+	if spec.Gang && c.steps[key] > 0 {
+		return decide.Unit{}, false
+	}
+	u := decide.Unit{Key: key, Step: spec, Guaranteed: guaranteed, Avoid: j.avoid}
+	for i := range o.Steps[step] {
+		if o.Steps[step][i].Phase != workload.Waiting {
+			continue
+		}
+		if c.live[workload.TaskID{Job: j.ID, K: o.K, Step: step, Index: i}] == nil {
+			u.Indexes = append(u.Indexes, i)
+		}
+	}
+	if len(u.Indexes) == 0 || !o.Ready(j.Job, step) {
+		return decide.Unit{}, false
+	}
+	c.describe(&u, j, o, now, wallMS)
+	return u, true
+}
+
+func (c *Core) describe(u *decide.Unit, j *job, o *workload.Occurrence, now time.Time, wallMS int64) {
+	if j.since[u.Key].IsZero() {
+		j.since[u.Key] = now
+	}
+	u.Since = j.since[u.Key]
+	terms := c.terms(j)
+	u.Priority = terms.Priority
+	due := now.Add(time.Duration(j.DueMS(o.K)-wallMS) * time.Millisecond)
+	whole := c.pace.chain(j, 0, true)
+	rest := c.pace.chain(j, u.Key.Step, false)
+	objective := time.Duration(terms.Stretch*float64(whole)) + time.Duration(terms.TargetMS)*time.Millisecond
+	u.Run = c.pace.expected(j, u.Key.Step)
+	u.LatestStart = due.Add(objective - rest)
+	u.Worthless = due.Add(lateFactor*objective - rest)
+	if u.Step.Spread > 0 {
+		u.Beside = c.beside(u.Key)
+	}
+}
+
+// lateFactor is how many times its objective a job may take and still earn.
+const lateFactor = 3
+
+func (c *Core) beside(key decide.UnitKey) map[string]int {
+	out := map[string]int{}
+	for _, l := range c.live {
+		if l.key == key {
+			out[l.worker.ID]++
+		}
+	}
+	return out
+}
+
+// apply places what the plan starts. Orders go out once that is in the log.
+func (c *Core) apply(s *decide.Snapshot, units []unit, starts []decide.Assignment, now time.Time) {
+	runs := map[decide.UnitKey]int64{}
+	for _, a := range starts {
+		u := units[a.Unit]
+		key := s.Waiting[a.Unit].Key
+		tasks := u.open.Steps[key.Step]
+		t := &tasks[a.Index]
+		run := t.Run + 1
+		if u.job.Steps[key.Step].Gang {
+			if runs[key] == 0 {
+				runs[key] = highestRun(tasks) + 1
+			}
+			run = runs[key]
+		}
+		t.Run = run
+		t.Phase = workload.Placed
+		t.Worker = a.Worker
+		id := workload.TaskID{Job: key.Job, K: key.K, Step: key.Step, Index: a.Index}
+		l := c.addLive(u.job, id, t)
+		l.far = a.Far
+		c.starts = append(c.starts, l)
+		u.job.progress.Begun = true
+		if u.job.progress.State == workload.Queued {
+			u.job.progress.State = workload.Running
+		}
+		c.change(u.job)
+		c.note(Note{Event: "run-placed", Job: key.Job, Task: id.String(), Worker: a.Worker, Run: run})
+	}
+}
+
+func highestRun(tasks []workload.Task) int64 {
+	most := int64(0)
+	for i := range tasks {
+		most = max(most, tasks[i].Run)
+	}
+	return most
+}
+
+func (c *Core) preempt(g decide.Group, now time.Time) {
+	for _, l := range c.live {
+		if l.key == g.Key && (l.step.Gang || l.id.Index == g.Index) {
+			c.stop(l, "preempted")
+		}
+	}
+}
+
+// explain notes why units wait, when the reason changes.
+func (c *Core) explain(s *decide.Snapshot, units []unit, held []decide.Held) {
+	for _, h := range held {
+		key := s.Waiting[h.Unit].Key
+		j := units[h.Unit].job
+		if j.held[key] == h.Reason {
+			continue
+		}
+		j.held[key] = h.Reason
+		c.note(Note{Event: "unit-waits", Job: key.Job, Task: workload.TaskID{Job: key.Job, K: key.K, Step: key.Step}.StepName(), Why: string(h.Reason)})
+	}
+}
--- /dev/null
+++ b/workload/control/types.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+// Bounds are the times that the deployment guarantees or asks for.
+type Bounds struct {
+	// Lease is the longest time that a worker runs on without being held.
+	Lease time.Duration
+	// Authority is how long a planner gives orders after its last write.
+	Authority time.Duration
+	// StopTimeout is the longest that a stop takes on a worker.
+	StopTimeout time.Duration
+	// GangTimeout is how long a gang's member waits for the others.
+	GangTimeout time.Duration
+	// ReclaimWithin is when guaranteed work has to have begun.
+	ReclaimWithin time.Duration
+	// CheckpointEvery is the work between two checkpoints.
+	CheckpointEvery time.Duration
+	// Restore is what a start from a checkpoint costs.
+	Restore time.Duration
+	// FarFactor is how much longer tasks take away from their rack.
+	FarFactor float64
+	// Notice is the time within which evacuated tasks have to be at work again.
+	Notice time.Duration
+	// Wait is how long a worker may wait for news before it answers a hold.
+	Wait time.Duration
+}
+
+// clockDrift is the fraction by which a worker's clock may be slow.
+const clockDrift = 0.02
+
+// Configuration is what the planner needs of the operators' one.
+type Configuration struct {
+	Version int64
+	Queues  map[string]workload.Terms
+	// Guaranteed is the number of accelerators of each client account.
+	Guaranteed map[domain.AccountID]int64
+}
+
+// Listing is a worker as the platform's list has it.
+type Listing struct {
+	ID         string
+	Address    string
+	Service    string
+	DataCentre string
+	Rack       string
+	Labels     []string
+	Capacity   workload.Resources
+	Draining   bool
+	// RemainingMS is the least time that is left to a draining worker.
+	RemainingMS int64
+	// ClockMS is a reading of the worker's clock, already past; 0 is none.
+	ClockMS int64
+}
+
+// StartOrder tells a worker to start a task.
+type StartOrder struct {
+	Worker, Address string
+	Task            workload.TaskID
+	Run             int64
+	Spec            string
+	Saved           string
+	DeadlineMS      int64
+	Token           int64
+	Try             int
+}
+
+// StopOrder tells a worker to stop a run and all earlier ones of a task.
+type StopOrder struct {
+	Worker, Address string
+	Task            workload.TaskID
+	Run             int64
+	Token           int64
+}
+
+// HoldOrder renews the lease of all that runs on a worker and asks for news.
+type HoldOrder struct {
+	Worker, Address string
+	Token           int64
+	Cursor          int64
+	DeadlineMS      int64
+	Wait            time.Duration
+}
+
+// Verdict is a worker's answer to an order.
+type Verdict string
+
+// The verdicts of workers.
+const (
+	// Accepted: the order was carried out, or had been before.
+	Accepted Verdict = "accepted"
+	// Fenced: a newer planner gives orders.
+	Fenced Verdict = "fenced"
+	// Superseded: that run or a later one has been stopped or has ended there.
+	Superseded Verdict = "superseded"
+	// Late: the deadline was over.
+	Late Verdict = "late"
+	// Full: the worker has no room.
+	Full Verdict = "full"
+	// Unhealthy: the worker refused and did nothing.
+	Unhealthy Verdict = "unhealthy"
+	// Gone: another life of the worker is at that address.
+	Gone Verdict = "gone"
+	// Invalid: the worker does not understand the order.
+	Invalid Verdict = "invalid"
+	// Unreached: no connection was made, and the order went nowhere.
+	Unreached Verdict = "unreached"
+	// Unanswered: nothing is known; the order may be carried out later.
+	Unanswered Verdict = "unanswered"
+)
+
+// Answer is what came back for a start or a stop.
+type Answer struct {
+	Verdict Verdict
+	// ClockMS is the worker's clock when it answered; 0 is none.
+	ClockMS int64
+}
+
+// RunningRow is a task that a worker runs.
+type RunningRow struct {
+	Task    workload.TaskID
+	Run     int64
+	Saved   string
+	Percent int
+}
+
+// End is how a run ended.
+type End string
+
+// The ends of runs.
+const (
+	EndDone    End = "done"
+	EndFailed  End = "failed"
+	EndStopped End = "stopped"
+	EndLapsed  End = "lapsed"
+	EndBroken  End = "broken"
+	EndAlone   End = "alone"
+)
+
+// EndedRow is a run that ended on a worker.
+type EndedRow struct {
+	Number int64
+	Task   workload.TaskID
+	Run    int64
+	How    End
+	Saved  string
+}
+
+// HoldAnswer is what came back for a hold.
+type HoldAnswer struct {
+	Verdict Verdict
+	ClockMS int64
+	Running []RunningRow
+	Ended   []EndedRow
+}
+
+// Record is what is to be written to the log.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Note is one decision, for the log of events.
+type Note struct {
+	Event  string
+	Job    workload.JobID
+	Task   string
+	Worker string
+	Run    int64
+	Why    string
+	Detail string
+}
--- /dev/null
+++ b/workload/decide/decide.go
@@ -0,0 +1,198 @@
+// Package decide chooses which waiting units start on which workers, and which
+// running ones make room for them. Plan is a pure function of its Snapshot: it
+// knows no clock, does no I/O and keeps nothing between calls.
+//
+// Units pass in an order (order.go). Each is tried on free capacity, then on
+// capacity that is being freed, and, where it may preempt, on capacity that
+// victims hold (preempt.go). A unit that waits for capacity keeps it from the
+// units behind it.
+package decide
+
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+// Worker is one that may be given tasks.
+type Worker struct {
+	ID   string
+	Rack string
+	// Labels are what the worker carries.
+	Labels map[string]bool
+	// Free is what nothing holds.
+	Free workload.Resources
+	// Coming is held by tasks that have been told to stop.
+	Coming workload.Resources
+	// Capacity is what the worker has when it is empty.
+	Capacity workload.Resources
+	// Closed workers get nothing new: draining, silent or distrusted.
+	Closed bool
+	// Fillers is the processor need of tasks that use what others leave.
+	Fillers int64
+}
+
+// UnitKey names a step of an occurrence of a job.
+type UnitKey struct {
+	Job  workload.JobID
+	K    int
+	Step int
+}
+
+// Unit is what waits: a whole gang, or the tasks of a step that may start one
+// by one.
+type Unit struct {
+	Key  UnitKey
+	Step *workload.Step
+	// Indexes are the tasks that are to start.
+	Indexes []int
+	// Beside counts the step's tasks that are on each worker already.
+	Beside map[string]int
+	// Avoid are workers on which the unit's tasks have failed.
+	Avoid map[string]bool
+	// Priority is the queue's; lower goes first.
+	Priority int
+	// Guaranteed units are within their account's guarantee.
+	Guaranteed bool
+	// Since is when the unit could first start.
+	Since time.Time
+	// LatestStart is when it has to start to end within its objective.
+	LatestStart time.Time
+	// Worthless is when a start no longer earns anything.
+	Worthless time.Time
+	// Worth is what its job earns at the most.
+	Worth float64
+	// Run is its expected run time.
+	Run time.Duration
+	// Allowed bounds the workers to those that may run it; nil allows all.
+	Allowed map[string]bool
+}
+
+// Group is what runs: a gang's run or one task.
+type Group struct {
+	Key   UnitKey
+	Index int
+	// Held is what the group holds on each worker.
+	Held map[string]workload.Resources
+	// Priority is its queue's.
+	Priority int
+	// Guaranteed groups are within their account's guarantee.
+	Guaranteed bool
+	// Lost is the work that a stop would throw away, in core-seconds.
+	Lost float64
+	// Left is the time until it is expected to end.
+	Left time.Duration
+	// Stopping groups have been told to stop.
+	Stopping bool
+	// Fixed groups are never stopped for others.
+	Fixed bool
+}
+
+// Snapshot is all that a plan depends on.
+type Snapshot struct {
+	Now     time.Time
+	Workers []Worker
+	Waiting []Unit
+	Running []Group
+	// FarFactor is how much longer tasks take away from their rack.
+	FarFactor float64
+	// ReclaimWithin is the time in which guaranteed work has to begin.
+	ReclaimWithin time.Duration
+}
+
+// Assignment starts a task on a worker.
+type Assignment struct {
+	Unit   int
+	Index  int
+	Worker string
+	// Far tells that the task runs away from its data or its gang's rack.
+	Far bool
+}
+
+// Reason is why a unit does not start now; a stable code.
+type Reason string
+
+// The reasons for which a unit waits.
+const (
+	NoRoom       Reason = "no-room"
+	NoRack       Reason = "no-rack"
+	WaitsForStop Reason = "waits-for-stop"
+	NoWorker     Reason = "no-worker"
+)
+
+// Held is a unit that waits.
+type Held struct {
+	Unit   int
+	Reason Reason
+}
+
+// Plan is the decision.
+type Plan struct {
+	Starts []Assignment
+	// Stops are indexes of Running.
+	Stops []int
+	Held  []Held
+}
+
+// Make decides.
+func Make(s *Snapshot) Plan {
+	p := newPlanner(s)
+	for _, i := range order(s) {
+		p.place(i)
+	}
+	return p.plan
+}
+
+type planner struct {
+	s        *Snapshot
+	plan     Plan
+	workers  []*slot
+	racks    map[string][]*slot
+	rackList []string
+	stopped  map[int]bool
+}
+
+// slot is a worker with what is left of it in this plan.
+type slot struct {
+	*Worker
+	free   workload.Resources
+	coming workload.Resources
+}
+
+func newPlanner(s *Snapshot) *planner {
+	p := &planner{s: s, racks: map[string][]*slot{}, stopped: map[int]bool{}}
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		if w.Closed {
+			continue
+		}
+		one := &slot{Worker: w, free: w.Free, coming: w.Coming}
+		p.workers = append(p.workers, one)
+		if len(p.racks[w.Rack]) == 0 {
+			p.rackList = append(p.rackList, w.Rack)
+		}
+		p.racks[w.Rack] = append(p.racks[w.Rack], one)
+	}
+	return p
+}
+
+func (p *planner) place(i int) {
+	u := &p.s.Waiting[i]
+	if u.Step.Gang {
+		p.placeGang(i, u)
+		return
+	}
+	p.placeSingles(i, u)
+}
+
+// take holds room for a task; it may leave free below zero where the room is
+// still coming, which keeps others off.
+func (w *slot) take(need workload.Resources) { w.free = w.free.Sub(need) }
+
+func (p *planner) start(unit, index int, w *slot, far bool) {
+	p.plan.Starts = append(p.plan.Starts, Assignment{Unit: unit, Index: index, Worker: w.ID, Far: far})
+}
+
+func (p *planner) hold(unit int, reason Reason) {
+	p.plan.Held = append(p.plan.Held, Held{Unit: unit, Reason: reason})
+}
--- /dev/null
+++ b/workload/decide/place.go
@@ -0,0 +1,256 @@
+package decide
+
+import (
+	"sort"
+
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+// accepts tells whether the unit's constraints allow the worker at all.
+func (u *Unit) accepts(w *slot) bool {
+	if u.Step.Label != "" && !w.Labels[u.Step.Label] {
+		return false
+	}
+	if u.Allowed != nil && !u.Allowed[w.ID] {
+		return false
+	}
+	return !u.Avoid[w.ID]
+}
+
+// fit returns how many more of the unit's tasks go on the worker, given what
+// would be free there.
+func (u *Unit) fit(w *slot, free workload.Resources, limit int) int {
+	if !u.accepts(w) {
+		return 0
+	}
+	if u.Step.Spread > 0 {
+		limit = min(limit, u.Step.Spread-u.Beside[w.ID])
+	}
+	if limit <= 0 {
+		return 0
+	}
+	return free.Count(u.Step.Counted(), limit)
+}
+
+// room selects which capacity a search may use.
+type room func(w *slot) workload.Resources
+
+func freeRoom(w *slot) workload.Resources { return w.free }
+
+func comingRoom(w *slot) workload.Resources { return w.free.Add(w.coming) }
+
+// placeSingles starts as many of the unit's tasks as fit, near their data
+// first, each on the worker that it fills best.
+func (p *planner) placeSingles(i int, u *Unit) {
+	rest := u.Indexes
+	if u.Step.DataRack != "" {
+		rest = p.fill(i, u, rest, p.racks[u.Step.DataRack], false)
+		if len(rest) > 0 && p.waitsForData(u) {
+			p.hold(i, NoRack)
+			return
+		}
+	}
+	rest = p.fill(i, u, rest, p.workers, u.Step.DataRack != "")
+	if len(rest) > 0 {
+		p.hold(i, NoRoom)
+	}
+}
+
+// waitsForData tells whether a task does better to wait for the rack of its
+// data than to run elsewhere at once: while it can still be in time there and
+// the rack has workers that could run it.
+func (p *planner) waitsForData(u *Unit) bool {
+	if !p.s.Now.Before(u.LatestStart) {
+		return false
+	}
+	for _, w := range p.racks[u.Step.DataRack] {
+		if u.fit(w, w.Capacity, 1) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fill starts tasks on the workers given and returns the tasks that are left.
+func (p *planner) fill(i int, u *Unit, rest []int, workers []*slot, far bool) []int {
+	need := u.Step.Counted()
+	for len(rest) > 0 {
+		best := p.tightest(u, workers)
+		if best == nil {
+			return rest
+		}
+		best.take(need)
+		if u.Beside == nil {
+			u.Beside = map[string]int{}
+		}
+		u.Beside[best.ID]++
+		p.start(i, rest[0], best, far && best.Rack != u.Step.DataRack)
+		rest = rest[1:]
+	}
+	return rest
+}
+
+// tightest returns the worker that has the least left after one more task.
+func (p *planner) tightest(u *Unit, workers []*slot) *slot {
+	var best *slot
+	for _, w := range workers {
+		if u.fit(w, w.free, 1) == 0 {
+			continue
+		}
+		if best == nil || tighter(w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func tighter(a, b *slot) bool {
+	if a.free.Accelerators != b.free.Accelerators {
+		return a.free.Accelerators < b.free.Accelerators
+	}
+	return a.free.MilliCPU < b.free.MilliCPU
+}
+
+// member is where one task of a gang goes.
+type member struct {
+	w     *slot
+	count int
+}
+
+// placeGang starts the whole gang or nothing of it.
+func (p *planner) placeGang(i int, u *Unit) {
+	if p.startGang(i, u, freeRoom) {
+		return
+	}
+	if p.reserveGang(u, comingRoom) {
+		p.hold(i, WaitsForStop)
+		return
+	}
+	if p.preempt(u) {
+		p.hold(i, WaitsForStop)
+		return
+	}
+	p.hold(i, NoRoom)
+}
+
+func (p *planner) startGang(i int, u *Unit, r room) bool {
+	members, far := p.findGang(u, r)
+	if members == nil {
+		return false
+	}
+	next := 0
+	for _, m := range members {
+		for range m.count {
+			m.w.take(u.Step.Counted())
+			p.start(i, u.Indexes[next], m.w, far)
+			next++
+		}
+	}
+	return true
+}
+
+func (p *planner) reserveGang(u *Unit, r room) bool {
+	members, _ := p.findGang(u, r)
+	if members == nil {
+		return false
+	}
+	p.reserve(u, members)
+	return true
+}
+
+func (p *planner) reserve(u *Unit, members []member) {
+	for _, m := range members {
+		for range m.count {
+			m.w.take(u.Step.Counted())
+		}
+	}
+}
+
+// findGang looks for room for the whole gang: in the rack of its data, in one
+// rack, and over racks where that does no harm or waiting costs more.
+func (p *planner) findGang(u *Unit, r room) (members []member, far bool) {
+	n := len(u.Indexes)
+	if u.Step.DataRack != "" {
+		if members = u.gather(p.racks[u.Step.DataRack], n, r); members != nil {
+			return members, false
+		}
+	}
+	if u.Step.SameRack {
+		if members = p.oneRack(u, n, r); members != nil {
+			return members, u.Step.DataRack != ""
+		}
+	}
+	if (u.Step.SameRack || u.Step.DataRack != "") && p.waitsForRack(u, n) {
+		return nil, false
+	}
+	members = u.gather(p.workers, n, r)
+	return members, members != nil && (u.Step.SameRack || u.Step.DataRack != "")
+}
+
+// oneRack returns room in the rack that has the least to spare.
+func (p *planner) oneRack(u *Unit, n int, r room) []member {
+	var best []member
+	bestSpare := 0
+	for _, rack := range p.rackList {
+		spare := u.count(p.racks[rack], r, n+1000) - n
+		if spare < 0 || (best != nil && spare >= bestSpare) {
+			continue
+		}
+		if found := u.gather(p.racks[rack], n, r); found != nil {
+			best, bestSpare = found, spare
+		}
+	}
+	return best
+}
+
+func (u *Unit) count(workers []*slot, r room, limit int) int {
+	total := 0
+	for _, w := range workers {
+		total += u.fit(w, r(w), limit)
+	}
+	return total
+}
+
+// waitsForRack tells whether the gang could be in one rack if that were empty,
+// and there is time to wait for it.
+func (p *planner) waitsForRack(u *Unit, n int) bool {
+	if !p.s.Now.Before(u.LatestStart) {
+		return false
+	}
+	empty := func(w *slot) workload.Resources { return w.Capacity }
+	for _, rack := range p.rackList {
+		if u.count(p.racks[rack], empty, n) >= n {
+			return true
+		}
+	}
+	return false
+}
+
+// gather finds room for n tasks on the workers, using first those that have
+// the least room, so that large blocks stay whole; nil if there is none.
+func (u *Unit) gather(workers []*slot, n int, r room) []member {
+	found := make([]member, 0, len(workers))
+	total := 0
+	for _, w := range workers {
+		if k := u.fit(w, r(w), n); k > 0 {
+			found = append(found, member{w, k})
+			total += k
+		}
+	}
+	if total < n {
+		return nil
+	}
+	sort.SliceStable(found, func(a, b int) bool { return tighter(found[a].w, found[b].w) })
+	return cut(found, n)
+}
+
+func cut(found []member, n int) []member {
+	for i := range found {
+		if found[i].count >= n {
+			found[i].count = n
+			return found[:i+1]
+		}
+		n -= found[i].count
+	}
+	return found
+}
--- /dev/null
+++ b/workload/progress.go
@@ -0,0 +1,161 @@
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// State is where a job is on its way.
+type State string
+
+// The states of a job; the last three are final.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final tells whether no further change follows.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Phase is where a task is on its way.
+type Phase int
+
+// The phases of a task.
+const (
+	// Waiting tasks have no run that may still be at work.
+	Waiting Phase = iota
+	// Placed tasks have a run that was ordered, and may be at work.
+	Placed
+	// Done tasks have ended with success.
+	Done
+)
+
+// Task is the progress of one task.
+type Task struct {
+	Phase Phase `json:"p,omitempty"`
+	// Run numbers the task's latest start.
+	Run int64 `json:"r,omitempty"`
+	// Worker is where that start was ordered.
+	Worker string `json:"w,omitempty"`
+	// Fails counts the runs that ended by a failure.
+	Fails int `json:"f,omitempty"`
+	// FailedRun is the latest run of a gang that was counted as a failure; it is
+	// kept at the gang's first task.
+	FailedRun int64 `json:"x,omitempty"`
+	// Saved is the latest checkpoint.
+	Saved string `json:"s,omitempty"`
+}
+
+// Occurrence is the progress of one repetition that has begun and not ended.
+type Occurrence struct {
+	K     int      `json:"k,omitempty"`
+	Steps [][]Task `json:"s"`
+}
+
+// Progress is everything that the planner has decided and seen of a job.
+type Progress struct {
+	State State `json:"state"`
+	// Begun tells whether any task was ever started.
+	Begun bool `json:"begun,omitempty"`
+	// Next is the first occurrence that has not been created.
+	Next int `json:"next,omitempty"`
+	// Open are the occurrences that have been created and have not ended.
+	Open []*Occurrence `json:"open,omitempty"`
+}
+
+// NewProgress is that of a job which was just accepted.
+func NewProgress() *Progress { return &Progress{State: Queued} }
+
+// Create opens the next occurrence.
+func (p *Progress) Create(j *Job) *Occurrence {
+	o := &Occurrence{K: p.Next, Steps: make([][]Task, len(j.Steps))}
+	for i, s := range j.Steps {
+		o.Steps[i] = make([]Task, s.Count)
+	}
+	p.Next++
+	p.Open = append(p.Open, o)
+	return o
+}
+
+// StepDone tells whether all tasks of a step have ended with success.
+func (o *Occurrence) StepDone(step int) bool {
+	for i := range o.Steps[step] {
+		if o.Steps[step][i].Phase != Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Done tells whether all steps have ended with success.
+func (o *Occurrence) Done() bool {
+	for i := range o.Steps {
+		if !o.StepDone(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready tells whether the steps that a step depends on are done.
+func (o *Occurrence) Ready(j *Job, step int) bool {
+	for _, d := range j.Steps[step].DependsOn {
+		if !o.StepDone(d) {
+			return false
+		}
+	}
+	return true
+}
+
+// TaskID names one task of one occurrence of a job.
+type TaskID struct {
+	Job   JobID
+	K     int
+	Step  int
+	Index int
+}
+
+// String writes the id as ID.K.STEP.INDEX.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.K) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// StepName writes the id of the task's step as ID.K.STEP.
+func (t TaskID) StepName() string {
+	return string(t.Job) + "." + strconv.Itoa(t.K) + "." + strconv.Itoa(t.Step)
+}
+
+// ParseTaskID reads what String wrote.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("%q is not a task's name: want ID.K.STEP.INDEX", text)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("%q is not a task's name: %q is no index", text, part)
+		}
+		numbers[i] = n
+	}
+	return TaskID{JobID(parts[0]), numbers[0], numbers[1], numbers[2]}, nil
+}
+
+// Find returns the task's progress, or nil where the job has no such open task.
+func (p *Progress) Find(id TaskID) *Task {
+	for _, o := range p.Open {
+		if o.K != id.K {
+			continue
+		}
+		if id.Step >= len(o.Steps) || id.Index >= len(o.Steps[id.Step]) {
+			return nil
+		}
+		return &o.Steps[id.Step][id.Index]
+	}
+	return nil
+}
--- /dev/null
+++ b/workload/service/planner.go
@@ -0,0 +1,351 @@
+package service
+
+import (
+	"context"
+
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Workers carries orders out.
+type Workers interface {
+	Start(ctx context.Context, order control.StartOrder) control.Answer
+	Stop(ctx context.Context, order control.StopOrder) control.Answer
+	Hold(ctx context.Context, order control.HoldOrder) control.HoldAnswer
+}
+
+// planner drives a core while this instance holds the claim.
+type planner struct {
+	s      *Service
+	token  int64
+	writer Writer
+	// wake asks for a round.
+	wake chan struct{}
+	work sync.WaitGroup
+
+	mu   sync.Mutex
+	core *control.Core
+	// written is when the last append that succeeded was sent.
+	written time.Time
+	listed  bool
+	version int64
+	list    map[string]control.Listing
+	fresh   bool
+	lister  *follower
+}
+
+const (
+	roundEvery   = 100 * time.Millisecond
+	roundRest    = 10 * time.Millisecond
+	listRest     = 200 * time.Millisecond
+	appendTry    = 700 * time.Millisecond
+	appendPause  = 50 * time.Millisecond
+	orderTimeout = 600 * time.Millisecond
+	stopTimeout  = 600 * time.Millisecond
+	holdMargin   = 700 * time.Millisecond
+	recordsMost  = 200
+	bytesMost    = 1 << 20
+)
+
+// playPlanner plans until another instance has claimed the role, the log has
+// not answered for too long, or this instance leaves.
+func (s *Service) playPlanner(ctx context.Context, token int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	now := time.Now()
+	p := &planner{
+		s: s, token: token, writer: Writer{Epoch: token, Seq: 1, Expect: -1},
+		wake: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
+		written: now, list: map[string]control.Listing{},
+	}
+	s.events.Info(events.PlannerBegins, events.Fields{"token": token})
+	s.planning.Store(true)
+	s.book.Fresh()
+	s.book.All(p.core.Adopt)
+	p.lister = s.follow(WorkerList, p.listAll, p.listOne, func() time.Duration { return listRest })
+	p.work.Go(func() { p.lister.run(ctx) })
+	why := p.run(ctx)
+	s.planning.Store(false)
+	cancel()
+	s.events.Info(events.PlannerEnds, events.Fields{"token": token, "why": why})
+	p.work.Wait()
+}
+
+func (p *planner) run(ctx context.Context) string {
+	timer := time.NewTicker(roundEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return "shutdown"
+		case <-timer.C:
+		case <-p.wake:
+		case <-p.s.book.Wake():
+		}
+		if why := p.round(ctx); why != "" {
+			return why
+		}
+		sleep(ctx, roundRest)
+	}
+}
+
+// round decides, writes and orders; it returns why the role has ended, if it has.
+func (p *planner) round(ctx context.Context) string {
+	if why := p.over(ctx); why != "" {
+		return why
+	}
+	p.mu.Lock()
+	p.takeNews()
+	if p.listed {
+		p.core.Round(time.Now(), time.Now().UnixMilli())
+	}
+	records := p.core.Changes()
+	p.tell()
+	p.mu.Unlock()
+	if len(records) > 0 || time.Since(p.written) > p.s.settings.Patience/4 {
+		if err := p.write(ctx, records); err != nil {
+			return err.Error()
+		}
+	}
+	p.order(ctx)
+	return ""
+}
+
+func (p *planner) over(ctx context.Context) string {
+	if _, mine := p.s.succession.mine(); !mine {
+		return "succeeded"
+	}
+	p.mu.Lock()
+	deposed := p.core.Deposed()
+	p.mu.Unlock()
+	if deposed {
+		return "token refused by a worker"
+	}
+	if p.s.leaving.Load() {
+		p.resign(ctx)
+		return "leaving"
+	}
+	return ""
+}
+
+// resign lets the others claim at once.
+func (p *planner) resign(ctx context.Context) {
+	c := p.s.succession.self
+	c.Left = true
+	if err := p.append(ctx, []control.Record{c.record()}); err != nil {
+		p.s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
+	}
+}
+
+// takeNews brings the core up to date with the log and the lists.
+func (p *planner) takeNews() {
+	if d := p.s.directory.Load(); d != nil && d.Version != p.version {
+		p.version = d.Version
+		p.core.Configure(d.Configuration())
+	}
+	for _, id := range p.s.book.Fresh() {
+		if e, ok := p.s.book.Get(id); ok {
+			p.core.Adopt(id, e)
+		}
+	}
+	if !p.fresh {
+		return
+	}
+	p.fresh = false
+	p.listed = true
+	list := make([]control.Listing, 0, len(p.list))
+	for _, l := range p.list {
+		list = append(list, l)
+	}
+	p.core.List(list, time.Now())
+}
+
+func (p *planner) listAll(entries []Entry) {
+	p.mu.Lock()
+	p.list = map[string]control.Listing{}
+	p.fresh = true
+	p.mu.Unlock()
+	for _, e := range entries {
+		p.listOne(e)
+	}
+}
+
+func (p *planner) listOne(e Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fresh = true
+	if len(e.Value) == 0 {
+		delete(p.list, e.Key)
+		return
+	}
+	listing, err := p.s.decoder.Listing(e.Key, e.Value)
+	if err != nil {
+		p.s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "cause": err.Error()})
+		return
+	}
+	p.list[e.Key] = listing
+}
+
+// tell writes the core's notes as events.
+func (p *planner) tell() {
+	for _, n := range p.core.Notes() {
+		fields := events.Fields{"token": p.token, "version": p.version}
+		add(fields, "job", string(n.Job))
+		add(fields, "task", n.Task)
+		add(fields, "worker", n.Worker)
+		add(fields, "why", n.Why)
+		add(fields, "detail", n.Detail)
+		if n.Run != 0 {
+			fields["run"] = n.Run
+		}
+		p.s.events.Info(events.Name(n.Event), fields)
+	}
+}
+
+func add(fields events.Fields, name, value string) {
+	if value != "" {
+		fields[name] = value
+	}
+}
+
+// write puts records into the log in as many calls as its bounds ask for.
+func (p *planner) write(ctx context.Context, records []control.Record) error {
+	if len(records) == 0 {
+		records = []control.Record{{Key: signKey, Value: []byte("{}")}}
+	}
+	for len(records) > 0 {
+		n := part(records)
+		if err := p.append(ctx, records[:n]); err != nil {
+			return err
+		}
+		for _, r := range records[:n] {
+			p.s.fold(Entry{Key: r.Key, Value: r.Value})
+		}
+		records = records[n:]
+	}
+	return nil
+}
+
+func part(records []control.Record) int {
+	bytes := 0
+	for i, r := range records {
+		bytes += len(r.Key) + len(r.Value)
+		if i > 0 && (bytes > bytesMost || i >= recordsMost) {
+			return i
+		}
+	}
+	return len(records)
+}
+
+// append repeats a call until the log has answered it. The sequence number lets
+// the log recognise a repetition.
+func (p *planner) append(ctx context.Context, records []control.Record) error {
+	began := time.Now()
+	for {
+		sent := time.Now()
+		attempt, cancel := context.WithTimeout(ctx, appendTry)
+		writer := p.writer
+		_, err := p.s.log.Append(attempt, Plans, records, &writer)
+		cancel()
+		if err == nil {
+			p.writer.Seq++
+			p.mu.Lock()
+			p.written = sent
+			p.mu.Unlock()
+			return nil
+		}
+		if fenced(err) || ctx.Err() != nil {
+			return errors.Wrap(err, "the planner's append failed")
+		}
+		if _, mine := p.s.succession.mine(); !mine {
+			return errors.New("succeeded while the log did not answer")
+		}
+		if time.Since(began) > appendTry {
+			p.s.events.Info(events.AppendRepeated, events.Fields{"token": p.token, "cause": err.Error(), "for_ms": time.Since(began).Milliseconds()})
+		}
+		sleep(ctx, appendPause)
+	}
+}
+
+// entitled tells whether orders may be given: the last write is recent enough
+// that no successor counts this planner's leases as over.
+func (p *planner) entitled(now time.Time) bool {
+	return now.Sub(p.written) < p.s.settings.Bounds.Authority
+}
+
+// order sends what the last write has released, and what is due.
+func (p *planner) order(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	starts := p.core.Persisted(now)
+	if !p.entitled(now) {
+		return
+	}
+	if p.informed(now) {
+		starts = append(starts, p.core.Due(now)...)
+	}
+	for _, o := range starts {
+		p.work.Go(func() { p.start(ctx, o) })
+	}
+	for _, o := range p.core.Stops() {
+		p.work.Go(func() { p.stop(ctx, o) })
+	}
+	for _, id := range p.core.NeedsHold(now) {
+		if o, ok := p.core.Hold(id, now); ok {
+			p.work.Go(func() { p.hold(ctx, o) })
+		}
+	}
+}
+
+// informed tells whether what was read is recent enough to start something.
+func (p *planner) informed(now time.Time) bool {
+	return p.s.jobs.age(now) < p.s.settings.Stale && p.lister.age(now) < p.s.settings.Stale
+}
+
+func (p *planner) nudge() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *planner) start(ctx context.Context, o control.StartOrder) {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	answer := p.s.workers.Start(call, o)
+	cancel()
+	p.mu.Lock()
+	p.core.Started(o, answer, time.Now())
+	p.mu.Unlock()
+	if answer.Verdict != control.Accepted {
+		p.nudge()
+	}
+}
+
+func (p *planner) stop(ctx context.Context, o control.StopOrder) {
+	call, cancel := context.WithTimeout(ctx, stopTimeout)
+	answer := p.s.workers.Stop(call, o)
+	cancel()
+	p.mu.Lock()
+	p.core.Stopped(o, answer, time.Now())
+	p.mu.Unlock()
+	p.nudge()
+}
+
+// hold keeps one worker's lease and takes its news, call after call, while
+// there is something to hold.
+func (p *planner) hold(ctx context.Context, o control.HoldOrder) {
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, o.Wait+holdMargin)
+	answer := p.s.workers.Hold(call, o)
+	cancel()
+	p.mu.Lock()
+	p.core.Held(o, answer, sent, time.Now())
+	p.mu.Unlock()
+	p.nudge()
+}
--- /dev/null
+++ b/workload/service/ports.go
@@ -0,0 +1,88 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Topic names a sequence of keyed records in the log.
+type Topic string
+
+// The topics.
+const (
+	// Jobs has acceptances and cancellations; every instance writes there.
+	Jobs Topic = "jobs"
+	// Plans has the planner's claim, its signs of life and the jobs' progress;
+	// only the planner writes there.
+	Plans Topic = "plans"
+	// Declarations has what the operators declare.
+	Declarations Topic = "declarations"
+	// WorkerList has what workers say of themselves.
+	WorkerList Topic = "workers"
+	// Members has the addresses of instances.
+	Members Topic = "members"
+)
+
+// Entry is a record with its place in a topic. An empty value means that the
+// key was dropped.
+type Entry struct {
+	Offset int64
+	Key    string
+	Value  []byte
+}
+
+// Page is the answer to a read.
+type Page struct {
+	Entries []Entry
+	// Next is the offset to read from next.
+	Next int64
+}
+
+// Writer fences a planner's appends: the log refuses those of an epoch below
+// the highest that it has seen, and recognises a repeated Seq.
+type Writer struct {
+	Epoch int64
+	Seq   int64
+	// Expect is the offset at which the topic has to end; below 0 for any.
+	Expect int64
+}
+
+// Log is where everything lives that must last.
+type Log interface {
+	// Append adds the records consecutively, all or none, and returns the offset
+	// of the first. Errors are one of the marks below; any other error, like
+	// ErrUnknown, does not say whether they were added.
+	Append(ctx context.Context, topic Topic, records []control.Record, writer *Writer) (int64, error)
+	// Read returns records from an offset on. When there are none it waits for
+	// one, at most for wait, and returns an empty page.
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error)
+	// Newest returns the newest record of each key, and the offset from which a
+	// reader misses nothing.
+	Newest(ctx context.Context, topic Topic) ([]Entry, int64, error)
+}
+
+// Marks of the log's errors.
+var (
+	// ErrNotDone: nothing was added and nothing will be.
+	ErrNotDone = errors.New("the log refused the call and did nothing: repeat it later")
+	// ErrUnknown: the call had no answer and may still be carried out.
+	ErrUnknown = errors.New("the log did not answer: read the topic to see whether the call was carried out")
+	// ErrFenced: a later planner has written.
+	ErrFenced = errors.New("a later planner has written: stop giving orders")
+	// ErrMoved: the topic does not end where the call expected.
+	ErrMoved = errors.New("the topic has moved on: read it and decide again")
+	// ErrForgotten: the records asked for are no longer kept.
+	ErrForgotten = errors.New("the records are no longer kept: read the newest of each key")
+)
+
+// Decoder turns the platform's records into the product's terms.
+type Decoder interface {
+	// Directory reads a declared configuration; ok is false for other keys.
+	Directory(key string, value []byte) (directory *Directory, ok bool, err error)
+	// Listing reads a worker's entry.
+	Listing(key string, value []byte) (control.Listing, error)
+}
--- /dev/null
+++ b/workload/service/service.go
@@ -0,0 +1,301 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Settings are what one instance needs to know.
+type Settings struct {
+	// Instance names the instance; it is the same after a restart.
+	Instance string
+	// Address is where other instances reach this one.
+	Address string
+	Bounds  control.Bounds
+	// Patience is the silence of a planner after which it is succeeded.
+	Patience time.Duration
+	// Stale is the age of what was read at which this instance stops answering
+	// from it.
+	Stale time.Duration
+}
+
+// Service is one instance's part. Create it with New, then call Run.
+type Service struct {
+	settings   Settings
+	log        Log
+	decoder    Decoder
+	workers    Workers
+	events     *events.Log
+	book       *workload.Book
+	succession *succession
+	jobs       *follower
+	plans      *follower
+	declared   *follower
+	commits    *committer
+	directory  atomic.Pointer[Directory]
+	planning   atomic.Bool
+	leaving    atomic.Bool
+}
+
+// New returns a service that has not read anything yet.
+func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log) *Service {
+	s := &Service{settings: settings, log: log, decoder: decoder, workers: workers, events: eventLog, book: workload.NewBook()}
+	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
+	s.commits = newCommitter(log, Jobs)
+	s.jobs = s.follow(Jobs, s.foldAll, s.fold, s.restOfReader)
+	s.plans = s.follow(Plans, s.planAll, s.plan, s.restOfPlans)
+	s.declared = s.follow(Declarations, s.declareAll, s.declare, func() time.Duration { return 0 })
+	s.declared.wait = longWait
+	return s
+}
+
+const (
+	longWait     = 10 * time.Second
+	shortWait    = time.Second
+	readerRest   = 200 * time.Millisecond
+	plannerRest  = 10 * time.Millisecond
+	watcherRest  = time.Second
+	claimTimeout = time.Second
+	electEvery   = 50 * time.Millisecond
+)
+
+func (s *Service) follow(topic Topic, snapshot func([]Entry), record func(Entry), pause func() time.Duration) *follower {
+	return &follower{topic: topic, log: s.log, wait: shortWait, pause: pause, snapshot: snapshot, record: record, changed: s.connection}
+}
+
+func (s *Service) restOfReader() time.Duration {
+	if s.planning.Load() {
+		return plannerRest
+	}
+	return readerRest
+}
+
+// A planner need not read what it has written itself.
+func (s *Service) restOfPlans() time.Duration {
+	if s.planning.Load() {
+		return watcherRest
+	}
+	return readerRest
+}
+
+func (s *Service) connection(topic Topic, ok bool, cause string) {
+	if ok {
+		s.events.Info(events.DependencyRegained, events.Fields{"dependency": "log", "topic": string(topic)})
+		if topic == Plans {
+			s.succession.regained(time.Now())
+		}
+		return
+	}
+	s.events.Info(events.DependencyLost, events.Fields{"dependency": "log", "topic": string(topic), "cause": cause})
+}
+
+func (s *Service) foldAll(entries []Entry) {
+	for _, e := range entries {
+		s.fold(e)
+	}
+}
+
+func (s *Service) fold(e Entry) {
+	if err := s.book.Fold(e.Key, e.Value); err != nil {
+		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
+	}
+}
+
+func (s *Service) planAll(entries []Entry) {
+	for _, e := range entries {
+		s.plan(e)
+	}
+	s.succession.regained(time.Now())
+}
+
+func (s *Service) plan(e Entry) {
+	s.succession.observe(e, time.Now())
+	if e.Key != claimKey && e.Key != signKey && !s.planning.Load() {
+		s.fold(e)
+	}
+}
+
+func (s *Service) declareAll(entries []Entry) {
+	for _, e := range entries {
+		s.declare(e)
+	}
+}
+
+func (s *Service) declare(e Entry) {
+	next, ok, err := s.decoder.Directory(e.Key, e.Value)
+	if err != nil {
+		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
+		return
+	}
+	current := s.directory.Load()
+	if !ok || (current != nil && current.Version >= next.Version) {
+		return
+	}
+	s.directory.Store(next)
+	s.events.Info(events.ConfigurationInForce, events.Fields{"version": next.Version, "queues": len(next.Queues)})
+}
+
+// Run works until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, work := range []func(context.Context){s.jobs.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
+		group.Go(func() { work(ctx) })
+	}
+	group.Wait()
+}
+
+// elect claims the planner's role when it is due, and plays it.
+func (s *Service) elect(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, electEvery)
+		if token, mine := s.succession.mine(); mine && !s.leaving.Load() {
+			s.playPlanner(ctx, token)
+			continue
+		}
+		if s.leaving.Load() || !s.mayClaim() {
+			continue
+		}
+		s.claim(ctx)
+	}
+}
+
+func (s *Service) mayClaim() bool {
+	return s.plans.connected() && s.jobs.connected() && s.directory.Load() != nil && s.succession.due(time.Now())
+}
+
+func (s *Service) claim(ctx context.Context) {
+	attempt, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	token, err := s.succession.take(attempt, s.log, s.plans.place())
+	if err != nil {
+		s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
+		s.succession.regained(time.Now())
+		return
+	}
+	s.events.Info(events.ClaimTaken, events.Fields{"token": token})
+}
+
+// Leave gives up the planner's role and takes it no more.
+func (s *Service) Leave() { s.leaving.Store(true) }
+
+// Ready tells whether new callers are served well here.
+func (s *Service) Ready() bool {
+	return !s.leaving.Load() && s.Current() == nil
+}
+
+// Directory returns the configuration in force; nil before the first.
+func (s *Service) Directory() *Directory { return s.directory.Load() }
+
+// Current refuses where this instance has not read the log for too long.
+func (s *Service) Current() error {
+	now := time.Now()
+	if s.directory.Load() == nil {
+		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
+	}
+	age := max(s.jobs.age(now), s.plansAge(now))
+	if s.declared.connected() && age < s.settings.Stale {
+		return nil
+	}
+	if age < s.settings.Stale && s.declared.age(now) < longWait+s.settings.Stale {
+		return nil
+	}
+	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance is cut off from the log", "try another instance, or come back later").After(time.Second)
+}
+
+func (s *Service) plansAge(now time.Time) time.Duration {
+	if s.planning.Load() {
+		return 0
+	}
+	return s.plans.age(now)
+}
+
+// Submit accepts a job. Nil means that it is in the log. A refusal with the
+// outcome not-run means that it never will be.
+func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
+	if _, known := s.book.Get(job.ID); known {
+		s.events.Info(events.JobRepeated, events.Fields{"job": job.ID})
+		return nil
+	}
+	if err := job.Check(); err != nil {
+		return s.refuse(job.ID, err)
+	}
+	value, err := json.Marshal(job)
+	if err != nil {
+		return s.refuse(job.ID, err)
+	}
+	record := control.Record{Key: workload.AcceptedKey(job.ID), Value: value}
+	began := time.Now()
+	err = s.commits.add(ctx, record)
+	if err == nil {
+		s.fold(Entry{Key: record.Key, Value: value})
+		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "took_ms": time.Since(began).Milliseconds()})
+		return nil
+	}
+	if _, known := s.book.Get(job.ID); known {
+		return nil
+	}
+	return s.refuse(job.ID, logRefusal(err))
+}
+
+func (s *Service) refuse(id workload.JobID, err error) error {
+	refusal := domain.AsRefusal(err)
+	s.events.Info(events.JobRefused, events.Fields{"job": id, "reason": refusal.Reason, "outcome": refusal.Outcome, "cause": refusal.Message})
+	return refusal
+}
+
+// logRefusal turns an error of the log into what it proves.
+func logRefusal(err error) error {
+	if errors.Is(err, ErrUnknown) || !errors.Is(err, ErrNotDone) {
+		return domain.OutcomeUnknown(domain.ReasonLogUnavailable, err.Error())
+	}
+	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later").After(time.Second)
+}
+
+// State returns what became of a job; a refusal with the reason not-found means
+// that nobody handed it in.
+func (s *Service) State(id workload.JobID) (workload.State, error) {
+	if e, known := s.book.Get(id); known {
+		return e.Shown(), nil
+	}
+	if err := s.Current(); err != nil {
+		return "", err
+	}
+	return "", domain.Refuse(domain.ReasonNotFound, "id", "no such job", "check the id")
+}
+
+// Cancel stops a job for good.
+func (s *Service) Cancel(ctx context.Context, id workload.JobID) error {
+	e, known := s.book.Get(id)
+	if !known {
+		_, err := s.State(id)
+		return err
+	}
+	if e.Cancelled || e.State.Final() {
+		return nil
+	}
+	record := control.Record{Key: workload.CancelledKey(id), Value: []byte("{}")}
+	if err := s.commits.add(ctx, record); err != nil {
+		return s.refuse(id, logRefusal(err))
+	}
+	s.fold(Entry{Key: record.Key, Value: record.Value})
+	s.events.Info(events.JobCancelled, events.Fields{"job": id})
+	return nil
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (s *Service) Pending(queue string) (int, error) {
+	if err := s.Current(); err != nil {
+		return 0, err
+	}
+	return s.book.Pending(queue), nil
+}
--- /dev/null
+++ b/workload/service/succession.go
@@ -0,0 +1,124 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Keys of the planner's own records.
+const (
+	claimKey = "planner"
+	signKey  = "sign"
+)
+
+// claim is the record by which an instance takes the planner's role. The
+// offset at which it stands makes the fencing token.
+type claim struct {
+	// Holder is the instance; Life tells its lives apart.
+	Holder string `json:"holder"`
+	Life   int64  `json:"life"`
+	// Left tells that the holder has given the role up.
+	Left bool `json:"left,omitempty"`
+}
+
+// succession watches the planner's records and says when to claim the role.
+type succession struct {
+	mu       sync.Mutex
+	self     claim
+	patience time.Duration
+	current  claim
+	offset   int64
+	known    bool
+	// quiet is when the last record came, or the connection was regained.
+	quiet time.Time
+}
+
+func newSuccession(holder string, life int64, patience time.Duration) *succession {
+	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, quiet: time.Now(), offset: -1}
+}
+
+// observe takes a record of the planner's topic.
+func (s *succession) observe(e Entry, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quiet = now
+	if e.Key != claimKey || e.Offset < s.offset {
+		return
+	}
+	next := claim{}
+	if json.Unmarshal(e.Value, &next) != nil {
+		return
+	}
+	s.current = next
+	s.offset = e.Offset
+	s.known = true
+}
+
+// regained starts the wait anew: silence counts only while it could be broken.
+func (s *succession) regained(now time.Time) {
+	s.mu.Lock()
+	s.quiet = now
+	s.mu.Unlock()
+}
+
+// mine returns the token if this life holds the claim.
+func (s *succession) mine() (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.offset + 1, s.known && !s.current.Left && s.current.Holder == s.self.Holder && s.current.Life == s.self.Life
+}
+
+// due tells whether to claim: at once where the holder has left, or was an
+// earlier life of this instance; else after a silence that is longer for some
+// instances than for others, so that they do not all claim together.
+func (s *succession) due(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	turn := time.Duration(s.rank()) * s.patience / 16
+	if s.known && s.current.Holder == s.self.Holder && s.current.Life != s.self.Life {
+		return true
+	}
+	if s.known && s.current.Left {
+		return now.Sub(s.quiet) > turn/2
+	}
+	return now.Sub(s.quiet) > s.patience+turn
+}
+
+const ranks = 8
+
+func (s *succession) rank() uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.self.Holder))
+	return h.Sum32() % ranks
+}
+
+// record writes the claim as a record.
+func (c claim) record() control.Record {
+	value, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return control.Record{Key: claimKey, Value: value}
+}
+
+// take claims the role for the topic's end as this instance knows it. Of
+// several instances that claim at one end the log lets one succeed.
+func (s *succession) take(ctx context.Context, log Log, end int64) (int64, error) {
+	token := end + 1
+	_, err := log.Append(ctx, Plans, []control.Record{s.self.record()}, &Writer{Epoch: token, Expect: end})
+	if err != nil {
+		return 0, err
+	}
+	s.observe(Entry{Offset: end, Key: claimKey, Value: s.self.record().Value}, time.Now())
+	return token, nil
+}
+
+// fenced tells whether an error means that another planner has written.
+func fenced(err error) bool { return errors.Is(err, ErrFenced) || errors.Is(err, ErrMoved) }
