Progress folds by offset; claims are spent; shorter reads

Now every record folds, and the highest offset stands. Cause 3 (CONFIG): a hanging 10 s read of the declarations; reads wait 0.7 s.

--- a/workload/book.go
+++ b/workload/book.go
@@ -30,8 +30,10 @@
 	// State and Begun are the head of the progress.
 	State State
 	Begun bool
-	// Progress is the record as written; it is decoded only by a planner.
+	// Progress is the record as written; it is decoded only by a planner. It
+	// stands at the offset At of its topic.
 	Progress []byte
+	At       int64
 }
 
 // Book folds the log's records. It is safe for concurrent use.
@@ -75,15 +77,17 @@
 func (b *Book) entry(id JobID) *Entry {
 	e := b.entries[id]
 	if e == nil {
-		e = &Entry{State: Queued}
+		e = &Entry{State: Queued, At: -1}
 		b.entries[id] = e
 	}
 	return e
 }
 
-// Fold takes one record in; records of other kinds are passed over. Folding a
-// record twice, or an older one of a job's acceptance again, changes nothing.
-func (b *Book) Fold(key string, value []byte) error {
+// Fold takes one record in; records of other kinds are passed over. Records may
+// come twice and, as a planner folds its own before it reads them, out of
+// order: of a job's progress the one with the highest offset stands, of its
+// acceptance the first that was read.
+func (b *Book) Fold(offset int64, key string, value []byte) error {
 	if len(key) < 2 {
 		return nil
 	}
@@ -100,7 +104,7 @@
 		b.change(id, func(e *Entry) { e.Cancelled = true })
 		b.freshen(id)
 	case progressPrefix:
-		return b.foldProgress(id, value)
+		return b.foldProgress(id, offset, value)
 	}
 	return nil
 }
@@ -123,7 +127,10 @@
 	Begun bool  `json:"begun"`
 }
 
-func (b *Book) foldProgress(id JobID, value []byte) error {
+func (b *Book) foldProgress(id JobID, offset int64, value []byte) error {
+	if e := b.entries[id]; e != nil && e.At >= offset {
+		return nil
+	}
 	head := progressHead{}
 	if err := json.Unmarshal(value, &head); err != nil {
 		return err
@@ -132,6 +139,7 @@
 		e.State = head.State
 		e.Begun = head.Begun
 		e.Progress = value
+		e.At = offset
 	})
 	return nil
 }
--- a/workload/service/commit.go
+++ b/workload/service/commit.go
@@ -28,7 +28,7 @@
 const (
 	commitBatch  = 64
 	commitFlight = 4
-	commitTry    = 1200 * time.Millisecond
+	commitTry    = 2 * time.Second
 	commitPause  = 40 * time.Millisecond
 	commitTries  = 3
 )
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -43,7 +43,7 @@
 	roundEvery   = 100 * time.Millisecond
 	roundRest    = 10 * time.Millisecond
 	listRest     = 200 * time.Millisecond
-	appendTry    = 700 * time.Millisecond
+	appendTry    = 2 * time.Second
 	appendPause  = 50 * time.Millisecond
 	orderTimeout = 600 * time.Millisecond
 	stopTimeout  = 600 * time.Millisecond
@@ -70,6 +70,7 @@
 	p.lister = s.follow(WorkerList, p.listAll, p.listOne, func() time.Duration { return listRest })
 	p.work.Go(func() { p.lister.run(ctx) })
 	why := p.run(ctx)
+	s.succession.spend(token)
 	s.planning.Store(false)
 	cancel()
 	s.events.Info(events.PlannerEnds, events.Fields{"token": token, "why": why})
@@ -137,7 +138,7 @@
 func (p *planner) resign(ctx context.Context) {
 	c := p.s.succession.self
 	c.Left = true
-	if err := p.append(ctx, []control.Record{c.record()}); err != nil {
+	if _, err := p.append(ctx, []control.Record{c.record()}); err != nil {
 		p.s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
 	}
 }
@@ -220,11 +221,12 @@
 	}
 	for len(records) > 0 {
 		n := part(records)
-		if err := p.append(ctx, records[:n]); err != nil {
+		first, err := p.append(ctx, records[:n])
+		if err != nil {
 			return err
 		}
-		for _, r := range records[:n] {
-			p.s.fold(Entry{Key: r.Key, Value: r.Value})
+		for i, r := range records[:n] {
+			p.s.fold(Entry{Offset: first + int64(i), Key: r.Key, Value: r.Value})
 		}
 		records = records[n:]
 	}
@@ -244,26 +246,26 @@
 
 // append repeats a call until the log has answered it. The sequence number lets
 // the log recognise a repetition.
-func (p *planner) append(ctx context.Context, records []control.Record) error {
+func (p *planner) append(ctx context.Context, records []control.Record) (int64, error) {
 	began := time.Now()
 	for {
 		sent := time.Now()
 		attempt, cancel := context.WithTimeout(ctx, appendTry)
 		writer := p.writer
-		_, err := p.s.log.Append(attempt, Plans, records, &writer)
+		first, err := p.s.log.Append(attempt, Plans, records, &writer)
 		cancel()
 		if err == nil {
 			p.writer.Seq++
 			p.mu.Lock()
 			p.written = sent
 			p.mu.Unlock()
-			return nil
+			return first, nil
 		}
 		if fenced(err) || ctx.Err() != nil {
-			return errors.Wrap(err, "the planner's append failed")
+			return 0, errors.Wrap(err, "the planner's append failed")
 		}
 		if _, mine := p.s.succession.mine(); !mine {
-			return errors.New("succeeded while the log did not answer")
+			return 0, errors.New("succeeded while the log did not answer")
 		}
 		if time.Since(began) > appendTry {
 			p.s.events.Info(events.AppendRepeated, events.Fields{"token": p.token, "cause": err.Error(), "for_ms": time.Since(began).Milliseconds()})
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -55,13 +55,11 @@
 	s.jobs = s.follow(Jobs, s.foldAll, s.fold, s.restOfReader)
 	s.plans = s.follow(Plans, s.planAll, s.plan, s.restOfPlans)
 	s.declared = s.follow(Declarations, s.declareAll, s.declare, func() time.Duration { return 0 })
-	s.declared.wait = longWait
 	return s
 }
 
 const (
-	longWait     = 10 * time.Second
-	shortWait    = time.Second
+	readWait     = 700 * time.Millisecond
 	readerRest   = 200 * time.Millisecond
 	plannerRest  = 10 * time.Millisecond
 	watcherRest  = time.Second
@@ -70,7 +68,7 @@
 )
 
 func (s *Service) follow(topic Topic, snapshot func([]Entry), record func(Entry), pause func() time.Duration) *follower {
-	return &follower{topic: topic, log: s.log, wait: shortWait, pause: pause, snapshot: snapshot, record: record, changed: s.connection}
+	return &follower{topic: topic, log: s.log, wait: readWait, pause: pause, snapshot: snapshot, record: record, changed: s.connection}
 }
 
 func (s *Service) restOfReader() time.Duration {
@@ -106,7 +104,7 @@
 }
 
 func (s *Service) fold(e Entry) {
-	if err := s.book.Fold(e.Key, e.Value); err != nil {
+	if err := s.book.Fold(e.Offset, e.Key, e.Value); err != nil {
 		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
 	}
 }
@@ -120,7 +118,7 @@
 
 func (s *Service) plan(e Entry) {
 	s.succession.observe(e, time.Now())
-	if e.Key != claimKey && e.Key != signKey && !s.planning.Load() {
+	if e.Key != claimKey && e.Key != signKey {
 		s.fold(e)
 	}
 }
@@ -202,11 +200,7 @@
 	if s.directory.Load() == nil {
 		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
 	}
-	age := max(s.jobs.age(now), s.plansAge(now))
-	if s.declared.connected() && age < s.settings.Stale {
-		return nil
-	}
-	if age < s.settings.Stale && s.declared.age(now) < longWait+s.settings.Stale {
+	if max(s.jobs.age(now), s.plansAge(now), s.declared.age(now)) < s.settings.Stale {
 		return nil
 	}
 	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance is cut off from the log", "try another instance, or come back later").After(time.Second)
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -38,10 +38,13 @@
 	known    bool
 	// quiet is when the last record came, or the connection was regained.
 	quiet time.Time
+	// spent is the offset of a claim of this life that was given up. Its token
+	// must not be used again: the log would take new appends for repetitions.
+	spent int64
 }
 
 func newSuccession(holder string, life int64, patience time.Duration) *succession {
-	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, quiet: time.Now(), offset: -1}
+	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, quiet: time.Now(), offset: -1, spent: -1}
 }
 
 // observe takes a record of the planner's topic.
@@ -72,7 +75,18 @@
 func (s *succession) mine() (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.offset + 1, s.known && !s.current.Left && s.current.Holder == s.self.Holder && s.current.Life == s.self.Life
+	return s.offset + 1, s.holds() && s.spent != s.offset
+}
+
+func (s *succession) holds() bool {
+	return s.known && !s.current.Left && s.current.Holder == s.self.Holder && s.current.Life == s.self.Life
+}
+
+// spend gives the claim with the token up.
+func (s *succession) spend(token int64) {
+	s.mu.Lock()
+	s.spent = max(s.spent, token-1)
+	s.mu.Unlock()
 }
 
 // due tells whether to claim: at once where the holder has left, or was an
@@ -81,6 +95,9 @@
 func (s *succession) due(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.holds() && s.spent == s.offset {
+		return true
+	}
 	turn := time.Duration(s.rank()) * s.patience / 16
 	if s.known && s.current.Holder == s.self.Holder && s.current.Life != s.self.Life {
 		return true
