--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -59,7 +59,7 @@
 	defer cancel()
 	now := time.Now()
 	p := &planner{
-		s: s, token: token, writer: Writer{Epoch: token, Seq: 1, Expect: -1},
+		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, Expect: -1},
 		wake: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
 		written: now, list: map[string]control.Listing{},
 	}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -177,7 +177,7 @@
 	token, err := s.succession.take(attempt, s.log, s.plans.place())
 	if err != nil {
 		s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
-		s.succession.regained(time.Now())
+		s.succession.failed(time.Now())
 		return
 	}
 	s.events.Info(events.ClaimTaken, events.Fields{"token": token})
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -41,8 +41,27 @@
 	// spent is the offset of a claim of this life that was given up. Its token
 	// must not be used again: the log would take new appends for repetitions.
 	spent int64
+	// notBefore delays the next claim after one that failed.
+	notBefore time.Time
 }
 
+// claimRest is the pause after a claim that failed; by then the topic has been
+// read again.
+const claimRest = 400 * time.Millisecond
+
+// failed delays the next claim.
+func (s *succession) failed(now time.Time) {
+	s.mu.Lock()
+	s.notBefore = now.Add(claimRest)
+	s.mu.Unlock()
+}
+
+// firstSeq starts the sequence of a life's appends. It differs between lives,
+// so that the log never takes the claim of one for a repetition of another's.
+func (s *succession) firstSeq() int64 { return s.self.Life%seqSpace + 1 }
+
+const seqSpace = 1 << 40
+
 func newSuccession(holder string, life int64, patience time.Duration) *succession {
 	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, quiet: time.Now(), offset: -1, spent: -1}
 }
@@ -95,6 +114,9 @@
 func (s *succession) due(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now.Before(s.notBefore) {
+		return false
+	}
 	if s.holds() && s.spent == s.offset {
 		return true
 	}
@@ -129,7 +151,7 @@
 // several instances that claim at one end the log lets one succeed.
 func (s *succession) take(ctx context.Context, log Log, end int64) (int64, error) {
 	token := end + 1
-	_, err := log.Append(ctx, Plans, []control.Record{s.self.record()}, &Writer{Epoch: token, Expect: end})
+	_, err := log.Append(ctx, Plans, []control.Record{s.self.record()}, &Writer{Epoch: token, Seq: s.firstSeq(), Expect: end})
 	if err != nil {
 		return 0, err
 	}
