Control: random worlds and mutants; a first answer may hide an older lease

Cause: a planner that met a worker with a hold that set no deadline took the worker's lease for over as soon as it fell silent, though its predecessor's lease still ran; the task ran again elsewhere while an end of the first run could still be noted (TWICE). Change: the first answer under a token sets the deadline to the longest lease from then. Iteration over maps is sorted, so that a world repeats exactly. Ruled out: the model's own account (a check that mixed up two runs was mended, now by run).

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -1,7 +1,10 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -17,7 +20,6 @@
 	workers map[string]*worker
 	jobs    map[workload.JobID]*job
 	live    map[workload.TaskID]*live
-	steps   map[decide.UnitKey]int
 	dirty   map[workload.JobID]bool
 	starts  []*live
 	batch   []*live
@@ -40,6 +42,9 @@
 	// stepsSince is when each open step could first start.
 	since map[decide.UnitKey]time.Time
 	avoid map[string]bool
+	// lives are the job's runs that may be at work, in the order in which they
+	// were placed.
+	lives []*live
 	held  map[decide.UnitKey]decide.Reason
 }
 
@@ -80,7 +85,6 @@
 		workers:        map[string]*worker{},
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
-		steps:          map[decide.UnitKey]int{},
 		dirty:          map[workload.JobID]bool{},
 		pace:           newEstimates(),
 		strangersUntil: now.Add(bounds.Authority + stretched(bounds.Lease) + lapseSlack),
@@ -149,7 +153,7 @@
 		worker: c.workerFor(t.Worker),
 	}
 	c.live[id] = l
-	c.steps[l.key]++
+	j.lives = append(j.lives, l)
 	l.worker.tasks[id] = l
 	return l
 }
@@ -160,10 +164,42 @@
 	}
 	delete(c.live, l.id)
 	delete(l.worker.tasks, l.id)
-	c.steps[l.key]--
-	if c.steps[l.key] == 0 {
-		delete(c.steps, l.key)
+	l.job.lives = slices.DeleteFunc(slices.Clone(l.job.lives), func(other *live) bool { return other == l })
+}
+
+// livesOf returns the runs of one step that may be at work.
+func (j *job) livesOf(key decide.UnitKey) []*live {
+	var out []*live
+	for _, l := range j.lives {
+		if l.key == key {
+			out = append(out, l)
+		}
 	}
+	return out
+}
+
+// allLives returns all runs that may be at work, job after job.
+func (c *Core) allLives() []*live {
+	out := make([]*live, 0, len(c.live))
+	for _, j := range c.jobOrder() {
+		out = append(out, j.lives...)
+	}
+	return out
+}
+
+// sortedKeys makes the order of work independent of the order of maps, so that
+// the same inputs always give the same decisions.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+func (w *worker) sortedTasks() []*live {
+	out := slices.Collect(maps.Values(w.tasks))
+	slices.SortFunc(out, func(a, b *live) int {
+		if lessTask(a.id, b.id) {
+			return -1
+		}
+		return 1
+	})
+	return out
 }
 
 func (c *Core) task(l *live) *workload.Task { return l.job.progress.Find(l.id) }
@@ -183,10 +219,8 @@
 }
 
 func (c *Core) stopAll(j *job) {
-	for _, l := range c.live {
-		if l.job == j {
-			c.stop(l, "job-over")
-		}
+	for _, l := range j.lives {
+		c.stop(l, "job-over")
 	}
 }
 
@@ -197,7 +231,7 @@
 		j.progress.State = workload.Cancelled
 		c.change(j)
 	}
-	if !j.progress.State.Final() || c.anyLive(j) {
+	if !j.progress.State.Final() || len(j.lives) > 0 {
 		return
 	}
 	if j.progress.Open != nil {
@@ -206,20 +240,11 @@
 	}
 }
 
-func (c *Core) anyLive(j *job) bool {
-	for _, l := range c.live {
-		if l.job == j {
-			return true
-		}
-	}
-	return false
-}
-
 // Changes returns the records of all jobs that have changed. Persisted has to
 // follow once they are in the log.
 func (c *Core) Changes() []Record {
 	var out []Record
-	for id := range c.dirty {
+	for _, id := range sortedKeys(c.dirty) {
 		j := c.jobs[id]
 		if j == nil {
 			continue
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -45,6 +45,10 @@
 	if !w.met {
 		c.note(Note{Event: "worker-answers", Worker: w.ID})
 	}
+	if !w.ever {
+		// An earlier planner may have given it a lease until then.
+		w.deadlineMS = max(w.deadlineMS, answer.ClockMS+c.bounds.Lease.Milliseconds())
+	}
 	w.met = true
 	w.ever = true
 	w.told = max(w.told, order.Cursor)
@@ -71,7 +75,11 @@
 		listed[row.Task] = true
 		c.seenRunning(l, row, now)
 	}
-	for id, run := range strange {
+	for _, row := range rows {
+		id, run := row.Task, row.Run
+		if strange[id] != run {
+			continue
+		}
 		c.note(Note{Event: "strange-run", Job: id.Job, Task: id.String(), Worker: w.ID, Run: run})
 		c.stops = append(c.stops, StopOrder{Worker: w.ID, Address: w.Address, Task: id, Run: run, Token: c.token})
 	}
@@ -115,7 +123,8 @@
 // this planner's token. One that this planner ordered may be on its way, unless
 // the worker had confirmed it before it was asked.
 func (c *Core) missing(w *worker, listed map[workload.TaskID]bool, sent, now time.Time) {
-	for id, l := range w.tasks {
+	for _, l := range w.sortedTasks() {
+		id := l.id
 		if listed[id] {
 			continue
 		}
@@ -186,10 +195,8 @@
 // settleGang marks the other members of a gang as over; they keep their room
 // until their ends are listed.
 func (c *Core) settleGang(l *live) {
-	for _, other := range c.live {
-		if other.key == l.key {
-			other.over = true
-		}
+	for _, other := range l.job.livesOf(l.key) {
+		other.over = true
 	}
 }
 
@@ -211,10 +218,8 @@
 
 // breakGang stops what is left of a gang's run.
 func (c *Core) breakGang(l *live, how End, saved string) {
-	for _, other := range c.live {
-		if other.key == l.key {
-			c.stop(other, "gang-"+string(how))
-		}
+	for _, other := range l.job.livesOf(l.key) {
+		c.stop(other, "gang-"+string(how))
 	}
 	if saved == "" {
 		return
--- /dev/null
+++ b/workload/control/mutants_test.go
@@ -0,0 +1,57 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// mutant breaks one of the rules that keep the planner safe. The zero value
+// breaks none.
+type mutant struct {
+	// sameToken: a successor gives orders under its predecessor's token.
+	sameToken bool
+	// lateLog: orders go out a second before the log has them.
+	lateLog bool
+	// openLog: a planner that has been succeeded goes on.
+	openLog bool
+	// earlyAck: workers may forget ends that are not in the log.
+	earlyAck bool
+	// longer: workers are held longer than the planner believes.
+	longer time.Duration
+	// deaf: an order without an answer is taken for one that was dealt with.
+	deaf bool
+}
+
+func (m mutant) silence(otherwise control.Verdict) control.Verdict {
+	if m.deaf {
+		return otherwise
+	}
+	return control.Unanswered
+}
+
+const mutantWorlds = 120
+
+func TestEveryMutantIsCaught(t *testing.T) {
+	for name, m := range map[string]mutant{
+		"successor uses the old token":  {sameToken: true, openLog: true},
+		"orders before the log":         {lateLog: true},
+		"ends forgotten before the log": {earlyAck: true},
+		"leases longer than believed":   {longer: 4 * time.Second},
+		"silence taken for an answer":   {deaf: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range mutantWorlds {
+				w := newWorld(int64(seed), true)
+				w.mutant = m
+				w.playAll(nil)
+				if len(w.problems) > 0 {
+					t.Logf("caught at seed %d: %s", seed, w.problems[0])
+					return
+				}
+			}
+			t.Fatalf("not caught in %d worlds", mutantWorlds)
+		})
+	}
+}
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -140,7 +140,7 @@
 // Due hands out the orders that are to be repeated.
 func (c *Core) Due(now time.Time) []StartOrder {
 	var out []StartOrder
-	for _, l := range c.live {
+	for _, l := range c.allLives() {
 		if l.retryAt.IsZero() || now.Before(l.retryAt) {
 			continue
 		}
@@ -157,7 +157,8 @@
 
 // expire releases what workers without an answer must have lost.
 func (c *Core) expire(now time.Time) {
-	for _, w := range c.workers {
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id]
 		if len(w.tasks) == 0 || !c.lapsed(w, now) {
 			continue
 		}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -55,12 +55,7 @@
 }
 
 func (c *Core) addWorkers(s *decide.Snapshot, now time.Time) {
-	ids := make([]string, 0, len(c.workers))
-	for id := range c.workers {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
+	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
 		if w.gone || !w.listed {
 			continue
@@ -81,8 +76,7 @@
 // addRunning groups what runs: gangs by their run, other tasks alone.
 func (c *Core) addRunning(s *decide.Snapshot, guaranteed map[workload.JobID]bool, now time.Time) {
 	gangs := map[decide.UnitKey]int{}
-	for _, id := range c.liveOrder() {
-		l := c.live[id]
+	for _, l := range c.allLives() {
 		index, known := gangs[l.key]
 		if !l.step.Gang || !known {
 			index = len(s.Running)
@@ -98,15 +92,6 @@
 	}
 }
 
-func (c *Core) liveOrder() []workload.TaskID {
-	ids := make([]workload.TaskID, 0, len(c.live))
-	for id := range c.live {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(a, b int) bool { return lessTask(ids[a], ids[b]) })
-	return ids
-}
-
 func lessTask(a, b workload.TaskID) bool {
 	if a.Job != b.Job {
 		return a.Job < b.Job
@@ -175,7 +160,7 @@
 func (c *Core) waiting(j *job, o *workload.Occurrence, step int, guaranteed bool, now time.Time, wallMS int64) (decide.Unit, bool) {
 	key := unitKey(j.ID, o.K, step)
 	spec := &j.Steps[step]
-	if spec.Gang && c.steps[key] > 0 {
+	if spec.Gang && len(j.livesOf(key)) > 0 {
 		return decide.Unit{}, false
 	}
 	u := decide.Unit{Key: key, Step: spec, Guaranteed: guaranteed, Avoid: j.avoid}
@@ -209,19 +194,17 @@
 	u.LatestStart = due.Add(objective - rest)
 	u.Worthless = due.Add(lateFactor*objective - rest)
 	if u.Step.Spread > 0 {
-		u.Beside = c.beside(u.Key)
+		u.Beside = j.beside(u.Key)
 	}
 }
 
 // lateFactor is how many times its objective a job may take and still earn.
 const lateFactor = 3
 
-func (c *Core) beside(key decide.UnitKey) map[string]int {
+func (j *job) beside(key decide.UnitKey) map[string]int {
 	out := map[string]int{}
-	for _, l := range c.live {
-		if l.key == key {
-			out[l.worker.ID]++
-		}
+	for _, l := range j.livesOf(key) {
+		out[l.worker.ID]++
 	}
 	return out
 }
@@ -266,8 +249,8 @@
 }
 
 func (c *Core) preempt(g decide.Group, now time.Time) {
-	for _, l := range c.live {
-		if l.key == g.Key && (l.step.Gang || l.id.Index == g.Index) {
+	for _, l := range c.jobs[g.Key.Job].livesOf(g.Key) {
+		if l.step.Gang || l.id.Index == g.Index {
 			c.stop(l, "preempted")
 		}
 	}
--- a/workload/control/trust.go
+++ b/workload/control/trust.go
@@ -79,7 +79,7 @@
 
 // overdue looks for tasks that stand still.
 func (c *Core) overdue(now time.Time) {
-	for _, l := range c.live {
+	for _, l := range c.allLives() {
 		if !l.confirmed || l.stopping || l.over || l.movedAt.IsZero() || l.step.Perpetual {
 			continue
 		}
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -64,7 +64,8 @@
 		addresses[l.Address] = l.ID
 		c.listOne(l, now)
 	}
-	for id, w := range c.workers {
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id]
 		if present[id] {
 			continue
 		}
@@ -157,7 +158,7 @@
 
 // release takes all tasks of a worker as ended without an outcome.
 func (c *Core) release(w *worker, why string) {
-	for _, l := range w.tasks {
+	for _, l := range w.sortedTasks() {
 		c.note(Note{Event: "run-lost", Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: why})
 		c.ended(l, EndLapsed, "")
 	}
@@ -177,7 +178,8 @@
 // about or to be told, and no hold under way.
 func (c *Core) NeedsHold(now time.Time) []string {
 	var out []string
-	for id, w := range c.workers {
+	for _, id := range sortedKeys(c.workers) {
+		w := c.workers[id]
 		if !w.holding && c.wantsHold(w) && !now.Before(w.holdAt) {
 			out = append(out, id)
 		}
--- /dev/null
+++ b/workload/control/world_test.go
@@ -0,0 +1,540 @@
+package control_test
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+	"github.com/cobalttide/cobalttide/workload/workertest"
+)
+
+// The world plays planners, one after the other and sometimes two at once,
+// against a model of workers over a network that delays, loses and repeats
+// orders, and holds what workers saw against what must always hold.
+
+var worldLimits = workertest.Limits{
+	HoldMax: 6 * time.Second, StopTimeout: 300 * time.Millisecond, GangTimeout: 3 * time.Second,
+	CheckpointEvery: 500 * time.Millisecond, Restore: 100 * time.Millisecond,
+}
+
+var worldBounds = control.Bounds{
+	Lease: worldLimits.HoldMax, Authority: 2 * time.Second, StopTimeout: worldLimits.StopTimeout,
+	GangTimeout: worldLimits.GangTimeout, ReclaimWithin: 3 * time.Second, Restore: worldLimits.Restore,
+	FarFactor: 3, Wait: time.Second,
+}
+
+const worldAttempts = 3
+
+type world struct {
+	rng     *rand.Rand
+	now     time.Time
+	fleet   *workertest.Fleet
+	jobs    map[workload.JobID]*workload.Job
+	done    map[workload.JobID]bool
+	log     map[string][]byte
+	order   []string
+	token   int64
+	cancels map[workload.JobID]time.Time
+	seats   []*seat
+	mail    []letter
+	cut     map[string]time.Time
+	faulty  bool
+	// What workers saw.
+	running  map[workload.TaskID]map[string]int64
+	ended    map[workload.TaskID]int64
+	notedEnd map[workload.TaskID]bool
+	fails    map[workload.TaskID]int
+	// again holds tasks that began after one of their runs had ended as done.
+	again    map[runOf]bool
+	starts   int
+	problems []string
+	trace    func(format string, args ...any)
+	mutant   mutant
+}
+
+type seat struct {
+	core    *control.Core
+	token   int64
+	written time.Time
+	frozen  time.Time
+	dead    bool
+	pending []control.Record
+}
+
+type runOf struct {
+	task workload.TaskID
+	run  int64
+}
+
+// letter is something on its way.
+type letter struct {
+	at   time.Time
+	what func()
+}
+
+func newWorld(seed int64, faulty bool) *world {
+	w := &world{
+		rng: rand.New(rand.NewSource(seed)), now: time.Unix(1_000_000, 0), faulty: faulty,
+		jobs: map[workload.JobID]*workload.Job{}, done: map[workload.JobID]bool{}, log: map[string][]byte{},
+		cancels: map[workload.JobID]time.Time{}, cut: map[string]time.Time{},
+		running: map[workload.TaskID]map[string]int64{}, ended: map[workload.TaskID]int64{},
+		notedEnd: map[workload.TaskID]bool{}, fails: map[workload.TaskID]int{}, again: map[runOf]bool{},
+	}
+	w.fleet = &workertest.Fleet{Limits: worldLimits, Step: w.step, Work: w.work, Seen: w.see}
+	for i := range 6 {
+		rate := 1 - 0.02*w.rng.Float64()
+		w.fleet.Add(fmt.Sprintf("w%d", i), workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, rate, w.now)
+	}
+	return w
+}
+
+func (w *world) step(id workload.TaskID) (workload.Step, bool) {
+	j := w.jobs[id.Job]
+	if j == nil || id.Step >= len(j.Steps) {
+		return workload.Step{}, false
+	}
+	return j.Steps[id.Step], true
+}
+
+// work: a run's length and luck depend on the task and the run alone.
+func (w *world) work(id workload.TaskID, run int64, _ string) workertest.Work {
+	r := rand.New(rand.NewSource(int64(len(id.Job))*7919 + int64(id.Step)*31 + int64(id.Index) + run*104729 + int64(id.Job[0])))
+	takes := time.Duration(200+r.Intn(2500)) * time.Millisecond
+	return workertest.Work{Takes: takes, Fails: r.Intn(10) == 0}
+}
+
+func (w *world) problem(format string, args ...any) {
+	w.problems = append(w.problems, fmt.Sprintf("%v ", w.now.Sub(time.Unix(1_000_000, 0)))+fmt.Sprintf(format, args...))
+}
+
+// see checks each beginning and end against what must hold.
+func (w *world) see(e workertest.Event) {
+	if e.How == "" {
+		w.seeStart(e)
+		return
+	}
+	delete(w.running[e.Task], e.Worker)
+	switch e.How {
+	case control.EndFailed:
+		w.fails[e.Task]++
+	case control.EndDone:
+		w.ended[e.Task] = e.Run
+	}
+}
+
+func (w *world) seeStart(e workertest.Event) {
+	w.starts++
+	j := w.jobs[e.Task.Job]
+	if len(w.running[e.Task]) > 0 {
+		w.problem("%v runs twice: run %d on %s beside %v", e.Task, e.Run, e.Worker, w.running[e.Task])
+	}
+	if w.notedEnd[e.Task] {
+		w.problem("%v run %d begins after its end was noted", e.Task, e.Run)
+	}
+	if w.ended[e.Task] > 0 {
+		w.again[runOf{e.Task, w.ended[e.Task]}] = true
+	}
+	if w.running[e.Task] == nil {
+		w.running[e.Task] = map[string]int64{}
+	}
+	w.running[e.Task][e.Worker] = e.Run
+	if e.Spec != j.Spec {
+		w.problem("%v begins with another spec", e.Task)
+	}
+	for _, d := range j.Steps[e.Task.Step].DependsOn {
+		for i := range j.Steps[d].Count {
+			if w.ended[workload.TaskID{Job: j.ID, K: e.Task.K, Step: d, Index: i}] == 0 {
+				w.problem("%v begins before step %d is done", e.Task, d)
+			}
+		}
+	}
+	if at, ok := w.cancels[j.ID]; ok && w.now.Sub(at) > 20*time.Second {
+		w.problem("%v begins long after its cancel", e.Task)
+	}
+	counted := e.Task
+	if !j.Steps[e.Task.Step].Gang && w.fails[counted] >= worldAttempts {
+		w.problem("%v begins after %d failures", e.Task, w.fails[counted])
+	}
+}
+
+func (w *world) submit(i int) {
+	id := workload.JobID(fmt.Sprintf("%c%015x", 'a'+i%6, i))
+	j := &workload.Job{ID: id, Queue: "q", Spec: string(id), AcceptedMS: w.now.UnixMilli(), Terms: workload.Terms{Priority: w.rng.Intn(3), Attempts: worldAttempts, Stretch: 3, TargetMS: 1000}}
+	steps := 1 + w.rng.Intn(2)
+	for s := range steps {
+		step := workload.Step{Count: 1 + w.rng.Intn(4), Need: workload.Resources{MilliCPU: 2000, MemoryMiB: 4000, Accelerators: int64(1 + w.rng.Intn(4))}, EstimateMS: 1000}
+		step.Gang = w.rng.Intn(2) == 0
+		step.Checkpoint = w.rng.Intn(2) == 0
+		step.SameRack = w.rng.Intn(2) == 0
+		if s > 0 {
+			step.DependsOn = []int{0}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	w.jobs[id] = j
+	w.order = append(w.order, string(id))
+}
+
+func (w *world) entry(id workload.JobID) workload.Entry {
+	_, cancelled := w.cancels[id]
+	return workload.Entry{Job: w.jobs[id], Cancelled: cancelled, Progress: w.log[workload.ProgressKey(id)]}
+}
+
+// claim seats a new planner. Those before it go on until they notice.
+func (w *world) claim(mutate func(*control.Core)) {
+	if !w.mutant.sameToken || w.token == 0 {
+		w.token++
+	}
+	s := &seat{core: control.New(worldBounds, w.token, w.now), token: w.token, written: w.now}
+	if mutate != nil {
+		mutate(s.core)
+	}
+	s.core.Configure(control.Configuration{Version: 1, Guaranteed: map[domain.AccountID]int64{"": 16}})
+	for _, id := range w.order {
+		s.core.Adopt(workload.JobID(id), w.entry(workload.JobID(id)))
+	}
+	w.seats = append(w.seats, s)
+}
+
+func (w *world) listings() []control.Listing {
+	var out []control.Listing
+	ids := make([]string, 0, len(w.fleet.Workers))
+	for id := range w.fleet.Workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for i, id := range ids {
+		worker := w.fleet.Workers[id]
+		if worker.Dead {
+			continue
+		}
+		out = append(out, control.Listing{ID: id, Address: id, Rack: fmt.Sprintf("r%d", i/3), Capacity: worker.Capacity, ClockMS: worker.ClockMS(w.now) - 300})
+	}
+	return out
+}
+
+// play runs a planner's round: decide, write, order.
+func (w *world) play(s *seat) {
+	if s.dead || w.now.Before(s.frozen) || s.core.Deposed() {
+		return
+	}
+	for _, id := range w.order {
+		s.core.Adopt(workload.JobID(id), w.entry(workload.JobID(id)))
+	}
+	s.core.List(w.listings(), w.now)
+	s.core.Round(w.now, w.now.UnixMilli())
+	records := s.core.Changes()
+	if s.token != w.token && !w.mutant.openLog {
+		// The log refuses its writes; it stops here, but what it sent is under way.
+		s.dead = true
+		return
+	}
+	for _, r := range records {
+		if w.mutant.lateLog {
+			w.later(time.Second, func() { w.log[r.Key] = r.Value })
+			continue
+		}
+		w.log[r.Key] = r.Value
+	}
+	s.written = w.now
+	for _, o := range s.core.Persisted(w.now) {
+		w.sendStart(s, o)
+	}
+	w.orders(s)
+}
+
+func (w *world) orders(s *seat) {
+	for _, o := range s.core.Due(w.now) {
+		w.sendStart(s, o)
+	}
+	for _, o := range s.core.Stops() {
+		w.sendStop(s, o)
+	}
+	for _, id := range s.core.NeedsHold(w.now) {
+		if o, ok := s.core.Hold(id, w.now); ok {
+			w.sendHold(s, o)
+		}
+	}
+	for _, n := range s.core.Notes() {
+		if w.trace != nil {
+			w.trace("token %d: %s %s %s %s run %d", s.token, n.Event, n.Task, n.Worker, n.Why, n.Run)
+		}
+	}
+}
+
+// delays of an order's way there, of the answer's way back, and of the time at
+// which the caller gives up.
+func (w *world) way(worker string) (there time.Duration, answered bool, lost bool) {
+	there = time.Duration(1+w.rng.Intn(20)) * time.Millisecond
+	if w.now.Before(w.cut[worker]) {
+		return 0, false, true
+	}
+	if !w.faulty {
+		return there, true, false
+	}
+	switch w.rng.Intn(25) {
+	case 0:
+		return time.Duration(2000+w.rng.Intn(10000)) * time.Millisecond, false, false
+	case 1:
+		return there, false, false
+	case 2:
+		return 0, false, true
+	}
+	return there, true, false
+}
+
+const worldTimeout = 600 * time.Millisecond
+
+func (w *world) later(d time.Duration, f func()) {
+	w.mail = append(w.mail, letter{w.now.Add(d), f})
+}
+
+// send carries an order there, and the answer back or the silence in its place.
+func (w *world) send(worker string, s *seat, do func(*workertest.Worker) func(), silence func()) {
+	there, answered, lost := w.way(worker)
+	if !lost {
+		w.later(there, func() {
+			target := w.fleet.Workers[worker]
+			if target == nil || target.Dead {
+				return
+			}
+			reply := do(target)
+			if answered {
+				w.later(time.Duration(1+w.rng.Intn(20))*time.Millisecond, func() { w.deliver(s, reply) })
+			}
+		})
+	}
+	target := w.fleet.Workers[worker]
+	if lost || !answered || target == nil || target.Dead {
+		w.later(worldTimeout, func() { w.deliver(s, silence) })
+	}
+}
+
+func (w *world) deliver(s *seat, reply func()) {
+	if s.dead {
+		return
+	}
+	if w.now.Before(s.frozen) {
+		w.later(s.frozen.Sub(w.now), func() { w.deliver(s, reply) })
+		return
+	}
+	reply()
+}
+
+func (w *world) sendStart(s *seat, o control.StartOrder) {
+	o.DeadlineMS += w.mutant.longer.Milliseconds()
+	w.send(o.Worker, s, func(target *workertest.Worker) func() {
+		a := target.Start(o, w.now)
+		return func() { s.core.Started(o, a, w.now) }
+	}, func() { s.core.Started(o, control.Answer{Verdict: w.mutant.silence(control.Full)}, w.now) })
+}
+
+func (w *world) sendStop(s *seat, o control.StopOrder) {
+	w.send(o.Worker, s, func(target *workertest.Worker) func() {
+		a := target.Stop(o, w.now)
+		return func() { s.core.Stopped(o, a, w.now) }
+	}, func() { s.core.Stopped(o, control.Answer{Verdict: w.mutant.silence(control.Accepted)}, w.now) })
+}
+
+func (w *world) sendHold(s *seat, o control.HoldOrder) {
+	sent := w.now
+	if o.DeadlineMS > 0 {
+		o.DeadlineMS += w.mutant.longer.Milliseconds()
+	}
+	if w.mutant.earlyAck {
+		o.Cursor = 1 << 40
+	}
+	w.send(o.Worker, s, func(target *workertest.Worker) func() {
+		before := target.Ended()
+		if w.trace != nil {
+			w.trace("worker hold %s deadline %d clock %d void %d cursor %d token %d", o.Worker, o.DeadlineMS, target.ClockMS(w.now), target.Void(), o.Cursor, o.Token)
+		}
+		a := target.Hold(o, w.now)
+		w.noteEnds(target, before, o.Cursor)
+		return func() { s.core.Held(o, a, sent, w.now) }
+	}, func() { s.core.Held(o, control.HoldAnswer{Verdict: control.Unanswered}, sent, w.now) })
+}
+
+// noteEnds marks ends that the cursor has passed as taken note of for good.
+func (w *world) noteEnds(target *workertest.Worker, rows []control.EndedRow, cursor int64) {
+	for _, row := range rows {
+		if row.Number > cursor || row.How != control.EndDone || row.Number <= target.Void() {
+			continue
+		}
+		w.noteDone(row.Task)
+		if w.again[runOf{row.Task, row.Run}] {
+			w.problem("%v began again although its end was noted later", row.Task)
+		}
+	}
+}
+
+func (w *world) noteDone(id workload.TaskID) {
+	step, ok := w.step(id)
+	if !ok {
+		return
+	}
+	w.notedEnd[id] = true
+	if !step.Gang {
+		return
+	}
+	for i := range step.Count {
+		id.Index = i
+		w.notedEnd[id] = true
+	}
+}
+
+// tick moves time on, delivers what is due and lets planners play.
+func (w *world) tick(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.fleet.Advance(w.now)
+	due := w.mail
+	w.mail = nil
+	sort.SliceStable(due, func(a, b int) bool { return due[a].at.Before(due[b].at) })
+	for _, l := range due {
+		if l.at.After(w.now) {
+			w.mail = append(w.mail, l)
+			continue
+		}
+		l.what()
+	}
+	for _, s := range w.seats {
+		w.play(s)
+	}
+}
+
+// disturb brings one of the troubles about.
+func (w *world) disturb(mutate func(*control.Core)) {
+	switch w.rng.Intn(40) {
+	case 0:
+		w.claim(mutate)
+	case 1:
+		s := w.seats[len(w.seats)-1]
+		s.frozen = w.now.Add(time.Duration(w.rng.Intn(6000)) * time.Millisecond)
+		w.later(time.Duration(500+w.rng.Intn(3000))*time.Millisecond, func() { w.claim(mutate) })
+	case 2:
+		w.seats[len(w.seats)-1].dead = true
+		w.later(time.Duration(100+w.rng.Intn(2000))*time.Millisecond, func() { w.claim(mutate) })
+	case 3:
+		w.cut[w.anyWorker()] = w.now.Add(time.Duration(w.rng.Intn(9000)) * time.Millisecond)
+	case 4:
+		if w.rng.Intn(4) == 0 {
+			w.fleet.Kill(w.anyWorker(), w.now)
+			n := len(w.fleet.Workers)
+			w.fleet.Add(fmt.Sprintf("w%d", n), workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, 0.99, w.now)
+		}
+	case 5:
+		if len(w.order) > 0 {
+			id := workload.JobID(w.order[w.rng.Intn(len(w.order))])
+			if _, ok := w.cancels[id]; !ok {
+				w.cancels[id] = w.now
+			}
+		}
+	}
+}
+
+func (w *world) anyWorker() string {
+	ids := make([]string, 0, len(w.fleet.Workers))
+	for id := range w.fleet.Workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids[w.rng.Intn(len(ids))]
+}
+
+// run plays a world of some steps, then a calm while in which all must end.
+func runWorld(seed int64, faulty bool, mutate func(*control.Core)) *world {
+	w := newWorld(seed, faulty)
+	w.playAll(mutate)
+	return w
+}
+
+// steps is the length of a world.
+const steps = 600
+
+func (w *world) playAll(mutate func(*control.Core)) {
+	w.claim(mutate)
+	for i := range steps {
+		if i%25 == 0 && i < steps*3/4 {
+			w.submit(i / 25)
+		}
+		if w.faulty && i%10 == 0 {
+			w.disturb(mutate)
+		}
+		w.tick(time.Duration(10+w.rng.Intn(60)) * time.Millisecond)
+		if len(w.problems) > 0 {
+			return
+		}
+	}
+	w.calm(mutate)
+}
+
+func (w *world) calm(mutate func(*control.Core)) {
+	w.faulty = false
+	w.cut = map[string]time.Time{}
+	w.claim(mutate)
+	for range 3000 {
+		w.tick(40 * time.Millisecond)
+		if len(w.problems) > 0 || w.allOver() {
+			return
+		}
+	}
+	w.problem("jobs have not ended: %v", w.open())
+}
+
+func (w *world) allOver() bool { return len(w.open()) == 0 }
+
+func (w *world) open() []string {
+	var out []string
+	book := workload.NewBook()
+	for _, id := range w.order {
+		raw := w.log[workload.ProgressKey(workload.JobID(id))]
+		if raw == nil {
+			out = append(out, id)
+			continue
+		}
+		if err := book.Fold(0, workload.ProgressKey(workload.JobID(id)), raw); err != nil {
+			out = append(out, id+": "+err.Error())
+			continue
+		}
+		w.foldAccepted(book, id)
+		e, _ := book.Get(workload.JobID(id))
+		if !e.State.Final() {
+			out = append(out, id+" "+string(e.State))
+		}
+	}
+	return out
+}
+
+func (w *world) foldAccepted(book *workload.Book, id string) {
+	value := []byte(`{"id":"` + id + `","queue":"q"}`)
+	_ = book.Fold(0, workload.AcceptedKey(workload.JobID(id)), value)
+}
+
+func TestTasksRunOnceInOrderAndEndUnderRandomFaults(t *testing.T) {
+	worlds, starts := 150, 0
+	if testing.Short() {
+		worlds = 20
+	}
+	for seed := range worlds {
+		w := runWorld(int64(seed), true, nil)
+		starts += w.starts
+		if len(w.problems) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.problems)
+		}
+	}
+	t.Logf("%d worlds, %d starts", worlds, starts)
+}
+
+func TestCalmWorldsEndWithoutWaste(t *testing.T) {
+	for seed := range 20 {
+		w := runWorld(int64(seed), false, nil)
+		if len(w.problems) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.problems)
+		}
+	}
+}
--- a/workload/job.go
+++ b/workload/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/cobalttide/cobalttide/domain"
 )
@@ -235,3 +237,29 @@
 func invalid(field, message, remedy string) error {
 	return domain.Refuse(domain.ReasonInvalid, field, message, remedy)
 }
+
+// Features names what a job asks for beyond plain tasks, for the event log.
+func (j *Job) Features() string {
+	seen := map[string]bool{}
+	for _, s := range j.Steps {
+		seen["depends_on"] = seen["depends_on"] || len(s.DependsOn) > 0
+		seen["gang"] = seen["gang"] || s.Gang
+		seen["same-rack"] = seen["same-rack"] || s.SameRack
+		seen["data-rack"] = seen["data-rack"] || s.DataRack != ""
+		seen["label"] = seen["label"] || s.Label != ""
+		seen["spread"] = seen["spread"] || s.Spread > 0
+		seen["checkpoint"] = seen["checkpoint"] || s.Checkpoint
+		seen["speculative"] = seen["speculative"] || s.Speculative
+		seen["perpetual"] = seen["perpetual"] || s.Perpetual
+		seen["fills"] = seen["fills"] || s.Fills
+	}
+	seen["scheduled"] = j.Repetitions > 0
+	var out []string
+	for name, there := range seen {
+		if there {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return strings.Join(out, ",")
+}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -232,7 +232,7 @@
 	err = s.commits.add(ctx, record)
 	if err == nil {
 		s.fold(Entry{Key: record.Key, Value: value})
-		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "took_ms": time.Since(began).Milliseconds()})
+		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "features": job.Features(), "took_ms": time.Since(began).Milliseconds()})
 		return nil
 	}
 	if _, known := s.book.Get(job.ID); known {
--- /dev/null
+++ b/workload/workertest/advance.go
@@ -0,0 +1,139 @@
+package workertest
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// savedWork reads a checkpoint: the milliseconds of work that it holds.
+func savedWork(saved string) time.Duration {
+	ms, err := strconv.ParseInt(saved, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Advance lets everything happen that is due until now.
+func (f *Fleet) Advance(now time.Time) {
+	if now.Before(f.now) {
+		return
+	}
+	f.now = now
+	for _, id := range f.ids() {
+		w := f.Workers[id]
+		if !w.Dead {
+			w.advance(now)
+		}
+	}
+}
+
+func (f *Fleet) ids() []string {
+	out := make([]string, 0, len(f.Workers))
+	for id := range f.Workers {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (w *Worker) advance(now time.Time) {
+	if w.ClockMS(now) >= w.deadlineMS {
+		w.void = w.next
+		for _, r := range w.sorted() {
+			w.end(r, control.EndLapsed, now)
+		}
+		return
+	}
+	for _, r := range w.sorted() {
+		if w.runs[r.id] == r {
+			w.advanceRun(r, now)
+		}
+	}
+}
+
+func (w *Worker) advanceRun(r *run, now time.Time) {
+	w.checkpoint(r, now)
+	switch {
+	case !r.stopping.IsZero() && !now.Before(r.stopping):
+		w.end(r, control.EndStopped, now)
+	case !r.gangBy.IsZero() && r.working.IsZero() && !now.Before(r.gangBy):
+		w.end(r, control.EndAlone, now)
+	case r.working.IsZero() || r.work.Hang || r.step.Perpetual:
+	case r.progress(now) >= r.work.Takes && r.work.Fails:
+		w.end(r, control.EndFailed, now)
+	case r.progress(now) >= r.work.Takes:
+		w.end(r, control.EndDone, now)
+	}
+}
+
+func (w *Worker) checkpoint(r *run, now time.Time) {
+	every := w.fleet.Limits.CheckpointEvery
+	if !r.step.Checkpoint || every <= 0 || r.working.IsZero() {
+		return
+	}
+	done := r.progress(now)
+	if !r.stopping.IsZero() {
+		r.saved = strconv.FormatInt(done.Milliseconds(), 10)
+		return
+	}
+	if whole := done / every * every; whole > savedWork(r.saved) {
+		r.saved = strconv.FormatInt(whole.Milliseconds(), 10)
+	}
+}
+
+// end lists a run's end, and breaks or completes its gang.
+func (w *Worker) end(r *run, how control.End, now time.Time) {
+	w.next++
+	w.ended = append(w.ended, control.EndedRow{Number: w.next, Task: r.id, Run: r.run, How: how, Saved: r.saved})
+	w.forget(r, how, now)
+}
+
+func (w *Worker) forget(r *run, how control.End, now time.Time) {
+	delete(w.runs, r.id)
+	w.barred[r.id] = max(w.barred[r.id], r.run)
+	w.see(Event{At: now, Worker: w.ID, Task: r.id, Run: r.run, How: how, Saved: r.saved})
+	if !r.step.Gang {
+		return
+	}
+	others := control.EndBroken
+	if how == control.EndDone {
+		others = control.EndDone
+	}
+	w.fleet.eachMember(r, func(peer *Worker, member *run) { peer.end(member, others, now) })
+}
+
+// eachMember calls f with the other members of a gang's run.
+func (f *Fleet) eachMember(r *run, call func(*Worker, *run)) {
+	for _, id := range f.ids() {
+		w := f.Workers[id]
+		for _, member := range w.sorted() {
+			if member != r && member.run == r.run && sameStep(member.id, r.id) && w.runs[member.id] == member {
+				call(w, member)
+			}
+		}
+	}
+}
+
+func sameStep(a, b workload.TaskID) bool { return a.Job == b.Job && a.K == b.K && a.Step == b.Step }
+
+// assemble lets a run begin its work: at once, or once its gang is whole.
+func (f *Fleet) assemble(r *run, now time.Time) {
+	if !r.step.Gang {
+		r.working = now
+		return
+	}
+	r.gangBy = now.Add(f.Limits.GangTimeout)
+	members := []*run{r}
+	f.eachMember(r, func(_ *Worker, m *run) { members = append(members, m) })
+	if len(members) < r.step.Count {
+		return
+	}
+	for _, m := range members {
+		m.working = now
+	}
+}
--- /dev/null
+++ b/workload/workertest/fleet.go
@@ -0,0 +1,255 @@
+// Package workertest has a model of workers for tests, the demo and the
+// platform's stand-in: leases on clocks of their own, fencing tokens, gangs
+// that wait for each other, checkpoints, stops that take time. It is driven by
+// the time that its caller gives and records everything that began and ended.
+package workertest
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Limits are the times that workers keep.
+type Limits struct {
+	HoldMax, StopTimeout, GangTimeout, CheckpointEvery, Restore time.Duration
+}
+
+// Work says how long a run would take on a sound worker, and whether it fails
+// at its end. Hang runs never end.
+type Work struct {
+	Takes time.Duration
+	Fails bool
+	Hang  bool
+}
+
+// Event is something that began or ended on a worker.
+type Event struct {
+	At     time.Time
+	Worker string
+	Task   workload.TaskID
+	Run    int64
+	Spec   string
+	Saved  string
+	// How is empty for a beginning.
+	How   control.End
+	Token int64
+}
+
+// Fleet is a set of workers that share gangs.
+type Fleet struct {
+	Limits Limits
+	// Step describes a task's step; ok is false for tasks that nobody knows.
+	Step func(workload.TaskID) (step workload.Step, ok bool)
+	// Work says what a run does on a worker.
+	Work func(id workload.TaskID, run int64, worker string) Work
+	// Seen takes every event.
+	Seen    func(Event)
+	Workers map[string]*Worker
+	now     time.Time
+}
+
+// Worker is one life of a worker.
+type Worker struct {
+	ID       string
+	Capacity workload.Resources
+	// Rate is the speed of its clock, 0.98 to 1.
+	Rate float64
+	// Unguarded workers start whatever they are told.
+	Unguarded bool
+	Dead      bool
+
+	fleet      *Fleet
+	born       time.Time
+	token      int64
+	deadlineMS int64
+	runs       map[workload.TaskID]*run
+	barred     map[workload.TaskID]int64
+	ended      []control.EndedRow
+	next       int64
+	acked      int64
+	// void is the number of the last end before the lease last lapsed.
+	void int64
+}
+
+type run struct {
+	id       workload.TaskID
+	run      int64
+	step     workload.Step
+	began    time.Time
+	working  time.Time
+	done     time.Duration
+	work     Work
+	saved    string
+	stopping time.Time
+	gangBy   time.Time
+}
+
+// Add puts an empty worker into the fleet.
+func (f *Fleet) Add(id string, capacity workload.Resources, rate float64, now time.Time) *Worker {
+	w := &Worker{
+		ID: id, Capacity: capacity, Rate: rate, fleet: f, born: now.Add(-time.Hour),
+		runs: map[workload.TaskID]*run{}, barred: map[workload.TaskID]int64{},
+	}
+	if f.Workers == nil {
+		f.Workers = map[string]*Worker{}
+	}
+	f.Workers[id] = w
+	return w
+}
+
+// Kill ends a worker's life with everything on it.
+func (f *Fleet) Kill(id string, now time.Time) {
+	w := f.Workers[id]
+	w.Dead = true
+	for _, r := range w.sorted() {
+		w.forget(r, control.EndLapsed, now)
+	}
+}
+
+// ClockMS is the worker's own clock.
+func (w *Worker) ClockMS(now time.Time) int64 {
+	return int64(float64(now.Sub(w.born).Milliseconds()) * w.Rate)
+}
+
+// Running counts the runs on the worker.
+func (w *Worker) Running() int { return len(w.runs) }
+
+func (w *Worker) sorted() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].id.String() < out[b].id.String() })
+	return out
+}
+
+func (w *Worker) free() workload.Resources {
+	free := w.Capacity
+	for _, r := range w.runs {
+		free = free.Sub(r.step.Counted())
+	}
+	return free
+}
+
+// admit applies an order's token; false means that a newer one was seen.
+func (w *Worker) admit(token int64) bool {
+	if token < w.token {
+		return false
+	}
+	w.token = token
+	return true
+}
+
+func (w *Worker) extend(deadlineMS int64, now time.Time) {
+	most := w.ClockMS(now) + w.fleet.Limits.HoldMax.Milliseconds()
+	w.deadlineMS = max(w.deadlineMS, min(deadlineMS, most))
+}
+
+// Start carries a start out.
+func (w *Worker) Start(o control.StartOrder, now time.Time) control.Answer {
+	w.fleet.Advance(now)
+	answer := control.Answer{ClockMS: w.ClockMS(now)}
+	answer.Verdict = w.start(o, now)
+	return answer
+}
+
+func (w *Worker) start(o control.StartOrder, now time.Time) control.Verdict {
+	if !w.admit(o.Token) {
+		return control.Fenced
+	}
+	if o.DeadlineMS <= w.ClockMS(now) {
+		return control.Late
+	}
+	w.extend(o.DeadlineMS, now)
+	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
+		return control.Accepted
+	}
+	if o.Run <= w.barred[o.Task] {
+		return control.Superseded
+	}
+	step, ok := w.fleet.Step(o.Task)
+	if !ok {
+		return control.Invalid
+	}
+	if !w.Unguarded && !step.Counted().Fits(w.free()) {
+		return control.Full
+	}
+	r := &run{id: o.Task, run: o.Run, step: step, began: now, saved: o.Saved, work: w.fleet.Work(o.Task, o.Run, w.ID)}
+	if o.Saved != "" {
+		r.done = savedWork(o.Saved)
+	}
+	w.runs[o.Task] = r
+	w.see(Event{At: now, Worker: w.ID, Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Token: o.Token})
+	w.fleet.assemble(r, now)
+	return control.Accepted
+}
+
+func (w *Worker) see(e Event) {
+	if w.fleet.Seen != nil {
+		w.fleet.Seen(e)
+	}
+}
+
+// Stop carries a stop out.
+func (w *Worker) Stop(o control.StopOrder, now time.Time) control.Answer {
+	w.fleet.Advance(now)
+	answer := control.Answer{Verdict: control.Accepted, ClockMS: w.ClockMS(now)}
+	if !w.admit(o.Token) {
+		answer.Verdict = control.Fenced
+		return answer
+	}
+	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
+	if r := w.runs[o.Task]; r != nil && r.run <= o.Run && r.stopping.IsZero() {
+		r.stopping = now.Add(w.fleet.Limits.StopTimeout)
+	}
+	return answer
+}
+
+// mostEnds is how many ends one answer lists.
+const mostEnds = 500
+
+// Hold carries a hold out; it does not wait.
+func (w *Worker) Hold(o control.HoldOrder, now time.Time) control.HoldAnswer {
+	w.fleet.Advance(now)
+	answer := control.HoldAnswer{Verdict: control.Accepted, ClockMS: w.ClockMS(now)}
+	if !w.admit(o.Token) {
+		answer.Verdict = control.Fenced
+		return answer
+	}
+	if o.DeadlineMS > 0 {
+		w.extend(o.DeadlineMS, now)
+	}
+	w.acked = max(w.acked, o.Cursor)
+	for len(w.ended) > 0 && w.ended[0].Number <= w.acked {
+		w.ended = w.ended[1:]
+	}
+	for _, r := range w.sorted() {
+		answer.Running = append(answer.Running, control.RunningRow{Task: r.id, Run: r.run, Saved: r.saved, Percent: r.percent(now)})
+	}
+	answer.Ended = append(answer.Ended, w.ended[:min(len(w.ended), mostEnds)]...)
+	return answer
+}
+
+func (r *run) progress(now time.Time) time.Duration {
+	if r.working.IsZero() {
+		return r.done
+	}
+	return r.done + now.Sub(r.working)
+}
+
+func (r *run) percent(now time.Time) int {
+	if r.work.Hang || r.work.Takes <= 0 {
+		return 0
+	}
+	return int(min(99, 100*r.progress(now)/r.work.Takes))
+}
+
+// Ended returns the ends that are listed now.
+func (w *Worker) Ended() []control.EndedRow { return append([]control.EndedRow(nil), w.ended...) }
+
+// Void is the number of the last end that was listed before the worker's lease
+// last lapsed. Noting such an end no longer counts.
+func (w *Worker) Void() int64 { return w.void }
