--- a/command/demo.go
+++ b/command/demo.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
+	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/demo"
+	platformdemo "github.com/cobalttide/cobalttide/platform/demo"
 )
 
 func demoCommand(ctx context.Context, env Env, args []string) error {
 	f := newFlags(env, "demo")
 	deployment := f.String("deployment", "midlands", "midlands or vestmark")
 	faults := f.Bool("faults", false, "kill, cut, lose and fail things meanwhile")
+	onPlatform := f.Bool("platform", false, "run the instances of the users' platform against its stand-in")
 	root := f.String("deployments", "deployments", "directory of the deployments")
 	if _, err := f.parse(args); err != nil {
 		return err
 	}
+	if *onPlatform {
+		return platformDemo(env, *faults)
+	}
 	report, err := demo.Run(ctx, demo.Options{Root: *root, Deployment: *deployment, Faults: *faults, Progress: env.Err})
 	if err != nil {
 		return err
@@ -28,3 +35,17 @@
 	}
 	return nil
 }
+
+// The size of the demo on the platform's stand-in.
+const (
+	platformInstances = 3
+	platformJobs      = 40
+	platformMost      = 2 * time.Minute
+)
+
+func platformDemo(env Env, faults bool) error {
+	return platformdemo.Run(platformdemo.Options{
+		Instances: platformInstances, Jobs: platformJobs, Faults: faults,
+		Report: env.Out, Log: io.Discard, Most: platformMost,
+	})
+}
--- a/events/log.go
+++ b/events/log.go
@@ -4,6 +4,7 @@
 package events
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -32,16 +33,19 @@
 	budget *rate.Limiter
 	base   logrus.Fields
 	done   chan struct{}
+	// count is called for every event, written or not.
+	count func(event, reason string)
 
 	mu      sync.Mutex
 	leftOut map[Name]int
 }
 
-// New returns a log that writes to out; base stands in every line.
-func New(out io.Writer, base Fields) *Log {
+// New returns a log that writes to out; base stands in every line. Count, which
+// may be nil, is called for every event with its reason, written or left out.
+func New(out io.Writer, base Fields, count func(event, reason string)) *Log {
 	l := &Log{
 		lines: make(chan []byte, queueLength), budget: rate.NewLimiter(LinesPerSecond, LinesBurst),
-		base: logrus.Fields(base), done: make(chan struct{}), leftOut: map[Name]int{},
+		base: logrus.Fields(base), done: make(chan struct{}), leftOut: map[Name]int{}, count: count,
 	}
 	l.logger = logrus.New()
 	l.logger.SetOutput(writer{l})
@@ -84,6 +88,9 @@
 	if l == nil {
 		return
 	}
+	if l.count != nil {
+		l.count(string(event), reasonOf(event, fields))
+	}
 	full := len(l.lines) >= queueLength-1 || (!essential[event] && len(l.lines) >= queueLength-reserve)
 	if full || (!essential[event] && !l.budget.Allow()) {
 		l.mu.Lock()
@@ -116,3 +123,17 @@
 	case <-time.After(most):
 	}
 }
+
+// reasoned events carry a code out of a closed set in the field that is named.
+var reasoned = map[Name]string{
+	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why",
+	"run-lost": "why", "unit-waits": "why", "worker-gone": "why",
+}
+
+func reasonOf(event Name, fields Fields) string {
+	name, ok := reasoned[event]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(fields[name])
+}
--- /dev/null
+++ b/events/log_test.go
@@ -0,0 +1,87 @@
+package events
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// never is an output that nobody reads.
+type never struct{ release chan struct{} }
+
+func (n never) Write(p []byte) (int, error) {
+	<-n.release
+	return len(p), nil
+}
+
+func TestAnOutputThatNobodyReadsNeverBlocksADecision(t *testing.T) {
+	out := never{make(chan struct{})}
+	counted := 0
+	l := New(out, Fields{"instance": "a"}, func(string, string) { counted++ })
+	done := make(chan struct{})
+	const lines = 10 * queueLength
+	go func() {
+		for range lines {
+			l.Info(JobAccepted, Fields{"job": "x"})
+			l.Info(JobRefused, Fields{"job": "x", "reason": "overloaded"})
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("writing events blocks")
+	}
+	if counted != 2*lines {
+		t.Fatalf("%d events were counted, not %d", counted, 2*lines)
+	}
+	close(out.release)
+}
+
+type safeBuilder struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *safeBuilder) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func TestVolumeIsBoundedAndWhatIsLeftOutIsSaid(t *testing.T) {
+	out := &safeBuilder{}
+	l := New(out, nil, nil)
+	for range 3 * LinesBurst {
+		l.Info(JobAccepted, Fields{"job": "x"})
+		time.Sleep(time.Microsecond)
+	}
+	l.Info(JobRefused, Fields{"job": "y", "reason": "overloaded"})
+	l.Close(10 * time.Second)
+	text := out.text.String()
+	if n := strings.Count(text, string(JobAccepted)); n > 2*LinesBurst {
+		t.Fatalf("%d lines of one event", n)
+	}
+	if !strings.Contains(text, string(LinesLeftOut)) {
+		t.Fatal("nothing says that lines were left out")
+	}
+	if !strings.Contains(text, string(JobRefused)) {
+		t.Fatal("the line that ends a request's story was left out")
+	}
+}
+
+func TestReasonsAreCounted(t *testing.T) {
+	got := map[string]string{}
+	l := New(io.Discard, nil, func(event, reason string) { got[event] = reason })
+	l.Info(JobRefused, Fields{"reason": "log-unavailable"})
+	l.Info("run-ended", Fields{"why": "failed"})
+	l.Info(JobAccepted, Fields{"job": "x"})
+	want := map[string]string{"job-refused": "log-unavailable", "run-ended": "failed", "job-accepted": ""}
+	for event, reason := range want {
+		if got[event] != reason {
+			t.Errorf("%s is counted under %q, not %q", event, got[event], reason)
+		}
+	}
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,96 @@
+// Package telemetry holds an instance's counters and latency histograms. Labels
+// are closed sets of codes; they never hold identifiers.
+package telemetry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Latency is a span of work that is measured.
+type Latency string
+
+// The spans that are measured, in seconds.
+const (
+	// Acceptance: from a submission's arrival to its acceptance in the log.
+	Acceptance Latency = "acceptance"
+	// FirstStart: from a job's acceptance to the first order for it.
+	FirstStart Latency = "first_start"
+	// StartAnswer: from an order to its worker's answer.
+	StartAnswer Latency = "start_answer"
+	// EndNoted: from the news of an end to its place in the log.
+	EndNoted Latency = "end_noted"
+	// LogAppend and LogRead: calls to the log, without the time that a read waits.
+	LogAppend Latency = "log_append"
+	LogRead   Latency = "log_read"
+	// Round: one planning round.
+	Round Latency = "round"
+)
+
+// Metrics are one instance's. The zero value is not usable; call New.
+type Metrics struct {
+	registry  *prometheus.Registry
+	events    *prometheus.CounterVec
+	reasons   *prometheus.CounterVec
+	latencies *prometheus.HistogramVec
+	gauges    *prometheus.GaugeVec
+}
+
+// buckets reach from a millisecond to a minute.
+var buckets = prometheus.ExponentialBuckets(0.001, 2.5, 13)
+
+// New returns an empty set.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cobalttide_events_total", Help: "Decisions and changes, by event name.",
+		}, []string{"event"}),
+		reasons: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cobalttide_reasons_total", Help: "Refusals, retries and ends, by event and reason.",
+		}, []string{"event", "reason"}),
+		latencies: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cobalttide_latency_seconds", Help: "Spans of work.", Buckets: buckets,
+		}, []string{"span"}),
+		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cobalttide_state", Help: "What the instance believes, by quantity.",
+		}, []string{"quantity"}),
+	}
+	m.registry.MustRegister(m.events, m.reasons, m.latencies, m.gauges)
+	return m
+}
+
+// Count adds one to an event, and to its reason where it has one.
+func (m *Metrics) Count(event, reason string) {
+	if m == nil {
+		return
+	}
+	m.events.WithLabelValues(event).Inc()
+	if reason != "" {
+		m.reasons.WithLabelValues(event, reason).Inc()
+	}
+}
+
+// Observe records a span.
+func (m *Metrics) Observe(span Latency, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.latencies.WithLabelValues(string(span)).Observe(took.Seconds())
+}
+
+// Set records a quantity that goes up and down.
+func (m *Metrics) Set(quantity string, value float64) {
+	if m == nil {
+		return
+	}
+	m.gauges.WithLabelValues(quantity).Set(value)
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/workload/decide/decide_test.go
@@ -0,0 +1,218 @@
+package decide
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+var now = time.Unix(1000, 0)
+
+func gpus(n int64) workload.Resources { return workload.Resources{Accelerators: n} }
+
+// racks makes workers r1w1, r1w2, ... of 8 accelerators, with what is free.
+func racks(free ...[]int64) []Worker {
+	var out []Worker
+	for r, workers := range free {
+		for i, n := range workers {
+			id := string(rune('a'+r)) + string(rune('0'+i))
+			out = append(out, Worker{ID: id, Rack: string(rune('a' + r)), Capacity: gpus(8), Free: gpus(n)})
+		}
+	}
+	return out
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func gang(count int, each int64, sameRack bool) Unit {
+	return Unit{
+		Key: UnitKey{Job: "g"}, Step: &workload.Step{Count: count, Need: gpus(each), Gang: true, SameRack: sameRack},
+		Indexes: indexes(count), LatestStart: now.Add(time.Second), Worthless: now.Add(time.Minute),
+	}
+}
+
+func singles(count int, each int64) Unit {
+	u := gang(count, each, false)
+	u.Step.Gang = false
+	return u
+}
+
+func workersOf(p Plan) []string {
+	var out []string
+	for _, a := range p.Starts {
+		out = append(out, a.Worker)
+	}
+	return out
+}
+
+func TestAGangStartsWholeOrNotAtAll(t *testing.T) {
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 4}), Waiting: []Unit{gang(4, 4, false)}}
+	p := Make(s)
+	if len(p.Starts) != 0 || len(p.Held) != 1 || p.Held[0].Reason != NoRoom {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestAGangThatWantsOneRackTakesTheOneWithTheLeastToSpare(t *testing.T) {
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 8}, []int64{4, 4}), Waiting: []Unit{gang(2, 4, true)}}
+	for _, w := range workersOf(Make(s)) {
+		if w[0] != 'b' {
+			t.Fatalf("started on %s", w)
+		}
+	}
+}
+
+func TestAGangThatWantsOneRackWaitsForItWhileThereIsTime(t *testing.T) {
+	u := gang(2, 8, true)
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 0}, []int64{8, 0}), Waiting: []Unit{u}}
+	if p := Make(s); len(p.Starts) != 0 {
+		t.Fatalf("spans racks although it could wait: %+v", p)
+	}
+	s.Waiting[0].LatestStart = now.Add(-time.Second)
+	if p := Make(s); len(p.Starts) != 2 || !p.Starts[0].Far {
+		t.Fatalf("does not span racks although it is late: %+v", p)
+	}
+}
+
+func TestTasksFillTheTightestWorker(t *testing.T) {
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 2, 5}), Waiting: []Unit{singles(1, 2)}}
+	if got := workersOf(Make(s)); len(got) != 1 || got[0] != "a1" {
+		t.Fatalf("%v", got)
+	}
+}
+
+func TestConstraintsOfWorkersAreKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Snapshot)
+		want   []string
+	}{
+		"label":   {func(s *Snapshot) { s.Waiting[0].Step.Label = "x"; s.Workers[2].Labels = map[string]bool{"x": true} }, []string{"a2", "a2"}},
+		"avoid":   {func(s *Snapshot) { s.Waiting[0].Avoid = map[string]bool{"a0": true, "a1": true} }, []string{"a2", "a2"}},
+		"allowed": {func(s *Snapshot) { s.Waiting[0].Allowed = map[string]bool{"a1": true} }, []string{"a1", "a1"}},
+		"closed":  {func(s *Snapshot) { s.Workers[0].Closed = true; s.Workers[1].Closed = true }, []string{"a2", "a2"}},
+		"spread":  {func(s *Snapshot) { s.Waiting[0].Step.Spread = 1 }, []string{"a0", "a1"}},
+		"beside":  {func(s *Snapshot) { s.Waiting[0].Step.Spread = 1; s.Waiting[0].Beside = map[string]int{"a0": 1} }, []string{"a1", "a2"}},
+		"data":    {func(s *Snapshot) { s.Waiting[0].Step.DataRack = "b"; s.Workers[1].Rack = "b" }, []string{"a1", "a1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &Snapshot{Now: now, Workers: racks([]int64{4, 4, 4}), Waiting: []Unit{singles(2, 1)}}
+			c.change(s)
+			got := workersOf(Make(s))
+			if len(got) != 2 || got[0] != c.want[0] || got[1] != c.want[1] {
+				t.Fatalf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestGuaranteedWorkStopsTheCheapestBorrowersAndKeepsTheirRoom(t *testing.T) {
+	urgent := gang(2, 8, true)
+	urgent.Guaranteed = true
+	later := singles(4, 1)
+	later.Key.Job = "later"
+	later.Priority = 2
+	s := &Snapshot{
+		Now: now, Workers: racks([]int64{0, 0}, []int64{0, 0}), Waiting: []Unit{later, urgent},
+		Running: []Group{
+			{Key: UnitKey{Job: "dear"}, Priority: 1, Lost: 900, Held: map[string]workload.Resources{"a0": gpus(8), "a1": gpus(8)}},
+			{Key: UnitKey{Job: "cheap"}, Priority: 2, Lost: 10, Held: map[string]workload.Resources{"b0": gpus(8), "b1": gpus(8)}},
+		},
+	}
+	p := Make(s)
+	if len(p.Stops) != 1 || s.Running[p.Stops[0]].Key.Job != "cheap" || len(p.Starts) != 0 {
+		t.Fatalf("%+v", p)
+	}
+	// While the stop is under way the room is kept, and nothing else is stopped.
+	s.Running[1].Stopping = true
+	s.Workers[2].Coming, s.Workers[3].Coming = gpus(8), gpus(8)
+	if p = Make(s); len(p.Stops) != 0 || len(p.Starts) != 0 {
+		t.Fatalf("again: %+v", p)
+	}
+	// Once it is free, the gang has it and the others do not.
+	s.Running = s.Running[:1]
+	s.Workers[2].Free, s.Workers[3].Free = gpus(8), gpus(8)
+	s.Workers[2].Coming, s.Workers[3].Coming = gpus(0), gpus(0)
+	if p = Make(s); len(p.Starts) != 2 || p.Starts[0].Unit != 1 {
+		t.Fatalf("at last: %+v", p)
+	}
+}
+
+func TestWorkBeyondTheGuaranteeStopsNobody(t *testing.T) {
+	u := gang(1, 8, false)
+	s := &Snapshot{Now: now, Workers: racks([]int64{0}), Waiting: []Unit{u}, Running: []Group{{Key: UnitKey{Job: "x"}, Priority: 1, Held: map[string]workload.Resources{"a0": gpus(8)}}}}
+	if p := Make(s); len(p.Stops) != 0 {
+		t.Fatalf("%+v", p)
+	}
+}
+
+// Whatever waits and runs, no worker is given more than it has, no gang is
+// given in part, and the same snapshot gives the same plan.
+func TestPlansKeepCapacityAndGangsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		p := Make(s)
+		used := map[string]int64{}
+		per := map[int]int{}
+		for _, a := range p.Starts {
+			used[a.Worker] += s.Waiting[a.Unit].Step.Need.Accelerators
+			per[a.Unit]++
+		}
+		for _, w := range s.Workers {
+			if used[w.ID] > w.Free.Accelerators {
+				t.Fatalf("%s is given %d of %d", w.ID, used[w.ID], w.Free.Accelerators)
+			}
+		}
+		for i, n := range per {
+			if s.Waiting[i].Step.Gang && n != len(s.Waiting[i].Indexes) {
+				t.Fatalf("gang %d is given %d of %d", i, n, len(s.Waiting[i].Indexes))
+			}
+		}
+		for _, v := range p.Stops {
+			if s.Running[v].Guaranteed || s.Running[v].Stopping || s.Running[v].Priority == 0 {
+				t.Fatalf("stops %+v", s.Running[v])
+			}
+		}
+	})
+}
+
+func drawSnapshot(t *rapid.T) *Snapshot {
+	s := &Snapshot{Now: now}
+	for r := range rapid.IntRange(1, 3).Draw(t, "racks") {
+		for i := range 3 {
+			w := racks([]int64{8})[0]
+			w.ID = string(rune('a'+r)) + string(rune('0'+i))
+			w.Rack = string(rune('a' + r))
+			held := rapid.Int64Range(0, 8).Draw(t, "held")
+			w.Free = gpus(8 - held)
+			if held > 0 {
+				g := Group{Key: UnitKey{Job: workload.JobID(w.ID)}, Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Held: map[string]workload.Resources{w.ID: gpus(held)}, Lost: float64(held)}
+				g.Guaranteed = rapid.Bool().Draw(t, "guaranteed")
+				if rapid.Bool().Draw(t, "stopping") {
+					g.Stopping = true
+					w.Coming = gpus(held)
+				}
+				s.Running = append(s.Running, g)
+			}
+			s.Workers = append(s.Workers, w)
+		}
+	}
+	for i := range rapid.IntRange(0, 6).Draw(t, "waiting") {
+		u := gang(rapid.IntRange(1, 5).Draw(t, "count"), rapid.Int64Range(1, 8).Draw(t, "each"), rapid.Bool().Draw(t, "rack"))
+		u.Key.Job = workload.JobID(rune('A' + i))
+		u.Step.Gang = rapid.Bool().Draw(t, "gang")
+		u.Priority = rapid.IntRange(0, 2).Draw(t, "unitPriority")
+		u.Guaranteed = u.Priority == 0 && rapid.Bool().Draw(t, "unitGuaranteed")
+		u.LatestStart = now.Add(time.Duration(rapid.IntRange(-5, 5).Draw(t, "slack")) * time.Second)
+		s.Waiting = append(s.Waiting, u)
+	}
+	return s
+}
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -24,6 +24,10 @@
 	// lost and regained report the state of the connection.
 	changed func(topic Topic, ok bool, cause string)
 
+	// looked is when the last look began; looking guards it.
+	looking sync.Mutex
+	looked  time.Time
+
 	mu   sync.Mutex
 	good time.Time
 	next int64
@@ -91,6 +95,27 @@
 // followSlack covers the way of an answer.
 const followSlack = 50 * time.Millisecond
 
+// look reads the topic to its end at once, besides the reads of run. Callers
+// that come while one looks share the next look.
+func (f *follower) look(ctx context.Context) error {
+	asked := time.Now()
+	f.looking.Lock()
+	defer f.looking.Unlock()
+	if f.looked.After(asked) {
+		return nil
+	}
+	began := time.Now()
+	page, err := f.log.Read(ctx, f.topic, f.place(), 0)
+	if err != nil {
+		return err
+	}
+	for _, e := range page.Entries {
+		f.record(e)
+	}
+	f.looked = began
+	return nil
+}
+
 func (f *follower) place() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/workload/control"
 )
 
@@ -103,7 +104,9 @@
 	p.mu.Lock()
 	p.takeNews()
 	if p.listed {
-		p.core.Round(time.Now(), time.Now().UnixMilli())
+		began := time.Now()
+		p.core.Round(began, began.UnixMilli())
+		p.s.metrics.Observe(telemetry.Round, time.Since(began))
 	}
 	records := p.core.Changes()
 	p.tell()
@@ -319,8 +322,10 @@
 
 func (p *planner) start(ctx context.Context, o control.StartOrder) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	sent := time.Now()
 	answer := p.s.workers.Start(call, o)
 	cancel()
+	p.s.metrics.Observe(telemetry.StartAnswer, time.Since(sent))
 	p.mu.Lock()
 	p.core.Started(o, answer, time.Now())
 	p.mu.Unlock()
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/workload"
 	"github.com/cobalttide/cobalttide/workload/control"
 )
@@ -36,6 +37,7 @@
 	decoder    Decoder
 	workers    Workers
 	events     *events.Log
+	metrics    *telemetry.Metrics
 	book       *workload.Book
 	succession *succession
 	jobs       *follower
@@ -48,8 +50,8 @@
 }
 
 // New returns a service that has not read anything yet.
-func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log) *Service {
-	s := &Service{settings: settings, log: log, decoder: decoder, workers: workers, events: eventLog, book: workload.NewBook()}
+func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
+	s := &Service{settings: settings, log: log, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook()}
 	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
 	s.commits = newCommitter(log, Jobs)
 	s.jobs = s.follow(Jobs, s.foldAll, s.fold, s.restOfReader)
@@ -232,6 +234,7 @@
 	err = s.commits.add(ctx, record)
 	if err == nil {
 		s.fold(Entry{Key: record.Key, Value: value})
+		s.metrics.Observe(telemetry.Acceptance, time.Since(began))
 		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "features": job.Features(), "took_ms": time.Since(began).Milliseconds()})
 		return nil
 	}
@@ -257,21 +260,32 @@
 
 // State returns what became of a job; a refusal with the reason not-found means
 // that nobody handed it in.
-func (s *Service) State(id workload.JobID) (workload.State, error) {
+func (s *Service) State(ctx context.Context, id workload.JobID) (workload.State, error) {
+	e, err := s.find(ctx, id)
+	return e.Shown(), err
+}
+
+// find returns a job's entry. One that is not known here may have been accepted
+// elsewhere a moment ago, so the log is read to its end before it is denied.
+func (s *Service) find(ctx context.Context, id workload.JobID) (workload.Entry, error) {
 	if e, known := s.book.Get(id); known {
-		return e.Shown(), nil
+		return e, nil
 	}
-	if err := s.Current(); err != nil {
-		return "", err
+	if err := s.jobs.look(ctx); err != nil {
+		if err := s.Current(); err != nil {
+			return workload.Entry{}, err
+		}
 	}
-	return "", domain.Refuse(domain.ReasonNotFound, "id", "no such job", "check the id")
+	if e, known := s.book.Get(id); known {
+		return e, nil
+	}
+	return workload.Entry{}, domain.Refuse(domain.ReasonNotFound, "id", "no such job", "check the id")
 }
 
 // Cancel stops a job for good.
 func (s *Service) Cancel(ctx context.Context, id workload.JobID) error {
-	e, known := s.book.Get(id)
-	if !known {
-		_, err := s.State(id)
+	e, err := s.find(ctx, id)
+	if err != nil {
 		return err
 	}
 	if e.Cancelled || e.State.Final() {
--- /dev/null
+++ b/workload/service/succession_test.go
@@ -0,0 +1,142 @@
+package service
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// memory is a log with the rules that succession relies on.
+type memory struct {
+	records []Entry
+	epoch   int64
+	seq     int64
+	calls   map[int64]int64
+}
+
+func (m *memory) Append(_ context.Context, _ Topic, records []control.Record, w *Writer) (int64, error) {
+	end := int64(len(m.records))
+	if w != nil {
+		if w.Expect >= 0 && w.Expect != end {
+			return 0, ErrMoved
+		}
+		if first, again := m.calls[w.Seq]; again && w.Epoch == m.epoch {
+			return first, nil
+		}
+		if w.Epoch < m.epoch || (w.Epoch == m.epoch && w.Seq != m.seq+1) {
+			return 0, ErrFenced
+		}
+		if w.Epoch > m.epoch || m.calls == nil {
+			m.calls = map[int64]int64{}
+		}
+		m.epoch, m.seq = w.Epoch, w.Seq
+		m.calls[w.Seq] = end
+	}
+	for i, r := range records {
+		m.records = append(m.records, Entry{Offset: end + int64(i), Key: r.Key, Value: r.Value})
+	}
+	return end, nil
+}
+
+func (m *memory) Read(context.Context, Topic, int64, time.Duration) (Page, error) {
+	return Page{}, errors.New("not used")
+}
+
+func (m *memory) Newest(context.Context, Topic) ([]Entry, int64, error) {
+	return nil, 0, errors.New("not used")
+}
+
+func (m *memory) tell(list ...*succession) {
+	for _, s := range list {
+		for _, e := range m.records {
+			s.observe(e, time.Now())
+		}
+	}
+}
+
+const patience = 2 * time.Second
+
+func TestOneOfSeveralClaimsAtOneEndSucceeds(t *testing.T) {
+	log := &memory{}
+	won := 0
+	for life := range int64(5) {
+		s := newSuccession("edge", life+1, patience)
+		if _, err := s.take(context.Background(), log, 0); err == nil {
+			won++
+		}
+	}
+	if won != 1 {
+		t.Fatalf("%d instances hold the claim", won)
+	}
+}
+
+func TestAClaimThatWasGivenUpIsNotTakenUpAgain(t *testing.T) {
+	log := &memory{}
+	s := newSuccession("edge", 1, patience)
+	token, err := s.take(context.Background(), log, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.spend(token)
+	if _, mine := s.mine(); mine {
+		t.Fatal("the token of a claim that was given up is used again")
+	}
+	if !s.due(time.Now()) {
+		t.Fatal("the role stays vacant")
+	}
+	next, err := s.take(context.Background(), log, 1)
+	if err != nil || next <= token {
+		t.Fatalf("token %d after %d, %v", next, token, err)
+	}
+}
+
+func TestTheRoleIsClaimedAfterSilenceAndAtOnceWhereItWasLeft(t *testing.T) {
+	log := &memory{}
+	first, second := newSuccession("a", 1, patience), newSuccession("b", 2, patience)
+	if _, err := first.take(context.Background(), log, 0); err != nil {
+		t.Fatal(err)
+	}
+	log.tell(second)
+	now := time.Now()
+	if second.due(now) {
+		t.Fatal("claims although the planner has just written")
+	}
+	if !second.due(now.Add(2 * patience)) {
+		t.Fatal("does not claim after a silence")
+	}
+	left := first.self
+	left.Left = true
+	log.records = append(log.records, Entry{Offset: 1, Key: claimKey, Value: left.record().Value})
+	log.tell(second)
+	if !second.due(time.Now().Add(patience / 2)) {
+		t.Fatal("waits although the role was left")
+	}
+}
+
+func TestAnInstanceSucceedsItsOwnEarlierLifeAtOnce(t *testing.T) {
+	log := &memory{}
+	first, again := newSuccession("a", 1, patience), newSuccession("a", 2, patience)
+	if _, err := first.take(context.Background(), log, 0); err != nil {
+		t.Fatal(err)
+	}
+	log.tell(again)
+	if _, mine := again.mine(); mine {
+		t.Fatal("takes the claim of an earlier life for its own")
+	}
+	if !again.due(time.Now()) {
+		t.Fatal("waits for itself")
+	}
+}
+
+func TestSilenceCountsOnlyWhileItCouldBeBroken(t *testing.T) {
+	s := newSuccession("a", 1, patience)
+	later := time.Now().Add(10 * patience)
+	s.regained(later)
+	if s.due(later.Add(patience / 2)) {
+		t.Fatal("claims right after its connection came back")
+	}
+}
