Decisions: racks kept clear of firm work for the first priority

Change: as many racks as the first priority has needed at once (a peak that halves in 15 s) are kept for it and for work that saves its progress; firm work that still has time stays out.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -26,6 +26,8 @@
 	stops   []StopOrder
 	notes   []Note
 	pace    *estimates
+	// headroom is what the first priority is expected to need at once.
+	headroom headroom
 	// strangersUntil is when the leases that an earlier planner gave to workers
 	// that have not answered yet must have lapsed.
 	strangersUntil time.Time
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -51,6 +51,7 @@
 	c.addWorkers(s, now)
 	c.addRunning(s, guaranteed, now)
 	units := c.addWaiting(s, guaranteed, now, wallMS)
+	s.Headroom = c.headroom.observe(c.demand(s), now)
 	return s, units
 }
 
@@ -65,6 +66,9 @@
 		for _, l := range w.tasks {
 			need := l.step.Counted()
 			one.Free = one.Free.Sub(need)
+			if !l.step.Checkpoint && c.terms(l.job).Priority > 0 {
+				one.Firm += need.Accelerators
+			}
 			if l.stopping || l.over {
 				one.Coming = one.Coming.Add(need)
 			}
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -24,6 +24,9 @@
 	Free workload.Resources
 	// Coming is held by tasks that have been told to stop.
 	Coming workload.Resources
+	// Firm is the number of accelerators held by work behind the first priority
+	// whose stop would throw it away.
+	Firm int64
 	// Capacity is what the worker has when it is empty.
 	Capacity workload.Resources
 	// Closed workers get nothing new: draining, silent or distrusted.
@@ -96,6 +99,9 @@
 	Running []Group
 	// FarFactor is how much longer tasks take away from their rack.
 	FarFactor float64
+	// Headroom is the number of accelerators that the first priority is expected
+	// to need at once.
+	Headroom int64
 	// ReclaimWithin is the time in which guaranteed work has to begin.
 	ReclaimWithin time.Duration
 }
@@ -149,7 +155,10 @@
 	workers  []*slot
 	racks    map[string][]*slot
 	rackList []string
-	stopped  map[int]bool
+	// kept racks are for the first priority, and for work that can be taken
+	// back without loss.
+	kept    map[string]bool
+	stopped map[int]bool
 }
 
 // slot is a worker with what is left of it in this plan.
@@ -173,6 +182,7 @@
 		}
 		p.racks[w.Rack] = append(p.racks[w.Rack], one)
 	}
+	p.kept = p.keepRacks()
 	return p
 }
 
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -19,8 +19,8 @@
 
 // fit returns how many more of the unit's tasks go on the worker, given what
 // would be free there.
-func (u *Unit) fit(w *slot, free workload.Resources, limit int) int {
-	if !u.accepts(w) {
+func (p *planner) fit(u *Unit, w *slot, free workload.Resources, limit int) int {
+	if !u.accepts(w) || p.keptFrom(u, w) {
 		return 0
 	}
 	if u.Step.Spread > 0 {
@@ -64,7 +64,7 @@
 		return false
 	}
 	for _, w := range p.racks[u.Step.DataRack] {
-		if u.fit(w, w.Capacity, 1) > 0 {
+		if p.fit(u, w, w.Capacity, 1) > 0 {
 			return true
 		}
 	}
@@ -94,7 +94,7 @@
 func (p *planner) tightest(u *Unit, workers []*slot) *slot {
 	var best *slot
 	for _, w := range workers {
-		if u.fit(w, w.free, 1) == 0 {
+		if p.fit(u, w, w.free, 1) == 0 {
 			continue
 		}
 		if best == nil || tighter(w, best) {
@@ -171,7 +171,7 @@
 func (p *planner) findGang(u *Unit, r room) (members []member, far bool) {
 	n := len(u.Indexes)
 	if u.Step.DataRack != "" {
-		if members = u.gather(p.racks[u.Step.DataRack], n, r); members != nil {
+		if members = p.gather(u, p.racks[u.Step.DataRack], n, r); members != nil {
 			return members, false
 		}
 	}
@@ -183,7 +183,7 @@
 	if (u.Step.SameRack || u.Step.DataRack != "") && p.waitsForRack(u, n) {
 		return nil, false
 	}
-	members = u.gather(p.workers, n, r)
+	members = p.gather(u, p.workers, n, r)
 	return members, members != nil && (u.Step.SameRack || u.Step.DataRack != "")
 }
 
@@ -192,21 +192,21 @@
 	var best []member
 	bestSpare := 0
 	for _, rack := range p.rackList {
-		spare := u.count(p.racks[rack], r, n+1000) - n
+		spare := p.count(u, p.racks[rack], r, n+1000) - n
 		if spare < 0 || (best != nil && spare >= bestSpare) {
 			continue
 		}
-		if found := u.gather(p.racks[rack], n, r); found != nil {
+		if found := p.gather(u, p.racks[rack], n, r); found != nil {
 			best, bestSpare = found, spare
 		}
 	}
 	return best
 }
 
-func (u *Unit) count(workers []*slot, r room, limit int) int {
+func (p *planner) count(u *Unit, workers []*slot, r room, limit int) int {
 	total := 0
 	for _, w := range workers {
-		total += u.fit(w, r(w), limit)
+		total += p.fit(u, w, r(w), limit)
 	}
 	return total
 }
@@ -219,7 +219,7 @@
 	}
 	empty := func(w *slot) workload.Resources { return w.Capacity }
 	for _, rack := range p.rackList {
-		if u.count(p.racks[rack], empty, n) >= n {
+		if p.count(u, p.racks[rack], empty, n) >= n {
 			return true
 		}
 	}
@@ -228,11 +228,11 @@
 
 // gather finds room for n tasks on the workers, using first those that have
 // the least room, so that large blocks stay whole; nil if there is none.
-func (u *Unit) gather(workers []*slot, n int, r room) []member {
+func (p *planner) gather(u *Unit, workers []*slot, n int, r room) []member {
 	found := make([]member, 0, len(workers))
 	total := 0
 	for _, w := range workers {
-		if k := u.fit(w, r(w), n); k > 0 {
+		if k := p.fit(u, w, r(w), n); k > 0 {
 			found = append(found, member{w, k})
 			total += k
 		}
--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -68,22 +68,22 @@
 	for _, g := range p.candidates(u, workers) {
 		p.shift(freed, g, 1)
 		chosen = append(chosen, g)
-		if u.gather(workers, n, r) != nil {
+		if p.gather(u, workers, n, r) != nil {
 			break
 		}
 	}
-	if u.gather(workers, n, r) == nil {
+	if p.gather(u, workers, n, r) == nil {
 		return nil
 	}
 	var kept []int
 	for i := len(chosen) - 1; i >= 0; i-- {
 		p.shift(freed, chosen[i], -1)
-		if u.gather(workers, n, r) == nil {
+		if p.gather(u, workers, n, r) == nil {
 			p.shift(freed, chosen[i], 1)
 			kept = append(kept, chosen[i])
 		}
 	}
-	out := &choice{victims: kept, members: u.gather(workers, n, r)}
+	out := &choice{victims: kept, members: p.gather(u, workers, n, r)}
 	for _, g := range kept {
 		out.lost += p.s.Running[g].Lost
 	}
