Leases are kept while the log is silent; members are followed; stillness counts what was seen

Holding, stopping and repeating now go on beside the rounds, and authority lasts as long as a lease. Cause 2: after such a gap, tasks that had not been asked about were stopped as standing still; only what was seen counts. A panic at the end of a process (line after close) is mended, with its test. Ruled out for 1: short leases.

--- a/events/log.go
+++ b/events/log.go
@@ -38,6 +38,10 @@
 
 	mu      sync.Mutex
 	leftOut map[Name]int
+
+	// closing guards closed; lines after it are dropped.
+	closing sync.RWMutex
+	closed  bool
 }
 
 // New returns a log that writes to out; base stands in every line. Count, which
@@ -58,6 +62,11 @@
 type writer struct{ l *Log }
 
 func (w writer) Write(line []byte) (int, error) {
+	w.l.closing.RLock()
+	defer w.l.closing.RUnlock()
+	if w.l.closed {
+		return len(line), nil
+	}
 	select {
 	case w.l.lines <- append([]byte(nil), line...):
 	default:
@@ -117,7 +126,12 @@
 
 // Close writes what waits, for at most the time given.
 func (l *Log) Close(most time.Duration) {
-	close(l.lines)
+	l.closing.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.closing.Unlock()
 	select {
 	case <-l.done:
 	case <-time.After(most):
--- a/events/log_test.go
+++ b/events/log_test.go
@@ -85,3 +85,10 @@
 		}
 	}
 }
+
+func TestALineAfterTheEndIsDropped(t *testing.T) {
+	l := New(io.Discard, nil, nil)
+	l.Close(time.Second)
+	l.Info(JobAccepted, nil)
+	l.Close(time.Second)
+}
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -74,7 +74,9 @@
 	// over tells that the task's outcome is settled; its room is still taken.
 	over    bool
 	percent int
+	// movedAt is when the percentage last rose, seenAt when it was last shown.
 	movedAt time.Time
+	seenAt  time.Time
 }
 
 // New returns the core of a planner that has just claimed the token. It may
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -94,7 +94,10 @@
 			l.orderedAt = now
 		}
 	}
-	if row.Percent > l.percent || l.movedAt.IsZero() {
+	// A gap in which it was not shown starts the observation anew.
+	gap := !l.seenAt.IsZero() && now.Sub(l.seenAt) > 2*c.bounds.Wait
+	l.seenAt = now
+	if row.Percent > l.percent || l.movedAt.IsZero() || gap {
 		l.percent = row.Percent
 		l.movedAt = now
 	}
--- a/workload/control/trust.go
+++ b/workload/control/trust.go
@@ -83,7 +83,8 @@
 		if !l.confirmed || l.stopping || l.over || l.movedAt.IsZero() || l.step.Perpetual {
 			continue
 		}
-		if now.Sub(l.movedAt) < c.stillFor(l) {
+		// Only what was seen counts: a worker that was not asked shows nothing.
+		if l.seenAt.Sub(l.movedAt) < c.stillFor(l) {
 			continue
 		}
 		c.note(Note{Event: "run-stands-still", Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run})
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -25,9 +25,9 @@
 	s      *Service
 	token  int64
 	writer Writer
-	// wake asks for a round.
-	wake chan struct{}
-	work sync.WaitGroup
+	// wake asks for a round, due for a look at what is due.
+	wake, due chan struct{}
+	work      sync.WaitGroup
 
 	mu   sync.Mutex
 	core *control.Core
@@ -43,6 +43,7 @@
 const (
 	roundEvery   = 100 * time.Millisecond
 	roundRest    = 10 * time.Millisecond
+	keepEvery    = 50 * time.Millisecond
 	listRest     = 200 * time.Millisecond
 	appendTry    = 2 * time.Second
 	appendPause  = 50 * time.Millisecond
@@ -61,7 +62,7 @@
 	now := time.Now()
 	p := &planner{
 		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, Expect: -1},
-		wake: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
+		wake: make(chan struct{}, 1), due: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
 		written: now, list: map[string]control.Listing{},
 	}
 	s.events.Info(events.PlannerBegins, events.Fields{"token": token})
@@ -70,6 +71,7 @@
 	s.book.All(p.core.Adopt)
 	p.lister = s.follow(WorkerList, p.listAll, p.listOne, func() time.Duration { return listRest })
 	p.work.Go(func() { p.lister.run(ctx) })
+	p.work.Go(func() { p.keep(ctx) })
 	why := p.run(ctx)
 	s.succession.spend(token)
 	s.planning.Store(false)
@@ -111,12 +113,13 @@
 	records := p.core.Changes()
 	p.tell()
 	p.mu.Unlock()
+	signal(p.due)
 	if len(records) > 0 || time.Since(p.written) > p.s.settings.Patience/4 {
 		if err := p.write(ctx, records); err != nil {
 			return err.Error()
 		}
 	}
-	p.order(ctx)
+	p.release(ctx)
 	return ""
 }
 
@@ -283,8 +286,8 @@
 	return now.Sub(p.written) < p.s.settings.Bounds.Authority
 }
 
-// order sends what the last write has released, and what is due.
-func (p *planner) order(ctx context.Context) {
+// release orders the starts that the last write has made safe.
+func (p *planner) release(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -292,12 +295,36 @@
 	if !p.entitled(now) {
 		return
 	}
-	if p.informed(now) {
-		starts = append(starts, p.core.Due(now)...)
-	}
 	for _, o := range starts {
 		p.work.Go(func() { p.start(ctx, o) })
 	}
+}
+
+// keep holds leases, stops and repeats what is due, besides the rounds: a write
+// that the log does not answer must not let leases lapse.
+func (p *planner) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.keepOnce(ctx)
+		select {
+		case <-ctx.Done():
+		case <-p.due:
+		case <-time.After(keepEvery):
+		}
+	}
+}
+
+func (p *planner) keepOnce(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if !p.entitled(now) || p.core.Deposed() {
+		return
+	}
+	if p.informed(now) {
+		for _, o := range p.core.Due(now) {
+			p.work.Go(func() { p.start(ctx, o) })
+		}
+	}
 	for _, o := range p.core.Stops() {
 		p.work.Go(func() { p.stop(ctx, o) })
 	}
@@ -314,8 +341,13 @@
 }
 
 func (p *planner) nudge() {
+	signal(p.wake)
+	signal(p.due)
+}
+
+func signal(c chan struct{}) {
 	select {
-	case p.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -28,6 +28,8 @@
 	// Stale is the age of what was read at which this instance stops answering
 	// from it.
 	Stale time.Duration
+	// Peers takes the addresses of the other instances when they change.
+	Peers func([]string)
 }
 
 // Service is one instance's part. Create it with New, then call Run.
@@ -148,7 +150,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, work := range []func(context.Context){s.jobs.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
+	for _, work := range []func(context.Context){newMembers(s, s.settings.Peers).run, s.jobs.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
 		group.Go(func() { work(ctx) })
 	}
 	group.Wait()
