Succession: the strongest instance plans

Ruled out: the network (no trouble near). Change: instances say how strong they are, candidates claim in that order, a sixteenth of the patience apart. Test: TestStrongerInstancesClaimFirst.

--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -28,6 +28,8 @@
 	// Stale is the age of what was read at which this instance stops answering
 	// from it.
 	Stale time.Duration
+	// Power is how strong the instance is, in any unit that all share.
+	Power float64
 	// Peers takes the addresses of the other instances when they change.
 	Peers func([]string)
 }
@@ -150,7 +152,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, work := range []func(context.Context){newMembers(s, s.settings.Peers).run, s.jobs.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
+	for _, work := range []func(context.Context){newMembers(s).run, s.jobs.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
 		group.Go(func() { work(ctx) })
 	}
 	group.Wait()
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"hash/fnv"
 	"sync"
 	"time"
 
@@ -41,6 +40,8 @@
 	// spent is the offset of a claim of this life that was given up. Its token
 	// must not be used again: the log would take new appends for repetitions.
 	spent int64
+	// turn is this instance's place among the candidates; 0 claims first.
+	turn int
 	// notBefore delays the next claim after one that failed.
 	notBefore time.Time
 }
@@ -120,7 +121,7 @@
 	if s.holds() && s.spent == s.offset {
 		return true
 	}
-	turn := time.Duration(s.rank()) * s.patience / 16
+	turn := time.Duration(s.turn) * s.patience / turnsInPatience
 	if s.known && s.current.Holder == s.self.Holder && s.current.Life != s.self.Life {
 		return true
 	}
@@ -130,12 +131,15 @@
 	return now.Sub(s.quiet) > s.patience+turn
 }
 
-const ranks = 8
+// turnsInPatience is how many turns pass in one patience: turns are far enough
+// apart that the claim of one candidate is read before the next one's is due.
+const turnsInPatience = 16
 
-func (s *succession) rank() uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.self.Holder))
-	return h.Sum32() % ranks
+// setTurn gives this instance its place among the candidates.
+func (s *succession) setTurn(turn int) {
+	s.mu.Lock()
+	s.turn = turn
+	s.mu.Unlock()
 }
 
 // record writes the claim as a record.
--- a/workload/service/succession_test.go
+++ b/workload/service/succession_test.go
@@ -140,3 +140,20 @@
 		t.Fatal("claims right after its connection came back")
 	}
 }
+
+func TestStrongerInstancesClaimFirst(t *testing.T) {
+	place := -1
+	m := &members{self: "b", own: member{Power: 0.4}, known: map[string]member{}, changed: func(_ []string, p int) { place = p }}
+	for name, power := range map[string]string{"a": "0.2", "c": "0.8", "d": "0.8", "e": "0.1"} {
+		m.take(Entry{Key: name, Value: []byte(`{"address":"x","power":` + power + `}`)})
+	}
+	if place != 2 {
+		t.Fatalf("place %d, want 2", place)
+	}
+	strong, weak := newSuccession("a", 1, patience), newSuccession("b", 2, patience)
+	weak.setTurn(place)
+	when := time.Now().Add(patience + patience/turnsInPatience)
+	if !strong.due(when) || weak.due(when) {
+		t.Fatal("the weak one claims as early as the strong one")
+	}
+}
