--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -77,6 +77,9 @@
 	// movedAt is when the percentage last rose, seenAt when it was last shown.
 	movedAt time.Time
 	seenAt  time.Time
+	// firstPercent was shown at firstAt, before all others.
+	firstPercent int
+	firstAt      time.Time
 }
 
 // New returns the core of a planner that has just claimed the token. It may
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -97,6 +97,10 @@
 	// A gap in which it was not shown starts the observation anew.
 	gap := !l.seenAt.IsZero() && now.Sub(l.seenAt) > 2*c.bounds.Wait
 	l.seenAt = now
+	if l.firstAt.IsZero() && row.Percent > 0 {
+		l.firstPercent = row.Percent
+		l.firstAt = now
+	}
 	if row.Percent > l.percent || l.movedAt.IsZero() || gap {
 		l.percent = row.Percent
 		l.movedAt = now
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -47,7 +47,7 @@
 }
 
 func (c *Core) snapshot(now time.Time, wallMS int64) (*decide.Snapshot, []unit) {
-	s := &decide.Snapshot{Now: now, FarFactor: c.bounds.FarFactor, ReclaimWithin: c.bounds.ReclaimWithin}
+	s := &decide.Snapshot{Now: now, FarFactor: c.bounds.FarFactor, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout}
 	guaranteed := c.guaranteed()
 	c.addWorkers(s, now)
 	c.addRunning(s, guaranteed, now)
@@ -93,6 +93,7 @@
 		g := &s.Running[index]
 		g.Held[l.worker.ID] = g.Held[l.worker.ID].Add(l.step.Counted())
 		g.Lost += c.lost(l, now)
+		g.Left = max(g.Left, l.left(now))
 		g.Stopping = g.Stopping || l.stopping || l.over
 	}
 }
@@ -117,6 +118,15 @@
 	}
 }
 
+// left is the time until the run ends at the pace that was seen; 0 if none was.
+func (l *live) left(now time.Time) time.Duration {
+	if l.percent <= l.firstPercent || !l.movedAt.After(l.firstAt) {
+		return 0
+	}
+	each := l.movedAt.Sub(l.firstAt) / time.Duration(l.percent-l.firstPercent)
+	return max(time.Millisecond, each*time.Duration(100-l.percent)-now.Sub(l.movedAt))
+}
+
 // lost is the work in core-seconds that a stop of the task would throw away.
 func (c *Core) lost(l *live, now time.Time) float64 {
 	if l.orderedAt.IsZero() {
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -83,7 +83,7 @@
 	Guaranteed bool
 	// Lost is the work that a stop would throw away, in core-seconds.
 	Lost float64
-	// Left is the time until it is expected to end.
+	// Left is the time until it is expected to end; 0 is unknown.
 	Left time.Duration
 	// Stopping groups have been told to stop.
 	Stopping bool
@@ -104,6 +104,8 @@
 	Headroom int64
 	// ReclaimWithin is the time in which guaranteed work has to begin.
 	ReclaimWithin time.Duration
+	// StopTimeout is the longest that a stop takes.
+	StopTimeout time.Duration
 }
 
 // Assignment starts a task on a worker.
@@ -155,6 +157,8 @@
 	workers  []*slot
 	racks    map[string][]*slot
 	rackList []string
+	// idle tells that most room is free.
+	idle bool
 	// kept racks are for the first priority, and for work that can be taken
 	// back without loss.
 	kept    map[string]bool
@@ -182,10 +186,38 @@
 		}
 		p.racks[w.Rack] = append(p.racks[w.Rack], one)
 	}
+	p.idle = p.mostIsFree()
 	p.kept = p.keepRacks()
 	return p
 }
 
+// busyShare is the share of the accelerators or processors in use from which on
+// work is held back for a better place. It lies above the half at which holding
+// back for seconds counts as forgetting.
+const busyShare = 0.6
+
+func (p *planner) mostIsFree() bool {
+	var have, free workload.Resources
+	for _, w := range p.workers {
+		have = have.Add(w.Capacity)
+		free = free.Add(w.Free)
+	}
+	return float64(have.Accelerators-free.Accelerators) < busyShare*float64(have.Accelerators) &&
+		float64(have.MilliCPU-free.MilliCPU) <= busyShare*float64(have.MilliCPU)
+}
+
+// idleWait is the longest that a unit waits for a better place while most room
+// is free.
+const idleWait = time.Second
+
+// mayWait tells whether the unit is better off waiting for a better place.
+func (p *planner) mayWait(u *Unit) bool {
+	if p.idle && p.s.Now.Sub(u.Since) > idleWait {
+		return false
+	}
+	return p.s.Now.Before(u.LatestStart)
+}
+
 func (p *planner) place(i int) {
 	u := &p.s.Waiting[i]
 	if u.Step.Gang {
--- a/workload/decide/decide_test.go
+++ b/workload/decide/decide_test.go
@@ -36,7 +36,7 @@
 func gang(count int, each int64, sameRack bool) Unit {
 	return Unit{
 		Key: UnitKey{Job: "g"}, Step: &workload.Step{Count: count, Need: gpus(each), Gang: true, SameRack: sameRack},
-		Indexes: indexes(count), LatestStart: now.Add(time.Second), Worthless: now.Add(time.Minute),
+		Indexes: indexes(count), Since: now, LatestStart: now.Add(time.Second), Worthless: now.Add(time.Minute),
 	}
 }
 
@@ -235,3 +235,33 @@
 	}
 	return s
 }
+
+// While most room is free nothing waits for long for a better place.
+func TestWorkIsNotHeldBackWhileMostRoomIsFree(t *testing.T) {
+	rack := gang(2, 8, true)
+	rack.Priority = 1
+	data := singles(2, 8)
+	data.Priority = 1
+	data.Step.DataRack = "b"
+	firm := gang(2, 8, false)
+	firm.Priority = 1
+	for name, c := range map[string]struct {
+		unit     Unit
+		headroom int64
+	}{
+		"waits for a rack":          {rack, 0},
+		"waits for the data's rack": {data, 0},
+		"kept from all racks":       {firm, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.unit.Since = now.Add(-2 * time.Second)
+			c.unit.LatestStart = now.Add(time.Minute)
+			free := racks([]int64{8, 7, 7, 7}, []int64{7, 7, 7, 8})
+			free[7].Rack = "c"
+			s := &Snapshot{Now: now, Workers: free, Waiting: []Unit{c.unit}, Headroom: c.headroom}
+			if p := Make(s); len(p.Starts) != 2 {
+				t.Fatalf("%+v", p)
+			}
+		})
+	}
+}
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -60,7 +60,7 @@
 // data than to run elsewhere at once: while it can still be in time there and
 // the rack has workers that could run it.
 func (p *planner) waitsForData(u *Unit) bool {
-	if !p.s.Now.Before(u.LatestStart) {
+	if !p.mayWait(u) {
 		return false
 	}
 	for _, w := range p.racks[u.Step.DataRack] {
@@ -214,7 +214,7 @@
 // waitsForRack tells whether the gang could be in one rack if that were empty,
 // and there is time to wait for it.
 func (p *planner) waitsForRack(u *Unit, n int) bool {
-	if !p.s.Now.Before(u.LatestStart) {
+	if !p.mayWait(u) {
 		return false
 	}
 	empty := func(w *slot) workload.Resources { return w.Capacity }
--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
 )
@@ -14,6 +15,9 @@
 	if u.Priority > 0 || (!u.Guaranteed && u.lateness(p.s.Now) != inTime) {
 		return false
 	}
+	if p.waitForEnds(u) {
+		return true
+	}
 	best := p.victimsAnywhere(u)
 	if best == nil || (!u.Guaranteed && best.lost > u.work()) {
 		return false
@@ -25,6 +29,37 @@
 	return true
 }
 
+// stopMargin is what a decision, its way and an end's way back take.
+const stopMargin = 300 * time.Millisecond
+
+// waitForEnds keeps room for the unit where groups are about to end by
+// themselves, while there is time to stop others if they do not.
+func (p *planner) waitForEnds(u *Unit) bool {
+	until := u.LatestStart
+	if u.Guaranteed {
+		until = earlier(until, u.Since.Add(p.s.ReclaimWithin))
+	}
+	left := until.Sub(p.s.Now) - p.s.StopTimeout - stopMargin
+	if left <= 0 {
+		return false
+	}
+	soon := map[string]workload.Resources{}
+	for i := range p.s.Running {
+		g := &p.s.Running[i]
+		if g.Left > 0 && g.Left < left && !g.Stopping && !p.stopped[i] {
+			p.shift(soon, i, 1)
+		}
+	}
+	return p.reserveGang(u, func(w *slot) workload.Resources { return comingRoom(w).Add(soon[w.ID]) })
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // work is what the unit does in all, in core-seconds. Beyond a guarantee no more
 // work is thrown away than that.
 func (u *Unit) work() float64 {
