--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -33,7 +33,8 @@
 const stopMargin = 300 * time.Millisecond
 
 // waitForEnds keeps room for the unit where groups are about to end by
-// themselves, while there is time to stop others if they do not.
+// themselves, as soon as a stop would take effect, while there is time to stop
+// others if they do not.
 func (p *planner) waitForEnds(u *Unit) bool {
 	until := u.LatestStart
 	if u.Guaranteed {
@@ -43,6 +44,7 @@
 	if left <= 0 {
 		return false
 	}
+	left = min(left, p.s.StopTimeout+stopMargin)
 	soon := map[string]workload.Resources{}
 	for i := range p.s.Running {
 		g := &p.s.Running[i]
