--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -47,7 +47,7 @@
 }
 
 func (c *Core) snapshot(now time.Time, wallMS int64) (*decide.Snapshot, []unit) {
-	s := &decide.Snapshot{Now: now, FarFactor: c.bounds.FarFactor, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout}
+	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout}
 	guaranteed := c.guaranteed()
 	c.addWorkers(s, now)
 	c.addRunning(s, guaranteed, now)
@@ -62,7 +62,7 @@
 		if w.gone || !w.listed {
 			continue
 		}
-		one := decide.Worker{ID: id, Rack: w.Rack, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity}
+		one := decide.Worker{ID: id, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity}
 		one.Closed = !w.met || w.Draining || w.trust.closed(now) || len(w.strange) > 0
 		for _, l := range w.tasks {
 			need := l.step.Counted()
@@ -201,6 +201,7 @@
 	u.Since = j.since[u.Key]
 	terms := c.terms(j)
 	u.Priority = terms.Priority
+	u.Service = terms.Service
 	due := now.Add(time.Duration(j.DueMS(o.K)-wallMS) * time.Millisecond)
 	whole := c.pace.chain(j, 0, true)
 	rest := c.pace.chain(j, u.Key.Step, false)
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -301,6 +301,9 @@
 		w.later(there, func() {
 			target := w.fleet.Workers[worker]
 			if target == nil || target.Dead {
+				if answered {
+					w.later(worldTimeout, func() { w.deliver(s, silence) })
+				}
 				return
 			}
 			reply := do(target)
@@ -309,8 +312,7 @@
 			}
 		})
 	}
-	target := w.fleet.Workers[worker]
-	if lost || !answered || target == nil || target.Dead {
+	if lost || !answered {
 		w.later(worldTimeout, func() { w.deliver(s, silence) })
 	}
 }
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -18,6 +18,8 @@
 type Worker struct {
 	ID   string
 	Rack string
+	// Service is the pool that the worker belongs to.
+	Service string
 	// Labels are what the worker carries.
 	Labels map[string]bool
 	// Free is what nothing holds.
@@ -31,8 +33,6 @@
 	Capacity workload.Resources
 	// Closed workers get nothing new: draining, silent or distrusted.
 	Closed bool
-	// Fillers is the processor need of tasks that use what others leave.
-	Fillers int64
 }
 
 // UnitKey names a step of an occurrence of a job.
@@ -47,6 +47,8 @@
 type Unit struct {
 	Key  UnitKey
 	Step *workload.Step
+	// Service is the pool whose workers run the queue's tasks.
+	Service string
 	// Indexes are the tasks that are to start.
 	Indexes []int
 	// Beside counts the step's tasks that are on each worker already.
@@ -63,8 +65,6 @@
 	LatestStart time.Time
 	// Worthless is when a start no longer earns anything.
 	Worthless time.Time
-	// Worth is what its job earns at the most.
-	Worth float64
 	// Run is its expected run time.
 	Run time.Duration
 	// Allowed bounds the workers to those that may run it; nil allows all.
@@ -97,8 +97,6 @@
 	Workers []Worker
 	Waiting []Unit
 	Running []Group
-	// FarFactor is how much longer tasks take away from their rack.
-	FarFactor float64
 	// Headroom is the number of accelerators that the first priority is expected
 	// to need at once.
 	Headroom int64
--- a/workload/decide/decide_test.go
+++ b/workload/decide/decide_test.go
@@ -96,6 +96,7 @@
 		want   []string
 	}{
 		"label":   {func(s *Snapshot) { s.Waiting[0].Step.Label = "x"; s.Workers[2].Labels = map[string]bool{"x": true} }, []string{"a2", "a2"}},
+		"service": {func(s *Snapshot) { s.Waiting[0].Service = "x"; s.Workers[1].Service = "x" }, []string{"a1", "a1"}},
 		"avoid":   {func(s *Snapshot) { s.Waiting[0].Avoid = map[string]bool{"a0": true, "a1": true} }, []string{"a2", "a2"}},
 		"allowed": {func(s *Snapshot) { s.Waiting[0].Allowed = map[string]bool{"a1": true} }, []string{"a1", "a1"}},
 		"closed":  {func(s *Snapshot) { s.Workers[0].Closed = true; s.Workers[1].Closed = true }, []string{"a2", "a2"}},
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -8,6 +8,9 @@
 
 // accepts tells whether the unit's constraints allow the worker at all.
 func (u *Unit) accepts(w *slot) bool {
+	if w.Service != u.Service {
+		return false
+	}
 	if u.Step.Label != "" && !w.Labels[u.Step.Label] {
 		return false
 	}
