--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -190,7 +190,7 @@
 	if !w.mutant.sameToken || w.token == 0 {
 		w.token++
 	}
-	s := &seat{core: control.New(worldBounds, w.token, w.now), token: w.token, written: w.now}
+	s := &seat{core: control.New(w.bounds(), w.token, w.now), token: w.token, written: w.now}
 	if mutate != nil {
 		mutate(s.core)
 	}
@@ -540,3 +540,10 @@
 		}
 	}
 }
+
+// bounds are those of the world, or of a mutant.
+func (w *world) bounds() control.Bounds {
+	b := worldBounds
+	b.Lease -= w.mutant.longer
+	return b
+}
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -43,16 +43,16 @@
 }
 
 const (
-	roundEvery   = 100 * time.Millisecond
-	roundRest    = 10 * time.Millisecond
-	keepEvery    = 50 * time.Millisecond
-	listRest     = 200 * time.Millisecond
-	appendTry    = 2 * time.Second
-	appendPause  = 50 * time.Millisecond
-	stopTimeout  = 600 * time.Millisecond
-	holdMargin   = 700 * time.Millisecond
-	recordsMost  = 200
-	bytesMost    = 1 << 20
+	roundEvery  = 100 * time.Millisecond
+	roundRest   = 10 * time.Millisecond
+	keepEvery   = 50 * time.Millisecond
+	listRest    = 200 * time.Millisecond
+	appendTry   = 2 * time.Second
+	appendPause = 50 * time.Millisecond
+	stopTimeout = 600 * time.Millisecond
+	holdMargin  = 700 * time.Millisecond
+	recordsMost = 200
+	bytesMost   = 1 << 20
 )
 
 // playPlanner plans until another instance has claimed the role, the log has
