Workers that leave: runs that they will not stay for are moved

Cause: runs on a worker that drained were lost with it, and their tasks waited a whole lease (10 s) before they began again. Change: with the time that the worker stays at the least, a run expected to outlast it is stopped: at once, or at the last moment at which a stop still saves its progress. Test: three scenes that failed first.

--- a/workload/control/protocol_test.go
+++ b/workload/control/protocol_test.go
@@ -281,6 +281,33 @@
 	}
 }
 
+func TestRunsAreMovedOffAWorkerThatWillNotStayForThem(t *testing.T) {
+	for name, c := range map[string]struct {
+		takes      time.Duration
+		checkpoint bool
+		starts     int
+		saved      bool
+	}{
+		"ends in time":             {takes: time.Second, starts: 1},
+		"is lost anyway":           {takes: 8 * time.Second, starts: 2},
+		"saves at the last moment": {takes: 8 * time.Second, checkpoint: true, starts: 2, saved: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene()
+			s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: c.takes} }
+			s.add(jobA, nil, workload.Step{Count: 1, Need: need(8), EstimateMS: c.takes.Milliseconds(), Checkpoint: c.checkpoint})
+			s.pass(500 * time.Millisecond)
+			s.leaving = map[string]int64{s.starts(jobA)[0].Worker: 2000}
+			s.pass(12 * time.Second)
+			s.check(t)
+			got := s.starts(jobA)
+			if len(got) != c.starts || s.state(jobA) != workload.Completed || (got[len(got)-1].Saved != "") != c.saved {
+				t.Fatalf("%d starts, %s, saved %q", len(got), s.state(jobA), got[len(got)-1].Saved)
+			}
+		})
+	}
+}
+
 // A planner that has just met a worker does not know what lease an earlier one
 // gave it, and must not take it for over when the worker falls silent.
 func TestAFirstAnswerMayHideAnOlderLease(t *testing.T) {
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -15,6 +15,7 @@
 	c.expire(now)
 	c.create(wallMS)
 	c.overdue(now)
+	c.evacuate(now)
 	s, units := c.snapshot(now, wallMS)
 	plan := decide.Make(s)
 	for _, index := range plan.Stops {
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -36,6 +36,8 @@
 	holding bool
 	holdAt  time.Time
 	trust   trust
+	// leavesAt is when a draining worker may be gone; zero is never.
+	leavesAt time.Time
 	// strange holds what runs there and should not.
 	strange map[workload.TaskID]int64
 }
@@ -92,6 +94,7 @@
 	if l.Draining && !w.Draining {
 		c.note(Note{Event: EventWorkerDraining, Worker: l.ID})
 	}
+	w.leaving(l, now)
 	w.Listing = l
 	w.labels = make(map[string]bool, len(l.Labels))
 	for _, label := range l.Labels {
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -43,6 +43,8 @@
 	seats   []*seat
 	mail    []letter
 	cut     map[string]time.Time
+	// leaving are workers that drain, and the time that they stay.
+	leaving map[string]int64
 	faulty  bool
 	// What workers saw.
 	running  map[workload.TaskID]map[string]int64
@@ -213,7 +215,7 @@
 		if worker.Dead {
 			continue
 		}
-		out = append(out, control.Listing{ID: id, Address: id, Rack: fmt.Sprintf("r%d", i/3), Capacity: worker.Capacity, ClockMS: worker.ClockMS(w.now) - 300})
+		out = append(out, control.Listing{ID: id, Address: id, Rack: fmt.Sprintf("r%d", i/3), Capacity: worker.Capacity, ClockMS: worker.ClockMS(w.now) - 300, Draining: w.leaving[id] > 0, RemainingMS: w.leaving[id]})
 	}
 	return out
 }
