--- a/events/names.go
+++ b/events/names.go
@@ -32,6 +32,8 @@
 	PlannerEnds   Name = "planner-ends"
 	// AppendRepeated: the planner's append had no answer for some time.
 	AppendRepeated Name = "append-repeated"
+	// JobsForgotten: records of jobs that ended long ago were dropped.
+	JobsForgotten Name = "jobs-forgotten"
 	// LinesLeftOut: lines went over the budget or had no room.
 	LinesLeftOut Name = "lines-left-out"
 )
--- a/workload/book.go
+++ b/workload/book.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sync"
+	"time"
 )
 
 // Keys of records. Each record carries the whole of what its key names, so
@@ -28,8 +29,9 @@
 	Job       *Job
 	Cancelled bool
 	// State and Begun are the head of the progress.
-	State State
-	Begun bool
+	State   State
+	Begun   bool
+	EndedMS int64
 	// Progress is the record as written; it is decoded only by a planner. It
 	// stands at the offset At of its topic.
 	Progress []byte
@@ -94,6 +96,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	id := JobID(key[2:])
+	if len(value) == 0 {
+		b.drop(id, key[:2])
+		return nil
+	}
 	switch key[:2] {
 	case acceptedPrefix:
 		return b.foldAccepted(id, value)
@@ -109,6 +115,47 @@
 	return nil
 }
 
+// drop forgets what a key held. A job's progress outlives its acceptance.
+func (b *Book) drop(id JobID, prefix string) {
+	e := b.entries[id]
+	if e == nil {
+		return
+	}
+	if prefix == progressPrefix {
+		b.count(e, -1)
+		delete(b.entries, id)
+		return
+	}
+	if prefix == acceptedPrefix {
+		b.change(id, func(e *Entry) { e.Job = nil })
+	}
+}
+
+// Expired lists the jobs whose end is older than keep and whose acceptance is
+// still there, and those whose end is older than keep and gap and whose
+// progress is all that is left. A job's acceptance is dropped first: progress
+// without acceptance is nothing, acceptance without progress is a new job.
+func (b *Book) Expired(nowMS int64, keep, gap time.Duration, most int) (accepted, progress []JobID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, e := range b.entries {
+		if len(accepted)+len(progress) >= most {
+			break
+		}
+		if !e.State.Final() || e.EndedMS == 0 {
+			continue
+		}
+		age := time.Duration(nowMS-e.EndedMS) * time.Millisecond
+		switch {
+		case e.Job != nil && age > keep:
+			accepted = append(accepted, id)
+		case e.Job == nil && age > keep+gap:
+			progress = append(progress, id)
+		}
+	}
+	return accepted, progress
+}
+
 func (b *Book) foldAccepted(id JobID, value []byte) error {
 	if e := b.entries[id]; e != nil && e.Job != nil {
 		return nil
@@ -123,8 +170,9 @@
 }
 
 type progressHead struct {
-	State State `json:"state"`
-	Begun bool  `json:"begun"`
+	State   State `json:"state"`
+	Begun   bool  `json:"begun"`
+	EndedMS int64 `json:"ended"`
 }
 
 func (b *Book) foldProgress(id JobID, offset int64, value []byte) error {
@@ -138,6 +186,7 @@
 	b.change(id, func(e *Entry) {
 		e.State = head.State
 		e.Begun = head.Begun
+		e.EndedMS = head.EndedMS
 		e.Progress = value
 		e.At = offset
 	})
--- a/workload/book_test.go
+++ b/workload/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -99,3 +100,29 @@
 		}
 	})
 }
+
+// At no time while a job is forgotten does it look like one that has not begun.
+func TestAForgottenJobNeverLooksNew(t *testing.T) {
+	b := NewBook()
+	fold(t, b, 0, AcceptedKey("a"), accepted(t, "a", "q"))
+	fold(t, b, 1, ProgressKey("a"), []byte(`{"state":"completed","begun":true,"ended":1000}`))
+	const keep, gap = time.Second, time.Second
+	if first, rest := b.Expired(1900, keep, gap, 10); len(first)+len(rest) != 0 {
+		t.Fatalf("%v, %v before its time", first, rest)
+	}
+	first, rest := b.Expired(2500, keep, gap, 10)
+	if len(first) != 1 || len(rest) != 0 {
+		t.Fatalf("%v, %v", first, rest)
+	}
+	fold(t, b, 2, AcceptedKey("a"), nil)
+	if _, known := b.Get("a"); known || b.Pending("q") != 0 {
+		t.Fatal("a forgotten job is known")
+	}
+	if first, rest = b.Expired(3500, keep, gap, 10); len(first) != 0 || len(rest) != 1 {
+		t.Fatalf("%v, %v", first, rest)
+	}
+	fold(t, b, 3, ProgressKey("a"), nil)
+	if len(b.entries) != 0 {
+		t.Fatal("something is left")
+	}
+}
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -32,6 +32,8 @@
 	// that have not answered yet must have lapsed.
 	strangersUntil time.Time
 	deposed        bool
+	// wallMS is the time of day of the last round.
+	wallMS int64
 }
 
 // job is one that has not ended, or whose tasks may still run.
@@ -238,6 +240,10 @@
 		j.progress.State = workload.Cancelled
 		c.change(j)
 	}
+	if j.progress.State.Final() && j.progress.EndedMS == 0 {
+		j.progress.EndedMS = c.wallMS
+		c.change(j)
+	}
 	if !j.progress.State.Final() || len(j.lives) > 0 {
 		return
 	}
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -262,6 +262,7 @@
 	c.note(Note{Event: EventJobFailed, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Why: "attempts-used"})
 	l.job.progress.State = workload.Failed
 	c.stopAll(l.job)
+	c.settle(l.job)
 }
 
 // advance closes occurrences that are done, and the job after its last.
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -12,6 +12,7 @@
 // Round decides on everything that waits. wallMS is the time of day, which
 // schedules refer to.
 func (c *Core) Round(now time.Time, wallMS int64) {
+	c.wallMS = wallMS
 	c.expire(now)
 	c.create(wallMS)
 	c.overdue(now)
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -19,14 +19,8 @@
 	GangTimeout time.Duration
 	// ReclaimWithin is when guaranteed work has to have begun.
 	ReclaimWithin time.Duration
-	// CheckpointEvery is the work between two checkpoints.
-	CheckpointEvery time.Duration
 	// Restore is what a start from a checkpoint costs.
 	Restore time.Duration
-	// FarFactor is how much longer tasks take away from their rack.
-	FarFactor float64
-	// Notice is the time within which evacuated tasks have to be at work again.
-	Notice time.Duration
 	// Wait is how long a worker may wait for news before it answers a hold.
 	Wait time.Duration
 }
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -25,7 +25,7 @@
 var worldBounds = control.Bounds{
 	Lease: worldLimits.HoldMax, Authority: 2 * time.Second, StopTimeout: worldLimits.StopTimeout,
 	GangTimeout: worldLimits.GangTimeout, ReclaimWithin: 3 * time.Second, Restore: worldLimits.Restore,
-	FarFactor: 3, Wait: time.Second,
+	Wait: time.Second,
 }
 
 const worldAttempts = 3
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -63,6 +63,8 @@
 	Begun bool `json:"begun,omitempty"`
 	// Next is the first occurrence that has not been created.
 	Next int `json:"next,omitempty"`
+	// EndedMS is when the job came to its end; 0 before.
+	EndedMS int64 `json:"ended,omitempty"`
 	// Open are the occurrences that have been created and have not ended.
 	Open []*Occurrence `json:"open,omitempty"`
 }
--- /dev/null
+++ b/workload/service/forget.go
@@ -0,0 +1,58 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+const (
+	// forgetEvery is how often the planner looks for jobs to forget.
+	forgetEvery = 5 * time.Second
+	// forgetGap is the time between dropping a job's acceptance and its progress.
+	// It is many times the age at which an instance stops acting on what it has
+	// read, so that none sees the acceptance without the progress.
+	forgetGap = time.Minute
+	// forgetMost bounds one look.
+	forgetMost = 200
+)
+
+// forget drops the records of jobs that ended long ago, so that the log and the
+// instances' memory do not grow for ever.
+func (p *planner) forget(ctx context.Context) {
+	keep := p.s.settings.Keep
+	if keep <= 0 || time.Since(p.forgot) < forgetEvery {
+		return
+	}
+	p.forgot = time.Now()
+	accepted, progress := p.s.book.Expired(time.Now().UnixMilli(), keep, forgetGap, forgetMost)
+	var first, rest []control.Record
+	for _, id := range accepted {
+		first = append(first, control.Record{Key: workload.AcceptedKey(id)}, control.Record{Key: workload.CancelledKey(id)})
+	}
+	for _, id := range progress {
+		rest = append(rest, control.Record{Key: workload.ProgressKey(id)})
+	}
+	if len(first) > 0 {
+		attempt, cancel := context.WithTimeout(ctx, appendTry)
+		_, err := p.s.log.Append(attempt, Jobs, first, nil)
+		cancel()
+		if err != nil {
+			return
+		}
+	}
+	if len(rest) > 0 {
+		if _, err := p.append(ctx, rest); err != nil {
+			return
+		}
+		for _, r := range rest {
+			p.s.fold(Entry{Key: r.Key})
+		}
+	}
+	if len(first)+len(rest) > 0 {
+		p.s.events.Info(events.JobsForgotten, events.Fields{"accepted": len(accepted), "progress": len(progress), "keep_ms": keep.Milliseconds()})
+	}
+}
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -25,6 +25,8 @@
 	s      *Service
 	token  int64
 	writer Writer
+	// forgot is when jobs were last looked through for ones to forget.
+	forgot time.Time
 	// wake asks for a round, due for a look at what is due.
 	wake, due chan struct{}
 	work      sync.WaitGroup
@@ -121,6 +123,7 @@
 		}
 	}
 	p.release(ctx)
+	p.forget(ctx)
 	return ""
 }
 
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -28,6 +28,8 @@
 	// Stale is the age of what was read at which this instance stops answering
 	// from it.
 	Stale time.Duration
+	// Keep is how long a job's state is kept after its end; 0 keeps it for good.
+	Keep time.Duration
 	// Power is how strong the instance is, in any unit that all share.
 	Power float64
 	// Peers takes the addresses of the other instances when they change.
@@ -248,8 +250,8 @@
 	return s.refuse(job.ID, logRefusal(err))
 }
 
-// Turned notes a caller's request that was refused before it reached Submit.
-func (s *Service) Turned(id workload.JobID, err error) { _ = s.refuse(id, err) }
+// NoteRefusal notes a caller's request that was refused before it reached Submit.
+func (s *Service) NoteRefusal(id workload.JobID, err error) { _ = s.refuse(id, err) }
 
 func (s *Service) refuse(id workload.JobID, err error) error {
 	refusal := domain.AsRefusal(err)
