Orders of which nothing is heard are sent again; a field that nothing used goes

Cause: a start that was released but not sent (a process frozen until its authority was over) was never repeated and its task stayed placed for ever. Found by reading. Test: TestAnOrderOfWhichNothingIsHeardIsSentAgain (failed first).

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -291,6 +291,7 @@
 		}
 		l.ordered = true
 		l.orderedAt = now
+		l.retryAt = now.Add(orderLost)
 		out = append(out, c.startOrder(l, now))
 	}
 	c.batch = nil
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -11,6 +11,9 @@
 	// orderRetry is the pause before an order without an answer is repeated; a
 	// repeated start of the same run has no further effect on its worker.
 	orderRetry = 50 * time.Millisecond
+	// orderLost is the time after which an order of which nothing was heard at
+	// all, not even that it had no answer, is sent again.
+	orderLost = 1500 * time.Millisecond
 	// stopRetry is the pause before a stop is repeated.
 	stopRetry = 500 * time.Millisecond
 )
--- a/workload/control/protocol_test.go
+++ b/workload/control/protocol_test.go
@@ -338,6 +338,30 @@
 	}
 }
 
+// An order that its sender lost, for instance because it was frozen until it was
+// no longer entitled to send, is sent again.
+func TestAnOrderOfWhichNothingIsHeardIsSentAgain(t *testing.T) {
+	now := time.Unix(5000, 0)
+	c := control.New(worldBounds, 1, now)
+	c.List([]control.Listing{{ID: "w", Address: "w", Capacity: need(8)}}, now)
+	c.Held(control.HoldOrder{Worker: "w", Token: 1}, control.HoldAnswer{Verdict: control.Accepted, ClockMS: 1000}, now, now)
+	c.Adopt(jobA, workload.Entry{Job: &workload.Job{ID: jobA, Steps: []workload.Step{{Count: 1, Need: need(1)}}}})
+	c.Round(now, now.UnixMilli())
+	c.Changes()
+	first := c.Persisted(now)
+	if again := c.Due(now.Add(100 * time.Millisecond)); len(first) != 1 || len(again) != 0 {
+		t.Fatalf("%v, then %v", first, again)
+	}
+	again := c.Due(now.Add(3 * time.Second))
+	if len(again) != 1 || again[0].Task != first[0].Task || again[0].Run != first[0].Run {
+		t.Fatalf("%v", again)
+	}
+	c.Started(again[0], control.Answer{Verdict: control.Accepted}, now.Add(3*time.Second))
+	if more := c.Due(now.Add(9 * time.Second)); len(more) != 0 {
+		t.Fatalf("%v after its answer", more)
+	}
+}
+
 func TestOneAccountsGuaranteeIsNotAnothers(t *testing.T) {
 	now := time.Unix(5000, 0)
 	c := control.New(worldBounds, 1, now)
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -65,7 +65,6 @@
 	written time.Time
 	frozen  time.Time
 	dead    bool
-	pending []control.Record
 }
 
 type runOf struct {
