--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -135,10 +135,11 @@
 // apart that the claim of one candidate is read before the next one's is due.
 const turnsInPatience = 16
 
-// setTurn gives this instance its place among the candidates.
+// setTurn gives this instance its place among the candidates. Those far behind
+// share a turn: nobody waits for more than two patiences.
 func (s *succession) setTurn(turn int) {
 	s.mu.Lock()
-	s.turn = turn
+	s.turn = min(turn, turnsInPatience)
 	s.mu.Unlock()
 }
 
