Planner: holds follow one another without a scan; acknowledgements ride on long holds

Each answer woke a look at all workers and a round over all jobs, and each end cost three or four holds. Change: a worker's next hold follows its last directly; ends are told with the next waiting hold; a round is followed by a pause of three times its length.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -282,7 +282,10 @@
 // may be ordered, ends may be forgotten by their workers.
 func (c *Core) Persisted(now time.Time) []StartOrder {
 	for _, w := range c.workers {
-		w.cursor = max(w.cursor, w.batchCursor)
+		if w.batchCursor > w.cursor {
+			w.cursor = w.batchCursor
+			w.holdAt = now
+		}
 	}
 	var out []StartOrder
 	for _, l := range c.batch {
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -9,8 +9,11 @@
 const (
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 200 * time.Millisecond
-	// ackPause is the pause before a hold that only brings the cursor.
-	ackPause = 50 * time.Millisecond
+	// ackPause is how long the next hold waits for ends to reach the log, so that
+	// it can tell the worker to forget them.
+	ackPause = 400 * time.Millisecond
+	// lookPause is the pause after a hold that did not wait.
+	lookPause = 50 * time.Millisecond
 )
 
 // Held takes the answer to a hold that was sent at the given time.
@@ -57,8 +60,11 @@
 		c.takeEnd(w, row, now)
 	}
 	c.missing(w, listed, sent, now)
-	if order.Wait == 0 {
+	switch {
+	case w.seen > w.cursor:
 		w.holdAt = now.Add(ackPause)
+	case order.Wait == 0:
+		w.holdAt = now.Add(lookPause)
 	}
 }
 
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -203,7 +203,7 @@
 // Hold returns the next hold of a worker; ok is false if it needs none.
 func (c *Core) Hold(id string, now time.Time) (HoldOrder, bool) {
 	w := c.workers[id]
-	if w == nil || w.holding || !c.wantsHold(w) {
+	if w == nil || w.holding || !c.wantsHold(w) || now.Before(w.holdAt) {
 		return HoldOrder{}, false
 	}
 	w.holding = true
@@ -214,7 +214,8 @@
 	} else {
 		order.DeadlineMS = w.deadlineMS
 	}
-	if w.cursor > w.told || len(w.strange) > 0 || w.seen > w.cursor {
+	if len(w.strange) > 0 || w.seen > w.cursor {
+		// Ends that are still listed would be answered at once.
 		order.Wait = 0
 	}
 	if len(w.tasks) == 0 {
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -25,6 +25,8 @@
 	s      *Service
 	token  int64
 	writer Writer
+	// decided is how long the last decision took.
+	decided time.Duration
 	// forgot is when jobs were last looked through for ones to forget.
 	forgot time.Time
 	// wake asks for a round, due for a look at what is due.
@@ -45,9 +47,11 @@
 }
 
 const (
-	roundEvery  = 100 * time.Millisecond
-	roundRest   = 10 * time.Millisecond
-	keepEvery   = 50 * time.Millisecond
+	roundEvery = 100 * time.Millisecond
+	roundRest  = 10 * time.Millisecond
+	keepEvery  = 50 * time.Millisecond
+	// roundShare is how many times its own length the pause after a round is.
+	roundShare  = 3
 	listRest    = 200 * time.Millisecond
 	appendTry   = 2 * time.Second
 	appendPause = 50 * time.Millisecond
@@ -97,7 +101,8 @@
 		if why := p.round(ctx); why != "" {
 			return why
 		}
-		sleep(ctx, roundRest)
+		// A round that takes long leaves the processor to others for longer.
+		sleep(ctx, max(roundRest, roundShare*p.decided))
 	}
 }
 
@@ -111,7 +116,8 @@
 	if p.listed {
 		began := time.Now()
 		p.core.Round(began, began.UnixMilli())
-		p.s.metrics.Observe(telemetry.Round, time.Since(began))
+		p.decided = time.Since(began)
+		p.s.metrics.Observe(telemetry.Round, p.decided)
 	}
 	records := p.core.Changes()
 	p.tell()
@@ -307,21 +313,40 @@
 // keep holds leases, stops and repeats what is due, besides the rounds: a write
 // that the log does not answer must not let leases lapse.
 func (p *planner) keep(ctx context.Context) {
-	for ctx.Err() == nil {
-		p.keepOnce(ctx)
+	tick := time.NewTicker(keepEvery)
+	defer tick.Stop()
+	for {
 		select {
 		case <-ctx.Done():
+			return
 		case <-p.due:
-		case <-time.After(keepEvery):
+			p.sendStops(ctx)
+		case <-tick.C:
+			p.sendStops(ctx)
+			p.sendDue(ctx)
 		}
 	}
 }
 
-func (p *planner) keepOnce(ctx context.Context) {
+// acting tells whether this planner may give orders now; p.mu is held.
+func (p *planner) acting(now time.Time) bool { return p.entitled(now) && !p.core.Deposed() }
+
+func (p *planner) sendStops(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.acting(time.Now()) {
+		return
+	}
+	for _, o := range p.core.Stops() {
+		p.work.Go(func() { p.stop(ctx, o) })
+	}
+}
+
+func (p *planner) sendDue(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if !p.entitled(now) || p.core.Deposed() {
+	if !p.acting(now) {
 		return
 	}
 	if p.informed(now) {
@@ -329,9 +354,6 @@
 			p.work.Go(func() { p.start(ctx, o) })
 		}
 	}
-	for _, o := range p.core.Stops() {
-		p.work.Go(func() { p.stop(ctx, o) })
-	}
 	for _, id := range p.core.NeedsHold(now) {
 		if o, ok := p.core.Hold(id, now); ok {
 			p.work.Go(func() { p.hold(ctx, o) })
@@ -382,14 +404,28 @@
 }
 
 // hold keeps one worker's lease and takes its news, call after call, while
-// there is something to hold.
+// there is something to hold and no pause between.
 func (p *planner) hold(ctx context.Context, o control.HoldOrder) {
-	sent := time.Now()
-	call, cancel := context.WithTimeout(ctx, o.Wait+holdMargin)
-	answer := p.s.workers.Hold(call, o)
-	cancel()
+	for again := true; again; {
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, o.Wait+holdMargin)
+		answer := p.s.workers.Hold(call, o)
+		cancel()
+		o, again = p.held(o, answer, sent)
+		if len(answer.Ended) > 0 || answer.Verdict != control.Accepted {
+			p.nudge()
+		}
+	}
+}
+
+// held takes an answer and returns the worker's next hold, if it is due now.
+func (p *planner) held(o control.HoldOrder, answer control.HoldAnswer, sent time.Time) (control.HoldOrder, bool) {
 	p.mu.Lock()
-	p.core.Held(o, answer, sent, time.Now())
-	p.mu.Unlock()
-	p.nudge()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.core.Held(o, answer, sent, now)
+	if !p.acting(now) {
+		return control.HoldOrder{}, false
+	}
+	return p.core.Hold(o.Worker, now)
 }
