Planner: nothing is placed on what was read too long ago

Cause: only repeated starts were held back while the lists or the jobs had not been read for config_apply_ms; first starts were not, so that a planner that could write and not read might start what was cancelled, or on a worker that drains. Found by reading.

--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -113,8 +113,8 @@
 	}
 	p.mu.Lock()
 	p.takeNews()
-	if p.listed {
-		began := time.Now()
+	// What was read too long ago may have been cancelled, drained or declared anew.
+	if began := time.Now(); p.listed && p.informed(began) {
 		p.core.Round(began, began.UnixMilli())
 		p.decided = time.Since(began)
 		p.s.metrics.Observe(telemetry.Round, p.decided)
