Bounds: a job's progress always fits into one record

Cause: a job of 10,000 tasks, or a schedule that is faster than its work, made a progress record over record_bytes; the log refuses it for ever and the planner, which repeats its append, plans nothing more. Found by reading. Change: 2,000 tasks a job and over its open occurrences. Test: TestOccurrencesThatPileUpStayWithinOneRecord.

--- a/workload/control/protocol_test.go
+++ b/workload/control/protocol_test.go
@@ -183,6 +183,24 @@
 	}
 }
 
+// A schedule that is faster than its work must not make a record that the log
+// can't hold.
+func TestOccurrencesThatPileUpStayWithinOneRecord(t *testing.T) {
+	const recordBytes = 262_144
+	s := newScene()
+	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: time.Hour} }
+	s.add(jobA, func(j *workload.Job) {
+		j.Repetitions, j.FirstMS, j.IntervalMS = workload.MaxRepetitions, s.now.UnixMilli(), 1
+	}, workload.Step{Count: 700, Need: need(1)})
+	s.add(jobB, nil, workload.Step{Count: workload.MaxTasks, Need: workload.Resources{}, Checkpoint: true})
+	s.pass(2 * time.Second)
+	for _, id := range []workload.JobID{jobA, jobB} {
+		if n := len(s.log[workload.ProgressKey(id)]); n == 0 || n > recordBytes {
+			t.Fatalf("the progress of %s has %d bytes", id, n)
+		}
+	}
+}
+
 func TestTasksThatLastAreRestartedHoweverTheyEnd(t *testing.T) {
 	s := newScene()
 	s.add(jobA, nil, workload.Step{Count: 2, Need: need(1), Perpetual: true})
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -26,13 +26,18 @@
 	c.explain(s, units, plan.Held)
 }
 
-// create opens the occurrences whose time has come.
+// create opens the occurrences whose time has come, as far as a job's progress
+// has room for them.
 func (c *Core) create(wallMS int64) {
 	for _, j := range c.jobs {
 		if j.cancelled || j.progress.State.Final() {
 			continue
 		}
+		tasks := j.Tasks()
 		for j.progress.Next < j.Occurrences() && wallMS >= j.DueMS(j.progress.Next) {
+			if len(j.progress.Open) > 0 && (len(j.progress.Open)+1)*tasks > workload.MaxTasks {
+				break
+			}
 			j.progress.Create(j.Job)
 			if j.Repetitions == 0 {
 				break
--- a/workload/job.go
+++ b/workload/job.go
@@ -14,8 +14,10 @@
 	MaxSpec = 4000
 	// MaxSteps is the largest number of steps of a job.
 	MaxSteps = 100
-	// MaxTasks is the largest number of tasks of one occurrence of a job.
-	MaxTasks = 10_000
+	// MaxTasks is the largest number of tasks of one occurrence of a job, and of
+	// all its occurrences that are open at once. A job's progress is one record of
+	// the log, and has to stay below what a record may hold.
+	MaxTasks = 2_000
 	// MaxRepetitions is the largest number of occurrences.
 	MaxRepetitions = 1_000_000
 	idLength       = 16
@@ -160,6 +162,15 @@
 // Occurrences returns how often the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repetitions) }
 
+// Tasks returns the number of tasks of one occurrence.
+func (j *Job) Tasks() int {
+	total := 0
+	for _, s := range j.Steps {
+		total += s.Count
+	}
+	return total
+}
+
 // DueMS returns when occurrence k may begin.
 func (j *Job) DueMS(k int) int64 {
 	if j.Repetitions == 0 {
