Decisions: guaranteed tasks that are no gang stop borrowers too

Change: tasks of the first priority that find no room have it kept or cleared as gangs do; guaranteed work waits a third of its time at most for its data's rack. Tests: two that failed first.

--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -213,9 +213,16 @@
 	if p.idle && p.s.Now.Sub(u.Since) > idleWait {
 		return false
 	}
+	if u.Guaranteed && p.s.Now.Sub(u.Since) > p.s.ReclaimWithin/guaranteedWait {
+		return false
+	}
 	return p.s.Now.Before(u.LatestStart)
 }
 
+// guaranteedWait is the part of the time in which guaranteed work has to begin
+// that it may wait for a better place.
+const guaranteedWait = 3
+
 func (p *planner) place(i int) {
 	u := &p.s.Waiting[i]
 	if u.Step.Gang {
--- a/workload/decide/decide_test.go
+++ b/workload/decide/decide_test.go
@@ -266,3 +266,30 @@
 		})
 	}
 }
+
+// Guaranteed work need not be a gang: a single task that fills a worker has to
+// be given one as well.
+func TestGuaranteedTasksThatAreNoGangStopBorrowersToo(t *testing.T) {
+	u := singles(2, 8)
+	u.Guaranteed = true
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 4, 4}), Waiting: []Unit{u}, Running: []Group{
+		{Key: UnitKey{Job: "dear"}, Priority: 1, Lost: 900, Held: map[string]workload.Resources{"a1": gpus(4)}},
+		{Key: UnitKey{Job: "cheap"}, Priority: 1, Lost: 10, Held: map[string]workload.Resources{"a2": gpus(4)}},
+	}}
+	p := Make(s)
+	if len(p.Starts) != 1 || len(p.Stops) != 1 || s.Running[p.Stops[0]].Key.Job != "cheap" {
+		t.Fatalf("%+v", p)
+	}
+}
+
+func TestGuaranteedWorkDoesNotWaitForItsDatasRackBeyondItsTime(t *testing.T) {
+	u := singles(1, 8)
+	u.Guaranteed = true
+	u.Step.DataRack = "b"
+	u.LatestStart = now.Add(time.Minute)
+	u.Since = now.Add(-2 * time.Second)
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 0, 0}, []int64{0, 0, 0}), Waiting: []Unit{u}, ReclaimWithin: 3 * time.Second}
+	if p := Make(s); len(p.Starts) != 1 {
+		t.Fatalf("%+v", p)
+	}
+}
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -54,9 +54,22 @@
 		}
 	}
 	rest = p.fill(i, u, rest, p.workers, u.Step.DataRack != "")
-	if len(rest) > 0 {
-		p.hold(i, NoRoom)
+	if len(rest) == 0 {
+		return
+	}
+	if u.Priority == 0 && p.clearFor(u, rest) {
+		p.hold(i, WaitsForStop)
+		return
 	}
+	p.hold(i, NoRoom)
+}
+
+// clearFor keeps room that is being freed for the tasks of a unit that have
+// found none, or has it freed.
+func (p *planner) clearFor(u *Unit, rest []int) bool {
+	part := *u
+	part.Indexes = rest
+	return p.reserveGang(&part, comingRoom) || p.preempt(&part)
 }
 
 // waitsForData tells whether a task does better to wait for the rack of its
