--- a/workload/workertest/advance.go
+++ b/workload/workertest/advance.go
@@ -20,7 +20,7 @@
 
 // Advance lets everything happen that is due until now.
 func (f *Fleet) Advance(now time.Time) {
-	if now.Before(f.now) {
+	if !now.After(f.now) {
 		return
 	}
 	f.now = now
