--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -17,15 +17,10 @@
 const (
 	// Acceptance: from a submission's arrival to its acceptance in the log.
 	Acceptance Latency = "acceptance"
-	// FirstStart: from a job's acceptance to the first order for it.
-	FirstStart Latency = "first_start"
 	// StartAnswer: from an order to its worker's answer.
 	StartAnswer Latency = "start_answer"
-	// EndNoted: from the news of an end to its place in the log.
-	EndNoted Latency = "end_noted"
-	// LogAppend and LogRead: calls to the log, without the time that a read waits.
+	// LogAppend: one append to the log, through whichever way it went.
 	LogAppend Latency = "log_append"
-	LogRead   Latency = "log_read"
 	// Round: one planning round.
 	Round Latency = "round"
 )
