Decisions: guaranteed work stops borrowers of its own priority, after all others

Ruled out: stops that took long (none was decided), trust (no worker was closed), racks (the gang wants none). So borrowers of the same priority come last, where nothing else makes room. The property that no first-priority group is ever stopped was wrong; it now holds where no guaranteed unit waits.

--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -18,7 +18,11 @@
 	if p.waitForEnds(u) {
 		return true
 	}
-	best := p.victimsAnywhere(u)
+	best := p.victimsAnywhere(u, behind)
+	if best == nil && u.Guaranteed {
+		// Work of the same priority earns as much: it is stopped last.
+		best = p.victimsAnywhere(u, borrowed)
+	}
 	if best == nil || (!u.Guaranteed && best.lost > u.work()) {
 		return false
 	}
@@ -74,18 +78,27 @@
 	members []member
 }
 
+// victim tells whether a unit may stop a group.
+type victim func(u *Unit, g *Group) bool
+
+// behind are the groups of a later priority.
+func behind(u *Unit, g *Group) bool { return !g.Guaranteed && g.Priority > u.Priority }
+
+// borrowed are all groups that are not guaranteed.
+func borrowed(u *Unit, g *Group) bool { return !g.Guaranteed && g.Priority >= u.Priority }
+
 // victimsAnywhere tries each rack for a gang that wants one, then all workers.
-func (p *planner) victimsAnywhere(u *Unit) *choice {
+func (p *planner) victimsAnywhere(u *Unit, may victim) *choice {
 	var best *choice
 	if u.Step.SameRack {
 		for _, rack := range p.rackList {
-			best = cheaper(best, p.victims(u, p.racks[rack]))
+			best = cheaper(best, p.victims(u, p.racks[rack], may))
 		}
 		if best != nil {
 			return best
 		}
 	}
-	return p.victims(u, p.workers)
+	return p.victims(u, p.workers, may)
 }
 
 func cheaper(a, b *choice) *choice {
@@ -97,12 +110,12 @@
 
 // victims frees groups on the workers in the order of the work lost until the
 // unit fits, then takes back those that were not needed.
-func (p *planner) victims(u *Unit, workers []*slot) *choice {
+func (p *planner) victims(u *Unit, workers []*slot, may victim) *choice {
 	n := len(u.Indexes)
 	freed := map[string]workload.Resources{}
 	r := func(w *slot) workload.Resources { return w.free.Add(w.coming).Add(freed[w.ID]) }
 	var chosen []int
-	for _, g := range p.candidates(u, workers) {
+	for _, g := range p.candidates(u, workers, may) {
 		p.shift(freed, g, 1)
 		chosen = append(chosen, g)
 		if p.gather(u, workers, n, r) != nil {
@@ -139,7 +152,7 @@
 
 // candidates are the groups on the workers that the unit may stop, those that
 // lose the least work for what they free first.
-func (p *planner) candidates(u *Unit, workers []*slot) []int {
+func (p *planner) candidates(u *Unit, workers []*slot, may victim) []int {
 	here := map[string]bool{}
 	for _, w := range workers {
 		if u.accepts(w) {
@@ -149,7 +162,7 @@
 	var out []int
 	for i := range p.s.Running {
 		g := &p.s.Running[i]
-		if g.Stopping || p.stopped[i] || g.Fixed || g.Guaranteed || g.Priority <= u.Priority {
+		if g.Stopping || p.stopped[i] || g.Fixed || !may(u, g) {
 			continue
 		}
 		if onAny(g, here) {
