Acceptances: a spare topic takes them while the first is down; reading that is old in part is acted on for a while

Ruled out: peers (the partition is down for all), time-outs (a refusal at once is what they gave). Change: records go to the topic that served last, and to the other one too where that fails or takes ten times the usual; all read both. An instance goes on while one topic is old as long as the log serves another, up to max_stretch_ms longer; a job is denied only when both topics were read. Claims need both to have been read once. Not covered: the planner's own topic; while that is down nothing is started.

--- a/workload/service/commit.go
+++ b/workload/service/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,8 +13,12 @@
 // committer gathers records that come at about the same time into one append.
 type committer struct {
 	log   Log
-	topic Topic
 	queue chan *commit
+	// times learns how long the log takes, so that the other topic is tried in
+	// time where one is down.
+	times answerTimes
+	// spare tells that the spare topic served last; it is tried first then.
+	spare atomic.Bool
 	// flight bounds the appends under way, so that a slow one does not hold up
 	// those behind it.
 	flight chan struct{}
@@ -33,8 +38,8 @@
 	commitTries  = 3
 )
 
-func newCommitter(log Log, topic Topic) *committer {
-	return &committer{log: log, topic: topic, queue: make(chan *commit, 1024), flight: make(chan struct{}, commitFlight)}
+func newCommitter(log Log) *committer {
+	return &committer{log: log, queue: make(chan *commit, 1024), flight: make(chan struct{}, commitFlight)}
 }
 
 // add writes a record and returns once it is in the log, or with ErrNotDone if
@@ -93,9 +98,7 @@
 	}
 	unknown := false
 	for try := 1; ; try++ {
-		attempt, cancel := context.WithTimeout(ctx, commitTry)
-		_, err := c.log.Append(attempt, c.topic, records, nil)
-		cancel()
+		err := c.either(ctx, records)
 		if err == nil {
 			finish(batch, nil)
 			return
@@ -113,6 +116,58 @@
 	}
 }
 
+// either appends to the topic that served last, and to the other one too if that
+// fails or takes long. It fails with ErrNotDone only if both did nothing.
+func (c *committer) either(ctx context.Context, records []control.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTry)
+	defer cancel()
+	spare := c.spare.Load()
+	results := make(chan attempt, 2)
+	go c.append(ctx, spare, records, results)
+	slow := time.NewTimer(c.times.patience())
+	defer slow.Stop()
+	var failed error
+	for running, both := 1, false; running > 0; {
+		select {
+		case a := <-results:
+			running--
+			if a.err == nil {
+				c.spare.Store(a.spare)
+				return nil
+			}
+			if failed == nil || errors.Is(failed, ErrNotDone) {
+				failed = a.err
+			}
+		case <-slow.C:
+		}
+		if !both {
+			both = true
+			running++
+			go c.append(ctx, !spare, records, results)
+		}
+	}
+	return failed
+}
+
+// attempt is what came of one append.
+type attempt struct {
+	spare bool
+	err   error
+}
+
+func (c *committer) append(ctx context.Context, spare bool, records []control.Record, results chan<- attempt) {
+	topic := Jobs
+	if spare {
+		topic = SpareJobs
+	}
+	began := time.Now()
+	_, err := c.log.Append(ctx, topic, records, nil)
+	if err == nil {
+		c.times.observe(time.Since(began))
+	}
+	results <- attempt{spare, err}
+}
+
 func nobodyWaits(batch []*commit) bool {
 	for _, one := range batch {
 		if one.ctx.Err() == nil {
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// known tells whether the topic was ever read to its end.
+func (f *follower) known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.good.IsZero()
+}
+
 // connected tells whether the last read succeeded.
 func (f *follower) connected() bool {
 	f.mu.Lock()
--- a/workload/service/forget.go
+++ b/workload/service/forget.go
@@ -36,13 +36,8 @@
 	for _, id := range progress {
 		rest = append(rest, control.Record{Key: workload.ProgressKey(id)})
 	}
-	if len(first) > 0 {
-		attempt, cancel := context.WithTimeout(ctx, appendTry)
-		_, err := p.s.log.Append(attempt, Jobs, first, nil)
-		cancel()
-		if err != nil {
-			return
-		}
+	if len(first) > 0 && p.dropAcceptances(ctx, first) != nil {
+		return
 	}
 	if len(rest) > 0 {
 		if _, err := p.append(ctx, rest); err != nil {
@@ -56,3 +51,20 @@
 		p.s.events.Info(events.JobsForgotten, events.Fields{"accepted": len(accepted), "progress": len(progress), "keep_ms": keep.Milliseconds()})
 	}
 }
+
+// dropAcceptances drops records in both topics that may have them.
+func (p *planner) dropAcceptances(ctx context.Context, drops []control.Record) error {
+	topics := []Topic{Jobs}
+	if p.s.spare.place() > 0 {
+		topics = append(topics, SpareJobs)
+	}
+	for _, topic := range topics {
+		attempt, cancel := context.WithTimeout(ctx, appendTry)
+		_, err := p.s.log.Append(attempt, topic, drops, nil)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/workload/service/ports.go
+++ b/workload/service/ports.go
@@ -16,6 +16,9 @@
 const (
 	// Jobs has acceptances and cancellations; every instance writes there.
 	Jobs Topic = "jobs"
+	// SpareJobs takes what Jobs takes while that is down: a log may be down in
+	// part. The records are idempotent, so that one may stand in both.
+	SpareJobs Topic = "spare-jobs"
 	// Plans has the planner's claim, its signs of life and the jobs' progress;
 	// only the planner writes there.
 	Plans Topic = "plans"
--- /dev/null
+++ b/workload/service/reading.go
@@ -0,0 +1,56 @@
+package service
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cobalttide/cobalttide/domain"
+)
+
+// Current refuses where this instance has not read the log for too long.
+func (s *Service) Current() error {
+	if s.directory.Load() == nil {
+		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
+	}
+	now := time.Now()
+	if s.recent(s.jobs.age(now), s.plansAge(now), s.declared.age(now)) {
+		return nil
+	}
+	return cutOff()
+}
+
+func cutOff() error {
+	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance is cut off from the log", "try another instance, or come back later").After(time.Second)
+}
+
+// recent tells whether what was read can be acted on, given the ages of several
+// topics: none is stale, or one is while the log serves another. Then a part of
+// the log is down for all, and the topic has no news that anyone was told of.
+func (s *Service) recent(ages ...time.Duration) bool {
+	oldest, youngest := slices.Max(ages), slices.Min(ages)
+	if oldest < s.settings.Stale {
+		return true
+	}
+	return youngest < s.settings.Stale && oldest < s.settings.Stale+s.settings.Stretch
+}
+
+func (s *Service) plansAge(now time.Time) time.Duration {
+	if s.planning.Load() {
+		return 0
+	}
+	return s.plans.age(now)
+}
+
+// lookForJobs reads all acceptances to their end, so that a job that is not
+// known then was not accepted before. Where that fails, what was read a moment
+// ago has to do.
+func (s *Service) lookForJobs(ctx context.Context) error {
+	if s.jobs.look(ctx) == nil && s.spare.look(ctx) == nil {
+		return nil
+	}
+	if s.jobs.age(time.Now()) < s.settings.Stale && s.spare.connected() && s.Current() == nil {
+		return nil
+	}
+	return cutOff()
+}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -28,6 +28,9 @@
 	// Stale is the age of what was read at which this instance stops answering
 	// from it.
 	Stale time.Duration
+	// Stretch is how much older one topic may be while the log serves others: a
+	// part of the log is down then, and nothing new can be written there either.
+	Stretch time.Duration
 	// Keep is how long a job's state is kept after its end; 0 keeps it for good.
 	Keep time.Duration
 	// Power is how strong the instance is, in any unit that all share.
@@ -47,6 +50,7 @@
 	book       *workload.Book
 	succession *succession
 	jobs       *follower
+	spare      *follower
 	plans      *follower
 	declared   *follower
 	commits    *committer
@@ -59,15 +63,20 @@
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	s := &Service{settings: settings, log: log, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook()}
 	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
-	s.commits = newCommitter(log, Jobs)
+	s.commits = newCommitter(log)
 	s.jobs = s.follow(Jobs, s.foldAll, s.fold, s.restOfReader)
+	s.spare = s.follow(SpareJobs, s.foldAll, s.fold, s.restOfReader)
+	s.spare.wait = spareWait
 	s.plans = s.follow(Plans, s.planAll, s.plan, s.restOfPlans)
 	s.declared = s.follow(Declarations, s.declareAll, s.declare, func() time.Duration { return 0 })
 	return s
 }
 
 const (
-	readWait     = 700 * time.Millisecond
+	readWait = 700 * time.Millisecond
+	// spareWait is longer: there is seldom anything in the spare topic, and what
+	// there is comes at once.
+	spareWait    = 10 * time.Second
 	readerRest   = 200 * time.Millisecond
 	plannerRest  = 10 * time.Millisecond
 	watcherRest  = time.Second
@@ -154,7 +163,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, work := range []func(context.Context){newMembers(s).run, s.jobs.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
+	for _, work := range []func(context.Context){newMembers(s).run, s.jobs.run, s.spare.run, s.plans.run, s.declared.run, s.commits.run, s.elect} {
 		group.Go(func() { work(ctx) })
 	}
 	group.Wait()
@@ -176,7 +185,7 @@
 }
 
 func (s *Service) mayClaim() bool {
-	return s.plans.connected() && s.jobs.connected() && s.directory.Load() != nil && s.succession.due(time.Now())
+	return s.plans.connected() && s.jobs.known() && s.spare.known() && s.directory.Load() != nil && s.succession.due(time.Now())
 }
 
 func (s *Service) claim(ctx context.Context) {
@@ -202,25 +211,6 @@
 // Directory returns the configuration in force; nil before the first.
 func (s *Service) Directory() *Directory { return s.directory.Load() }
 
-// Current refuses where this instance has not read the log for too long.
-func (s *Service) Current() error {
-	now := time.Now()
-	if s.directory.Load() == nil {
-		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
-	}
-	if max(s.jobs.age(now), s.plansAge(now), s.declared.age(now)) < s.settings.Stale {
-		return nil
-	}
-	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance is cut off from the log", "try another instance, or come back later").After(time.Second)
-}
-
-func (s *Service) plansAge(now time.Time) time.Duration {
-	if s.planning.Load() {
-		return 0
-	}
-	return s.plans.age(now)
-}
-
 // Submit accepts a job. Nil means that it is in the log. A refusal with the
 // outcome not-run means that it never will be.
 func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
@@ -301,10 +291,8 @@
 	if e, known := s.book.Get(id); known {
 		return e, nil
 	}
-	if err := s.jobs.look(ctx); err != nil {
-		if err := s.Current(); err != nil {
-			return workload.Entry{}, err
-		}
+	if err := s.lookForJobs(ctx); err != nil {
+		return workload.Entry{}, err
 	}
 	if e, known := s.book.Get(id); known {
 		return e, nil
