Acceptances: the spare topic is read as often as the first, and counts as reading

Change: the same wait (0.7 s) as for the first topic; its age counts in what planner and front may act on. Conclusion: a read that waits proves nothing while the store drops history; no read that decides may wait longer than 0.7 s.

--- a/workload/service/parts_test.go
+++ b/workload/service/parts_test.go
@@ -120,3 +120,32 @@
 		})
 	}
 }
+
+// A log may keep news from a read that waits. Whatever decides or answers is
+// read anew often enough for what it is worth.
+func TestWhatDecisionsDependOnIsReadOften(t *testing.T) {
+	s := New(Settings{Instance: "a"}, &partly{}, nil, nil, nil, nil)
+	const leastStale = 2 * time.Second
+	for _, f := range []*follower{s.jobs, s.spare, s.plans, s.declared} {
+		if f.wait+f.pause() > leastStale/2 {
+			t.Errorf("%s is read each %v", f.topic, f.wait)
+		}
+	}
+}
+
+func TestNothingIsStartedOnAcceptancesThatWereReadTooLongAgo(t *testing.T) {
+	now := time.Now()
+	for _, topic := range []Topic{Jobs, SpareJobs, WorkerList} {
+		s := New(Settings{Instance: "a", Stale: 2 * time.Second, Stretch: 5 * time.Second}, &partly{}, nil, nil, nil, nil)
+		p := &planner{s: s, written: now, lister: s.follow(WorkerList, nil, nil, nil)}
+		for _, f := range []*follower{s.jobs, s.spare, p.lister} {
+			f.good = now
+			if f.topic == topic {
+				f.good = now.Add(-8 * time.Second)
+			}
+		}
+		if p.informed(now) {
+			t.Errorf("%s was read 8 s ago", topic)
+		}
+	}
+}
--- a/workload/service/reading.go
+++ b/workload/service/reading.go
@@ -14,7 +14,7 @@
 		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
 	}
 	now := time.Now()
-	if s.recent(s.jobs.age(now), s.plansAge(now), s.declared.age(now)) {
+	if s.recent(s.jobs.age(now), s.spare.age(now), s.plansAge(now), s.declared.age(now)) {
 		return nil
 	}
 	return cutOff()
@@ -49,8 +49,9 @@
 	if s.jobs.look(ctx) == nil && s.spare.look(ctx) == nil {
 		return nil
 	}
-	if s.jobs.age(time.Now()) < s.settings.Stale && s.spare.connected() && s.Current() == nil {
-		return nil
+	now := time.Now()
+	if max(s.jobs.age(now), s.spare.age(now)) >= s.settings.Stale {
+		return cutOff()
 	}
-	return cutOff()
+	return s.Current()
 }
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -66,17 +66,13 @@
 	s.commits = newCommitter(log)
 	s.jobs = s.follow(Jobs, s.foldAll, s.fold, s.restOfReader)
 	s.spare = s.follow(SpareJobs, s.foldAll, s.fold, s.restOfReader)
-	s.spare.wait = spareWait
 	s.plans = s.follow(Plans, s.planAll, s.plan, s.restOfPlans)
 	s.declared = s.follow(Declarations, s.declareAll, s.declare, func() time.Duration { return 0 })
 	return s
 }
 
 const (
-	readWait = 700 * time.Millisecond
-	// spareWait is longer: there is seldom anything in the spare topic, and what
-	// there is comes at once.
-	spareWait    = 10 * time.Second
+	readWait     = 700 * time.Millisecond
 	readerRest   = 200 * time.Millisecond
 	plannerRest  = 10 * time.Millisecond
 	watcherRest  = time.Second
