Advice: queues with a policy are served

Cause: starts on a queue with advice need a ticket; none was asked for, so that no job of such a queue could ever run. Change: control asks for the unit with the least time about the workers with room (30 a call at most), keeps tickets by step and life of the worker, restricts the unit to allowed workers, drops a refused ticket. Open: asking ahead of a step's turn; calls from more than one instance.

--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -19,6 +19,8 @@
 	Acceptance Latency = "acceptance"
 	// StartAnswer: from an order to its worker's answer.
 	StartAnswer Latency = "start_answer"
+	// AdviceAnswer: from a call for advice to its answer.
+	AdviceAnswer Latency = "advice_answer"
 	// LogAppend: one append to the log, through whichever way it went.
 	LogAppend Latency = "log_append"
 	// Round: one planning round.
--- /dev/null
+++ b/workload/control/advice_test.go
@@ -0,0 +1,146 @@
+package control_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// advisedCore has n workers that answer, and one job of an advised queue.
+func advisedCore(n int, at time.Time, step workload.Step) *control.Core {
+	c := control.New(worldBounds, 1, at)
+	c.Configure(control.Configuration{Version: 1})
+	var list []control.Listing
+	for i := range n {
+		list = append(list, control.Listing{ID: fmt.Sprintf("w%02d", i), Address: "a", Rack: "r", Capacity: need(8), ClockMS: 1000})
+	}
+	for i := range list {
+		list[i].Capacity.MilliCPU = 8000
+		list[i].Capacity.MemoryMiB = 8000
+	}
+	c.List(list, at)
+	for _, l := range list {
+		c.Held(control.HoldOrder{Worker: l.ID, Token: 1}, control.HoldAnswer{Verdict: control.Accepted, ClockMS: l.ClockMS}, at, at)
+	}
+	c.Adopt(jobA, workload.Entry{Job: &workload.Job{
+		ID: jobA, Steps: []workload.Step{step},
+		Terms: workload.Terms{Attempts: 3, Stretch: 3, TargetMS: 60_000, Advice: &workload.Advice{DecideMS: 100, EachMS: 10, ValidMS: 2000}},
+	}})
+	return c
+}
+
+func round(c *control.Core, at time.Time) []control.StartOrder {
+	c.Round(at, at.UnixMilli())
+	c.Changes()
+	return c.Persisted(at)
+}
+
+// allow answers a call: workers with an even number are good.
+func allow(c *control.Core, o control.AdviceOrder, at time.Time) {
+	good := map[string]string{}
+	for _, id := range o.Workers {
+		if strings.ContainsAny(id[2:], "02468") {
+			good[id] = "ticket of " + id
+		}
+	}
+	c.Advised(o, control.AdviceAnswer{OK: true, Good: good, ValidFor: 2 * time.Second}, at, at)
+}
+
+func TestAnAdvisedStepStartsOnlyOnWorkersThatItsPolicyAllows(t *testing.T) {
+	at := time.Unix(1000, 0)
+	c := advisedCore(6, at, workload.Step{Count: 20, Need: need(1), EstimateMS: 1000})
+	if orders := round(c, at); len(orders) != 0 {
+		t.Fatalf("%d starts before any advice", len(orders))
+	}
+	o, ok := c.Ask(at)
+	if !ok || o.Step != string(jobA)+".0.0" || len(o.Workers) != 5 || o.Takes != 150*time.Millisecond {
+		t.Fatalf("%+v, %t: want 5 workers, which have room for twice the step", o, ok)
+	}
+	if _, twice := c.Ask(at); twice {
+		t.Fatal("two calls at once")
+	}
+	allow(c, o, at)
+	orders := round(c, at)
+	if len(orders) != 20 {
+		t.Fatalf("%d starts", len(orders))
+	}
+	for _, start := range orders {
+		if start.Ticket != "ticket of "+start.Worker || !strings.ContainsAny(start.Worker[2:], "024") {
+			t.Fatalf("%s is started with %q", start.Worker, start.Ticket)
+		}
+	}
+}
+
+func TestMoreWorkersAreAskedAboutUntilTheStepHasRoom(t *testing.T) {
+	at := time.Unix(1000, 0)
+	c := advisedCore(80, at, workload.Step{Count: 100, Need: need(8), EstimateMS: 1000})
+	round(c, at)
+	asked := map[string]bool{}
+	for range 3 {
+		o, ok := c.Ask(at)
+		if !ok {
+			break
+		}
+		if len(o.Workers) > 30 {
+			t.Fatalf("%d workers in one call", len(o.Workers))
+		}
+		for _, id := range o.Workers {
+			if asked[id] {
+				t.Fatalf("%s is asked about twice", id)
+			}
+			asked[id] = true
+		}
+		allow(c, o, at)
+		round(c, at)
+	}
+	if len(asked) != 80 {
+		t.Fatalf("asked about %d of 80", len(asked))
+	}
+}
+
+func TestATicketThatRanOutOrIsNotTakenIsAskedForAnew(t *testing.T) {
+	at := time.Unix(1000, 0)
+	c := advisedCore(1, at, workload.Step{Count: 2, Need: need(8), EstimateMS: 1000})
+	round(c, at)
+	o, _ := c.Ask(at)
+	allow(c, o, at)
+	first := round(c, at)
+	if len(first) != 1 {
+		t.Fatalf("%d starts", len(first))
+	}
+	c.Started(first[0], control.Answer{Verdict: control.NoTicket, ClockMS: 1000}, at)
+	if orders := round(c, at); len(orders) != 0 {
+		t.Fatal("started again with the ticket that was refused")
+	}
+	o, ok := c.Ask(at)
+	if !ok {
+		t.Fatal("not asked again")
+	}
+	allow(c, o, at)
+	late := at.Add(1900 * time.Millisecond)
+	c.Round(late, late.UnixMilli())
+	if orders := round(c, late); len(orders) != 0 {
+		t.Fatal("started with a ticket that is about to run out")
+	}
+	if _, ok := c.Ask(late); !ok {
+		t.Fatal("not asked for a new ticket")
+	}
+}
+
+func TestACallForAdviceWithoutAnAnswerIsMadeAgain(t *testing.T) {
+	at := time.Unix(1000, 0)
+	c := advisedCore(2, at, workload.Step{Count: 1, Need: need(1), EstimateMS: 1000})
+	round(c, at)
+	o, _ := c.Ask(at)
+	c.Advised(o, control.AdviceAnswer{}, at, at)
+	if _, ok := c.Ask(at); ok {
+		t.Fatal("asked again without a pause")
+	}
+	if _, ok := c.Ask(at.Add(time.Second)); !ok {
+		t.Fatal("not asked again")
+	}
+}
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -32,6 +32,12 @@
 	// that have not answered yet must have lapsed.
 	strangersUntil time.Time
 	deposed        bool
+	// advice holds what is known of each step whose queue has a policy; wishes
+	// are the units of the last round that lack allowed workers.
+	advice map[decide.UnitKey]*advice
+	wishes []*decide.Unit
+	// asking tells that a call for advice is under way.
+	asking bool
 	// wallMS is the time of day of the last round.
 	wallMS int64
 }
@@ -94,6 +100,7 @@
 		workers:        map[string]*worker{},
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
+		advice:         map[decide.UnitKey]*advice{},
 		dirty:          map[workload.JobID]bool{},
 		pace:           newEstimates(),
 		strangersUntil: now.Add(bounds.Authority + stretched(bounds.Lease) + lapseSlack),
@@ -308,6 +315,7 @@
 			delete(c.jobs, id)
 		}
 	}
+	c.forgetAdvice()
 }
 
 // Stops hands out the stop orders that are due.
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -3,6 +3,10 @@
 // The events that a planner notes. Each carries the planner's token and the
 // version of the configuration; job, task, run and worker where there are such.
 const (
+	// EventAdviceTaken: the advice service said which workers may run a step; detail is how many of how many.
+	EventAdviceTaken = "advice-taken"
+	// EventAdviceUnanswered: a call for advice had no answer; it is repeated.
+	EventAdviceUnanswered = "advice-unanswered"
 	// EventCancelling: a cancellation was read; what runs of the job is stopped.
 	EventCancelling = "cancelling"
 	// EventJobCompleted: all tasks have ended as done.
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -22,7 +22,7 @@
 	l.tries++
 	return StartOrder{
 		Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Spec: l.job.Spec,
-		Saved: l.saved, DeadlineMS: c.deadline(l.worker, now), Token: c.token, Try: l.tries,
+		Saved: l.saved, Ticket: c.ticketFor(l), DeadlineMS: c.deadline(l.worker, now), Token: c.token, Try: l.tries,
 	}
 }
 
@@ -86,6 +86,9 @@
 	if verdict == Full {
 		l.worker.trust.full(now)
 	}
+	if verdict == NoTicket {
+		c.refuseTicket(l)
+	}
 	if l.tries == 1 {
 		c.ended(l, EndStopped, "")
 		return
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -13,11 +13,13 @@
 // schedules refer to.
 func (c *Core) Round(now time.Time, wallMS int64) {
 	c.wallMS = wallMS
+	c.wishes = nil
 	c.expire(now)
 	c.create(wallMS)
 	c.overdue(now)
 	c.evacuate(now)
 	s, units := c.snapshot(now, wallMS)
+	c.orderWishes()
 	plan := decide.Make(s)
 	for _, index := range plan.Stops {
 		c.preempt(s.Running[index], now)
@@ -219,6 +221,7 @@
 	if u.Step.Spread > 0 {
 		u.Beside = j.beside(u.Key)
 	}
+	c.advised(u, terms, now)
 }
 
 // lateFactor is how many times its objective a job may take and still earn.
@@ -295,6 +298,9 @@
 // explain notes why units wait, when the reason changes.
 func (c *Core) explain(s *decide.Snapshot, units []unit, held []decide.Held) {
 	for _, h := range held {
+		if u := &s.Waiting[h.Unit]; u.Allowed != nil && len(u.Allowed) == 0 {
+			h.Reason = decide.WaitsForAdvice
+		}
 		key := s.Waiting[h.Unit].Key
 		j := units[h.Unit].job
 		if j.held[key] == h.Reason {
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -59,9 +59,11 @@
 	Run             int64
 	Spec            string
 	Saved           string
-	DeadlineMS      int64
-	Token           int64
-	Try             int
+	// Ticket proves that the queue's policy allows the worker; "" where there is none.
+	Ticket     string
+	DeadlineMS int64
+	Token      int64
+	Try        int
 }
 
 // StopOrder tells a worker to stop a run and all earlier ones of a task.
@@ -100,6 +102,8 @@
 	Unhealthy Verdict = "unhealthy"
 	// Gone: another life of the worker is at that address.
 	Gone Verdict = "gone"
+	// NoTicket: the ticket is missing or no longer valid there.
+	NoTicket Verdict = "no-ticket"
 	// Invalid: the worker does not understand the order.
 	Invalid Verdict = "invalid"
 	// Unreached: no connection was made, and the order went nowhere.
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -124,6 +124,8 @@
 	NoRack       Reason = "no-rack"
 	WaitsForStop Reason = "waits-for-stop"
 	NoWorker     Reason = "no-worker"
+	// WaitsForAdvice: it is not known yet which workers the queue's policy allows.
+	WaitsForAdvice Reason = "waits-for-advice"
 )
 
 // Held is a unit that waits.
--- a/workload/job.go
+++ b/workload/job.go
@@ -140,6 +140,19 @@
 	// chain of work, and TargetMS more.
 	Stretch  float64 `json:"stretch"`
 	TargetMS int64   `json:"target"`
+	// Advice is set where only workers that the queue's policy allows may run a
+	// step, and says how long the service that knows them takes; nil is no policy.
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Advice is what asking which workers may run a step costs.
+type Advice struct {
+	// DecideMS is what a call takes, EachMS what each worker named adds, in
+	// milliseconds.
+	DecideMS int64 `json:"decide"`
+	EachMS   int64 `json:"each"`
+	// ValidMS is how long a ticket may be used, in milliseconds.
+	ValidMS int64 `json:"valid"`
 }
 
 // Job is a job as accepted.
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -18,6 +18,8 @@
 	Start(ctx context.Context, order control.StartOrder) control.Answer
 	Stop(ctx context.Context, order control.StopOrder) control.Answer
 	Hold(ctx context.Context, order control.HoldOrder) control.HoldAnswer
+	// Advise asks the service that knows a queue's policy.
+	Advise(ctx context.Context, order control.AdviceOrder) control.AdviceAnswer
 }
 
 // planner drives a core while this instance holds the claim.
@@ -354,6 +356,9 @@
 			p.work.Go(func() { p.start(ctx, o) })
 		}
 	}
+	if o, ok := p.core.Ask(now); ok {
+		p.work.Go(func() { p.advise(ctx, o) })
+	}
 	for _, id := range p.core.NeedsHold(now) {
 		if o, ok := p.core.Hold(id, now); ok {
 			p.work.Go(func() { p.hold(ctx, o) })
@@ -403,6 +408,22 @@
 	p.nudge()
 }
 
+// adviceMargin is what a call for advice may take beyond its own time: calls
+// of other instances may be before it in the service's line.
+const adviceMargin = time.Second
+
+func (p *planner) advise(ctx context.Context, o control.AdviceOrder) {
+	call, cancel := context.WithTimeout(ctx, o.Takes+adviceMargin)
+	sent := time.Now()
+	answer := p.s.workers.Advise(call, o)
+	cancel()
+	p.s.metrics.Observe(telemetry.AdviceAnswer, time.Since(sent))
+	p.mu.Lock()
+	p.core.Advised(o, answer, sent, time.Now())
+	p.mu.Unlock()
+	p.nudge()
+}
+
 // hold keeps one worker's lease and takes its news, call after call, while
 // there is something to hold and no pause between.
 func (p *planner) hold(ctx context.Context, o control.HoldOrder) {
