Tasks that last: a budget of what may be missed, and a controller on the tail of what serves

Change: availability.go hands out how many tasks of a step may be stopped for others in a round; pace.go slows what fills beside a serving task before its target and lets it go on step by step; holds there come each eighth of harm_ms. The model of workers and the stand-in know tails, pace and work at 100 percent.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -24,6 +24,7 @@
 	starts  []*live
 	batch   []*live
 	stops   []StopOrder
+	paces   []PaceOrder
 	notes   []Note
 	pace    *estimates
 	// headroom is what the first priority is expected to need at once.
@@ -85,6 +86,13 @@
 	// movedAt is when the percentage last rose, seenAt when it was last shown.
 	movedAt time.Time
 	seenAt  time.Time
+	// figure is the worker's latest figure (RunningRow).
+	figure int
+	// slowed is what an order on pace took away, in percent; pacing tells that
+	// one is under way.
+	slowed  int
+	pacing  bool
+	pacedAt time.Time
 	// firstPercent was shown at firstAt, before all others.
 	firstPercent int
 	firstAt      time.Time
@@ -155,7 +163,7 @@
 			for i := range o.Steps[s] {
 				t := &o.Steps[s][i]
 				if t.Phase == workload.Placed {
-					c.addLive(j, workload.TaskID{Job: j.ID, K: o.K, Step: s, Index: i}, t)
+					c.addLive(j, workload.TaskID{Job: j.ID, K: o.K, Step: s, Index: i}, t).adoptPace()
 				}
 			}
 		}
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -23,6 +23,8 @@
 	EventRunLost = "run-lost"
 	// EventRunNeverBegan: a run that an earlier planner ordered is not on its worker, which has seen this planner's token.
 	EventRunNeverBegan = "run-never-began"
+	// EventRunPaced: a run that fills works at another share of its pace; detail is the percentage.
+	EventRunPaced = "run-paced"
 	// EventRunStandsStill: a run shows no progress and is stopped.
 	EventRunStandsStill = "run-stands-still"
 	// EventRunStopping: a stop was decided; why tells for what.
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -60,6 +60,7 @@
 		c.takeEnd(w, row, now)
 	}
 	c.missing(w, listed, sent, now)
+	c.controlPace(w, now)
 	switch {
 	case w.seen > w.cursor:
 		w.holdAt = now.Add(ackPause)
@@ -114,6 +115,10 @@
 	if row.Saved != "" {
 		l.saved = row.Saved
 	}
+	l.figure = row.Figure
+	if l.step.Perpetual {
+		l.percent = row.Percent
+	}
 }
 
 // takeEnd takes one end in. Its worker may forget it once it is in the log.
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -90,6 +90,7 @@
 // addRunning groups what runs: gangs by their run, other tasks alone.
 func (c *Core) addRunning(s *decide.Snapshot, guaranteed map[workload.JobID]bool, now time.Time) {
 	gangs := map[decide.UnitKey]int{}
+	budget := c.newBudget(now)
 	for _, l := range c.allLives() {
 		index, known := gangs[l.key]
 		if !l.step.Gang || !known {
@@ -104,6 +105,7 @@
 		g.Lost += c.lost(l, now)
 		g.Left = max(g.Left, l.left(now))
 		g.Stopping = g.Stopping || l.stopping || l.over
+		g.Fixed = g.Fixed || !budget.take(l)
 	}
 }
 
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -21,6 +21,9 @@
 	ReclaimWithin time.Duration
 	// Restore is what a start from a checkpoint costs.
 	Restore time.Duration
+	// Pace is the time until an order on pace has its effect, Harm how long a
+	// serving task may be over its target by what fills beside it; 0 is no bound.
+	Pace, Harm time.Duration
 	// Wait is how long a worker may wait for news before it answers a hold.
 	Wait time.Duration
 }
@@ -125,6 +128,9 @@
 	Run     int64
 	Saved   string
 	Percent int
+	// Figure is rough, for the last half second: the latency tail of a task that
+	// serves, in milliseconds; the processor in use of any other, in thousandths.
+	Figure int
 }
 
 // End is how a run ended.
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -210,7 +210,7 @@
 	order := HoldOrder{Worker: id, Address: w.Address, Token: c.token, Cursor: w.cursor}
 	if w.met {
 		order.DeadlineMS = c.deadline(w, now)
-		order.Wait = c.bounds.Wait
+		order.Wait = c.lookAgain(w, c.bounds.Wait)
 	} else {
 		order.DeadlineMS = w.deadlineMS
 	}
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -25,7 +25,7 @@
 var worldBounds = control.Bounds{
 	Lease: worldLimits.HoldMax, Authority: 2 * time.Second, StopTimeout: worldLimits.StopTimeout,
 	GangTimeout: worldLimits.GangTimeout, ReclaimWithin: 3 * time.Second, Restore: worldLimits.Restore,
-	Wait: time.Second,
+	Wait: time.Second, Pace: 100 * time.Millisecond, Harm: 4 * time.Second,
 }
 
 const worldAttempts = 3
@@ -256,6 +256,9 @@
 	for _, o := range s.core.Stops() {
 		w.sendStop(s, o)
 	}
+	for _, o := range s.core.Paces() {
+		w.sendPace(s, o)
+	}
 	for _, id := range s.core.NeedsHold(w.now) {
 		if o, ok := s.core.Hold(id, w.now); ok {
 			w.sendHold(s, o)
@@ -344,6 +347,13 @@
 	}, func() { s.core.Stopped(o, control.Answer{Verdict: w.mutant.silence(control.Accepted)}, w.now) })
 }
 
+func (w *world) sendPace(s *seat, o control.PaceOrder) {
+	w.send(o.Worker, s, func(target *workertest.Worker) func() {
+		answer := target.Pace(o, w.now)
+		return func() { s.core.Paced(o, answer, w.now) }
+	}, func() { s.core.Paced(o, control.Answer{Verdict: control.Unanswered}, w.now) })
+}
+
 func (w *world) sendHold(s *seat, o control.HoldOrder) {
 	sent := w.now
 	if o.DeadlineMS > 0 {
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -18,6 +18,7 @@
 	Start(ctx context.Context, order control.StartOrder) control.Answer
 	Stop(ctx context.Context, order control.StopOrder) control.Answer
 	Hold(ctx context.Context, order control.HoldOrder) control.HoldAnswer
+	Pace(ctx context.Context, order control.PaceOrder) control.Answer
 	// Advise asks the service that knows a queue's policy.
 	Advise(ctx context.Context, order control.AdviceOrder) control.AdviceAnswer
 }
@@ -342,6 +343,9 @@
 	for _, o := range p.core.Stops() {
 		p.work.Go(func() { p.stop(ctx, o) })
 	}
+	for _, o := range p.core.Paces() {
+		p.work.Go(func() { p.pace(ctx, o) })
+	}
 }
 
 func (p *planner) sendDue(ctx context.Context) {
@@ -408,6 +412,15 @@
 	p.nudge()
 }
 
+func (p *planner) pace(ctx context.Context, o control.PaceOrder) {
+	call, cancel := context.WithTimeout(ctx, p.answers.patience())
+	answer := p.s.workers.Pace(call, o)
+	cancel()
+	p.mu.Lock()
+	p.core.Paced(o, answer, time.Now())
+	p.mu.Unlock()
+}
+
 // adviceMargin is what a call for advice may take beyond its own time: calls
 // of other instances may be before it in the service's line.
 const adviceMargin = time.Second
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -23,6 +23,10 @@
 	Takes time.Duration
 	Fails bool
 	Hang  bool
+	// TailMS is the latency tail of a run that serves, while nothing disturbs it;
+	// DisturbsMS is what the run adds to those of others on its worker, at its
+	// full pace.
+	TailMS, DisturbsMS int
 }
 
 // Event is something that began or ended on a worker.
@@ -85,6 +89,8 @@
 	saved    string
 	stopping time.Time
 	gangBy   time.Time
+	// slowed is what orders on pace took away, in percent.
+	slowed int
 }
 
 // Add puts an empty worker into the fleet.
@@ -227,12 +233,68 @@
 		w.ended = w.ended[1:]
 	}
 	for _, r := range w.sorted() {
-		answer.Running = append(answer.Running, control.RunningRow{Task: r.id, Run: r.run, Saved: r.saved, Percent: r.percent(now)})
+		answer.Running = append(answer.Running, control.RunningRow{Task: r.id, Run: r.run, Saved: r.saved, Percent: r.percent(now), Figure: w.figure(r)})
 	}
 	answer.Ended = append(answer.Ended, w.ended[:min(len(w.ended), mostEnds)]...)
 	return answer
 }
 
+// Pace carries an order on pace out, at once.
+func (w *Worker) Pace(o control.PaceOrder, now time.Time) control.Answer {
+	w.fleet.Advance(now)
+	answer := control.Answer{Verdict: control.Accepted, ClockMS: w.ClockMS(now)}
+	if !w.admit(o.Token) {
+		answer.Verdict = control.Fenced
+		return answer
+	}
+	r := w.runs[o.Task]
+	if r == nil || r.run != o.Run {
+		answer.Verdict = control.Superseded
+		return answer
+	}
+	r.slowed = whole - o.Percent
+	return answer
+}
+
+// whole is all of a run's work or pace, in percent.
+const whole = 100
+
+// figure is the tail of a run that serves, and the processor use of any other.
+func (w *Worker) figure(r *run) int {
+	if r.work.TailMS == 0 {
+		return int(r.step.Need.MilliCPU) * (whole - r.slowed) / whole
+	}
+	tail := r.work.TailMS
+	for _, other := range w.runs {
+		if other != r {
+			tail += other.work.DisturbsMS * (whole - other.slowed) / whole
+		}
+	}
+	return tail
+}
+
+// Tails lists the tails of the runs that serve on the worker.
+func (w *Worker) Tails() []int {
+	var out []int
+	for _, r := range w.sorted() {
+		if r.work.TailMS > 0 {
+			out = append(out, w.figure(r))
+		}
+	}
+	return out
+}
+
+// Slowed lists what orders on pace took away from each run that fills.
+func (w *Worker) Slowed() []int {
+	var out []int
+	for _, r := range w.sorted() {
+		if r.step.Fills {
+			out = append(out, r.slowed)
+		}
+	}
+	return out
+}
+
 func (r *run) progress(now time.Time) time.Duration {
 	if r.working.IsZero() {
 		return r.done
@@ -241,6 +303,9 @@
 }
 
 func (r *run) percent(now time.Time) int {
+	if r.step.Perpetual && !r.working.IsZero() {
+		return whole
+	}
 	if r.work.Hang || r.work.Takes <= 0 {
 		return 0
 	}
