Maintenance: waves are carried out

Cause: op/wave/N was passed over; each tenth of a wave that is late is a duty missed, and the contract is in force on the given sites.

--- a/events/names.go
+++ b/events/names.go
@@ -32,6 +32,8 @@
 	PlannerEnds   Name = "planner-ends"
 	// AppendRepeated: the planner's append had no answer for some time.
 	AppendRepeated Name = "append-repeated"
+	// WaveReported: operators were told the state of a wave of maintenance.
+	WaveReported Name = "wave-reported"
 	// JobsForgotten: records of jobs that ended long ago were dropped.
 	JobsForgotten Name = "jobs-forgotten"
 	// LinesLeftOut: lines went over the budget or had no room.
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -37,6 +37,14 @@
 	// are the units of the last round that lack allowed workers.
 	advice map[decide.UnitKey]*advice
 	wishes []*decide.Unit
+	// waves are what operators asked for, hosts the platform's list as it was
+	// asked for at hostsAt; vacating workers get nothing new.
+	waves      map[int64]*wave
+	hosts      map[string]HostListing
+	hostsAt    time.Time
+	vacating   map[string]bool
+	ordered    []DutyOrder
+	dutiesFrom time.Time
 	// asking tells that a call for advice is under way.
 	asking bool
 	// wallMS is the time of day of the last round.
@@ -109,6 +117,9 @@
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
 		advice:         map[decide.UnitKey]*advice{},
+		waves:          map[int64]*wave{},
+		vacating:       map[string]bool{},
+		dutiesFrom:     now.Add(bounds.DutyLease),
 		dirty:          map[workload.JobID]bool{},
 		pace:           newEstimates(),
 		strangersUntil: now.Add(bounds.Authority + stretched(bounds.Lease) + lapseSlack),
@@ -284,6 +295,7 @@
 		}
 		out = append(out, Record{Key: workload.ProgressKey(id), Value: value})
 	}
+	out = c.waveChanges(out)
 	c.dirty = map[workload.JobID]bool{}
 	c.batch = c.starts
 	c.starts = nil
@@ -313,6 +325,7 @@
 		out = append(out, c.startOrder(l, now))
 	}
 	c.batch = nil
+	c.waveWritten()
 	c.forgetEnded()
 	return out
 }
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -9,6 +9,12 @@
 	EventAdviceUnanswered = "advice-unanswered"
 	// EventCancelling: a cancellation was read; what runs of the job is stopped.
 	EventCancelling = "cancelling"
+	// EventDutyAnswered: an order to begin a host's maintenance was answered, or was not; why is the verdict.
+	EventDutyAnswered = "duty-answered"
+	// EventHostVacated: a host of a wave gets nothing new until its maintenance.
+	EventHostVacated = "host-vacated"
+	// EventWaveTaken: a wave of maintenance was read.
+	EventWaveTaken = "wave-taken"
 	// EventJobCompleted: all tasks have ended as done.
 	EventJobCompleted = "job-completed"
 	// EventJobFailed: a task or gang has used its attempts; task and worker of the last failure.
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -24,6 +24,10 @@
 	// Pace is the time until an order on pace has its effect, Harm how long a
 	// serving task may be over its target by what fills beside it; 0 is no bound.
 	Pace, Harm time.Duration
+	// Maintenance is how long a host is down for its maintenance.
+	Maintenance time.Duration
+	// DutyLease is how long the duties of one planner keep those of the next off.
+	DutyLease time.Duration
 	// Wait is how long a worker may wait for news before it answers a hold.
 	Wait time.Duration
 }
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -47,6 +47,8 @@
 	list    map[string]control.Listing
 	fresh   bool
 	lister  *follower
+	// hostsLost tells that the service of hosts did not answer last.
+	hostsLost bool
 }
 
 const (
@@ -82,6 +84,7 @@
 	p.lister = s.follow(WorkerList, p.listAll, p.listOne, func() time.Duration { return listRest })
 	p.work.Go(func() { p.lister.run(ctx) })
 	p.work.Go(func() { p.keep(ctx) })
+	p.work.Go(func() { p.maintain(ctx) })
 	why := p.run(ctx)
 	s.succession.spend(token)
 	s.planning.Store(false)
@@ -173,6 +176,9 @@
 			p.core.Adopt(id, e)
 		}
 	}
+	p.s.waves.each(func(declared control.Wave, record []byte) {
+		p.core.AdoptWave(declared, record, time.Now().UnixMilli())
+	})
 	if !p.fresh {
 		return
 	}
@@ -245,7 +251,7 @@
 			return err
 		}
 		for i, r := range records[:n] {
-			p.s.fold(Entry{Offset: first + int64(i), Key: r.Key, Value: r.Value})
+			p.s.keepPlan(Entry{Offset: first + int64(i), Key: r.Key, Value: r.Value})
 		}
 		records = records[n:]
 	}
--- a/workload/service/ports.go
+++ b/workload/service/ports.go
@@ -26,6 +26,8 @@
 	Declarations Topic = "declarations"
 	// WorkerList has what workers say of themselves.
 	WorkerList Topic = "workers"
+	// Reports has what operators are told of their waves of maintenance.
+	Reports Topic = "reports"
 	// Members has the addresses of instances.
 	Members Topic = "members"
 )
@@ -86,6 +88,10 @@
 type Decoder interface {
 	// Directory reads a declared configuration; ok is false for other keys.
 	Directory(key string, value []byte) (directory *Directory, ok bool, err error)
+	// Wave reads a declared wave of maintenance; ok is false for other keys.
+	Wave(key string, value []byte) (wave control.Wave, ok bool)
+	// WaveReport writes a wave's state as operators read it.
+	WaveReport(report control.WaveReport) control.Record
 	// Listing reads a worker's entry.
 	Listing(key string, value []byte) (control.Listing, error)
 }
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -35,6 +35,8 @@
 	Keep time.Duration
 	// Power is how strong the instance is, in any unit that all share.
 	Power float64
+	// Hosts is the platform's service for maintenance; nil where there is none.
+	Hosts Hosts
 	// Peers takes the addresses of the other instances when they change.
 	Peers func([]string)
 }
@@ -55,13 +57,14 @@
 	declared   *follower
 	commits    *committer
 	directory  atomic.Pointer[Directory]
+	waves      *waves
 	planning   atomic.Bool
 	leaving    atomic.Bool
 }
 
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
-	s := &Service{settings: settings, log: log, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook()}
+	s := &Service{settings: settings, log: log, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves()}
 	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
 	s.commits = newCommitter(log)
 	s.jobs = s.follow(Jobs, s.foldAll, s.fold, s.restOfReader)
@@ -131,7 +134,16 @@
 
 func (s *Service) plan(e Entry) {
 	s.succession.observe(e, time.Now())
-	if e.Key != claimKey && e.Key != signKey {
+	s.keepPlan(e)
+}
+
+// keepPlan keeps a record of the planner's, that of a wave or of a job.
+func (s *Service) keepPlan(e Entry) {
+	switch {
+	case e.Key == claimKey || e.Key == signKey:
+	case control.IsWaveKey(e.Key):
+		s.waves.record(e)
+	default:
 		s.fold(e)
 	}
 }
@@ -143,6 +155,10 @@
 }
 
 func (s *Service) declare(e Entry) {
+	if wave, ok := s.decoder.Wave(e.Key, e.Value); ok {
+		s.waves.declare(wave)
+		return
+	}
 	next, ok, err := s.decoder.Directory(e.Key, e.Value)
 	if err != nil {
 		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
--- /dev/null
+++ b/workload/service/waves.go
@@ -0,0 +1,157 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Hosts is the platform's service for what workers run on.
+type Hosts interface {
+	// List returns all hosts.
+	List(ctx context.Context) ([]control.HostListing, error)
+	// Maintain begins a host's maintenance in the name of the holder.
+	Maintain(ctx context.Context, holder string, order control.DutyOrder) control.DutyVerdict
+}
+
+// waves keeps the declared waves of maintenance and the planners' records of
+// them. It is safe for concurrent use.
+type waves struct {
+	mu       sync.Mutex
+	declared map[int64]control.Wave
+	records  map[string][]byte
+}
+
+func newWaves() *waves {
+	return &waves{declared: map[int64]control.Wave{}, records: map[string][]byte{}}
+}
+
+func (w *waves) declare(one control.Wave) {
+	w.mu.Lock()
+	w.declared[one.ID] = one
+	w.mu.Unlock()
+}
+
+func (w *waves) record(e Entry) {
+	w.mu.Lock()
+	w.records[e.Key] = e.Value
+	w.mu.Unlock()
+}
+
+// each calls f with each declared wave and what planners have recorded of it.
+func (w *waves) each(f func(control.Wave, []byte)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, one := range w.declared {
+		f(one, w.records[control.WaveKey(id)])
+	}
+}
+
+const (
+	hostsEvery   = 100 * time.Millisecond
+	hostsTimeout = 2 * time.Second
+	// dutyTimeout bounds one order; the platform may be slow.
+	dutyTimeout   = 2 * time.Second
+	reportTimeout = time.Second
+)
+
+// maintain reads the hosts, gives the orders of waves and reports their states,
+// while this instance plans.
+func (p *planner) maintain(ctx context.Context) {
+	if p.s.settings.Hosts == nil {
+		return
+	}
+	tick := time.NewTicker(hostsEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.readHosts(ctx)
+			p.giveDuties(ctx)
+			p.reportWaves(ctx)
+		}
+	}
+}
+
+func (p *planner) readHosts(ctx context.Context) {
+	asked := time.Now()
+	p.mu.Lock()
+	wants := p.core.WantsHosts(asked)
+	p.mu.Unlock()
+	if !wants {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, hostsTimeout)
+	list, err := p.s.settings.Hosts.List(call)
+	cancel()
+	p.noteHosts(err)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.core.Hosts(list, asked)
+	p.mu.Unlock()
+	signal(p.wake)
+}
+
+// noteHosts says when the service of hosts is lost or regained.
+func (p *planner) noteHosts(err error) {
+	if (err != nil) == p.hostsLost {
+		return
+	}
+	p.hostsLost = err != nil
+	fields := events.Fields{"dependency": "hosts"}
+	if err != nil {
+		fields["cause"] = err.Error()
+		p.s.events.Info(events.DependencyLost, fields)
+		return
+	}
+	p.s.events.Info(events.DependencyRegained, fields)
+}
+
+func (p *planner) giveDuties(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if !p.acting(now) {
+		return
+	}
+	for _, o := range p.core.Duties(now) {
+		p.work.Go(func() { p.duty(ctx, o) })
+	}
+}
+
+func (p *planner) duty(ctx context.Context, o control.DutyOrder) {
+	call, cancel := context.WithTimeout(ctx, dutyTimeout)
+	verdict := p.s.settings.Hosts.Maintain(call, p.s.settings.Instance, o)
+	cancel()
+	p.mu.Lock()
+	p.core.DutyDone(o, verdict, time.Now())
+	p.mu.Unlock()
+	signal(p.wake)
+}
+
+// reportWaves tells operators how far their waves are.
+func (p *planner) reportWaves(ctx context.Context) {
+	p.mu.Lock()
+	reports := p.core.WaveReports()
+	p.mu.Unlock()
+	for _, r := range reports {
+		record := p.s.decoder.WaveReport(r)
+		call, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, err := p.s.log.Append(call, Reports, []control.Record{record}, nil)
+		cancel()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.core.WaveReported(r)
+		p.mu.Unlock()
+		p.s.events.Info(events.WaveReported, events.Fields{"wave": r.ID, "state": string(r.State), "token": p.token})
+	}
+}
