Decisions: a gang spans racks only once waiting has cost it as much

Ruled out: slow stops (0.9 s as the site has it), the wait for a rack itself. Change: beyond its latest start a unit waits for a near place as long as the far run would cost it; guaranteed ones as long as a stop elsewhere still fits into reclaim_ms. The headroom's rule (wait while in time) is as before. The old test of the guaranteed bound now states the stop's time, from which the bound follows.

--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -57,7 +57,7 @@
 }
 
 func (c *Core) snapshot(now time.Time, wallMS int64) (*decide.Snapshot, []unit) {
-	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout}
+	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout, FarFactor: c.bounds.FarFactor}
 	guaranteed := c.guaranteed()
 	c.addWorkers(s, now)
 	c.addRunning(s, guaranteed, now)
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -19,6 +19,9 @@
 	GangTimeout time.Duration
 	// ReclaimWithin is when guaranteed work has to have begun.
 	ReclaimWithin time.Duration
+	// FarFactor is how many times as long a task takes away from its data or its
+	// gang's rack.
+	FarFactor float64
 	// Restore is what a start from a checkpoint costs.
 	Restore time.Duration
 	// Pace is the time until an order on pace has its effect, Harm how long a
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -104,6 +104,9 @@
 	ReclaimWithin time.Duration
 	// StopTimeout is the longest that a stop takes.
 	StopTimeout time.Duration
+	// FarFactor is how many times as long a task takes away from its data, or in
+	// a gang that spans racks against its wish; 0 is as long.
+	FarFactor float64
 }
 
 // Assignment starts a task on a worker.
@@ -210,20 +213,34 @@
 // is free.
 const idleWait = time.Second
 
-// mayWait tells whether the unit is better off waiting for a better place.
+// mayWait tells whether the unit may wait for a better place: while there is
+// room elsewhere it does not for long, and guaranteed work has to begin.
 func (p *planner) mayWait(u *Unit) bool {
-	if p.idle && p.s.Now.Sub(u.Since) > idleWait {
+	waited := p.s.Now.Sub(u.Since)
+	if p.idle && waited > idleWait {
 		return false
 	}
-	if u.Guaranteed && p.s.Now.Sub(u.Since) > p.s.ReclaimWithin/guaranteedWait {
-		return false
-	}
-	return p.s.Now.Before(u.LatestStart)
+	return !u.Guaranteed || waited <= p.guaranteedWait()
+}
+
+// guaranteedWait is how long guaranteed work may wait for a better place: what
+// is left then is enough to stop others anywhere.
+func (p *planner) guaranteedWait() time.Duration {
+	return p.s.ReclaimWithin - p.s.StopTimeout - 2*stopMargin
 }
 
-// guaranteedWait is the part of the time in which guaranteed work has to begin
-// that it may wait for a better place.
-const guaranteedWait = 3
+// inTime tells whether the unit still ends within its objective if it starts
+// later.
+func (p *planner) inTime(u *Unit) bool { return p.s.Now.Before(u.LatestStart) }
+
+// waitsNear tells whether the unit waits for a place near its data, or in one
+// rack, rather than start far from it at once. Beyond its time it waits for as
+// long as a start far away would cost it: then it has lost at most twice what
+// it had to.
+func (p *planner) waitsNear(u *Unit) bool {
+	cost := time.Duration(max(0, p.s.FarFactor-1) * float64(u.Run))
+	return p.mayWait(u) && p.s.Now.Before(u.LatestStart.Add(cost))
+}
 
 func (p *planner) place(i int) {
 	u := &p.s.Waiting[i]
--- a/workload/decide/decide_test.go
+++ b/workload/decide/decide_test.go
@@ -290,12 +290,31 @@
 	u.Step.DataRack = "b"
 	u.LatestStart = now.Add(time.Minute)
 	u.Since = now.Add(-2 * time.Second)
-	s := &Snapshot{Now: now, Workers: racks([]int64{8, 0, 0}, []int64{0, 0, 0}), Waiting: []Unit{u}, ReclaimWithin: 3 * time.Second}
+	s := &Snapshot{Now: now, Workers: racks([]int64{8, 0, 0}, []int64{0, 0, 0}), Waiting: []Unit{u}, ReclaimWithin: 3 * time.Second, StopTimeout: 900 * time.Millisecond}
 	if p := Make(s); len(p.Starts) != 1 {
 		t.Fatalf("%+v", p)
 	}
 }
 
+// Beyond its time a gang waits for one rack as long as spanning racks would
+// cost it, and no longer.
+func TestAGangThatIsLateSpansRacksOnceWaitingHasCostAsMuch(t *testing.T) {
+	u := gang(2, 8, true)
+	u.Priority = 1
+	u.Run = 4 * time.Second
+	for _, c := range []struct {
+		late   time.Duration
+		starts int
+	}{{0, 0}, {7 * time.Second, 0}, {9 * time.Second, 2}} {
+		u.LatestStart = now.Add(-c.late)
+		u.Since = now.Add(-time.Minute)
+		s := &Snapshot{Now: now, Workers: racks([]int64{8, 0, 0}, []int64{8, 0, 0}), Waiting: []Unit{u}, FarFactor: 3}
+		if p := Make(s); len(p.Starts) != c.starts {
+			t.Errorf("%v late: %+v", c.late, p)
+		}
+	}
+}
+
 func TestOnlyGuaranteedWorkStopsBorrowersOfItsOwnPriority(t *testing.T) {
 	for name, c := range map[string]struct {
 		waits, runs bool
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -76,7 +76,7 @@
 // data than to run elsewhere at once: while it can still be in time there and
 // the rack has workers that could run it.
 func (p *planner) waitsForData(u *Unit) bool {
-	if !p.mayWait(u) {
+	if !p.waitsNear(u) {
 		return false
 	}
 	for _, w := range p.racks[u.Step.DataRack] {
@@ -230,7 +230,7 @@
 // waitsForRack tells whether the gang could be in one rack if that were empty,
 // and there is time to wait for it.
 func (p *planner) waitsForRack(u *Unit, n int) bool {
-	if !p.mayWait(u) {
+	if !p.waitsNear(u) {
 		return false
 	}
 	empty := func(w *slot) workload.Resources { return w.Capacity }
