--- a/workload/decide/decide_test.go
+++ b/workload/decide/decide_test.go
@@ -348,3 +348,21 @@
 		t.Fatalf("%+v", p)
 	}
 }
+
+func TestRoomIsMadeOnTheWorkerWhereThatLosesTheLeastInAll(t *testing.T) {
+	u := gang(1, 8, false)
+	u.Guaranteed = true
+	half := func(id workload.JobID, worker string, lost float64) Group {
+		return Group{Key: UnitKey{Job: id}, Priority: 1, Lost: lost, Held: map[string]workload.Resources{worker: gpus(4)}}
+	}
+	s := &Snapshot{Now: now, Workers: racks([]int64{0, 0}), Waiting: []Unit{u}, Running: []Group{
+		half("a", "a0", 10), half("b", "a0", 60), half("c", "a1", 20), half("d", "a1", 55),
+	}}
+	stopped := map[workload.JobID]bool{}
+	for _, v := range Make(s).Stops {
+		stopped[s.Running[v].Key.Job] = true
+	}
+	if len(stopped) != 2 || !stopped["a"] || !stopped["b"] {
+		t.Fatalf("stops %v, which is not the least", stopped)
+	}
+}
