--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"sort"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -108,93 +107,6 @@
 	return a
 }
 
-// victims frees groups on the workers in the order of the work lost until the
-// unit fits, then takes back those that were not needed.
-func (p *planner) victims(u *Unit, workers []*slot, may victim) *choice {
-	n := len(u.Indexes)
-	freed := map[string]workload.Resources{}
-	r := func(w *slot) workload.Resources { return w.free.Add(w.coming).Add(freed[w.ID]) }
-	var chosen []int
-	for _, g := range p.candidates(u, workers, may) {
-		p.shift(freed, g, 1)
-		chosen = append(chosen, g)
-		if p.gather(u, workers, n, r) != nil {
-			break
-		}
-	}
-	if p.gather(u, workers, n, r) == nil {
-		return nil
-	}
-	var kept []int
-	for i := len(chosen) - 1; i >= 0; i-- {
-		p.shift(freed, chosen[i], -1)
-		if p.gather(u, workers, n, r) == nil {
-			p.shift(freed, chosen[i], 1)
-			kept = append(kept, chosen[i])
-		}
-	}
-	out := &choice{victims: kept, members: p.gather(u, workers, n, r)}
-	for _, g := range kept {
-		out.lost += p.s.Running[g].Lost
-	}
-	return out
-}
-
-func (p *planner) shift(freed map[string]workload.Resources, group int, sign int) {
-	for id, held := range p.s.Running[group].Held {
-		if sign > 0 {
-			freed[id] = freed[id].Add(held)
-		} else {
-			freed[id] = freed[id].Sub(held)
-		}
-	}
-}
-
-// candidates are the groups on the workers that the unit may stop, those that
-// lose the least work for what they free first.
-func (p *planner) candidates(u *Unit, workers []*slot, may victim) []int {
-	here := map[string]bool{}
-	for _, w := range workers {
-		if u.accepts(w) {
-			here[w.ID] = true
-		}
-	}
-	var out []int
-	for i := range p.s.Running {
-		g := &p.s.Running[i]
-		if g.Stopping || p.stopped[i] || g.Fixed || !may(u, g) {
-			continue
-		}
-		if onAny(g, here) {
-			out = append(out, i)
-		}
-	}
-	sort.SliceStable(out, func(a, b int) bool {
-		return p.lostPerAccelerator(out[a], here) < p.lostPerAccelerator(out[b], here)
-	})
-	return out
-}
-
-func onAny(g *Group, here map[string]bool) bool {
-	for id := range g.Held {
-		if here[id] {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *planner) lostPerAccelerator(group int, here map[string]bool) float64 {
-	g := &p.s.Running[group]
-	freed := 0.01
-	for id, held := range g.Held {
-		if here[id] {
-			freed += float64(held.Accelerators)
-		}
-	}
-	return g.Lost / freed
-}
-
 func (p *planner) stop(group int) {
 	p.stopped[group] = true
 	p.plan.Stops = append(p.plan.Stops, group)
