Decisions: workers' speeds are learnt; the first priority takes the faster ones

Change: control/speeds.go compares the progress of single tasks of one step on several workers; decide prefers the faster class for the first priority and, of equally tight workers, the slower for other work. Two tests failed before (w0 and w5 are not told apart).

--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -17,6 +17,12 @@
 const (
 	// Acceptance: from a submission's arrival to its acceptance in the log.
 	Acceptance Latency = "acceptance"
+	// AnswerSubmit, AnswerShow, AnswerCancel, AnswerCount: from a caller's
+	// request to its answer, by operation.
+	AnswerSubmit Latency = "answer_submit"
+	AnswerShow   Latency = "answer_show"
+	AnswerCancel Latency = "answer_cancel"
+	AnswerCount  Latency = "answer_count"
 	// StartAnswer: from an order to its worker's answer.
 	StartAnswer Latency = "start_answer"
 	// AdviceAnswer: from a call for advice to its answer.
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -27,6 +27,9 @@
 	paces   []PaceOrder
 	notes   []Note
 	pace    *estimates
+	// speeds are the workers' speeds; speedsAt is when they were last compared.
+	speeds   map[string]*speed
+	speedsAt time.Time
 	// headroom is what the first priority is expected to need at once.
 	headroom headroom
 	// strangersUntil is when the leases that an earlier planner gave to workers
@@ -61,6 +64,8 @@
 	// stepsSince is when each open step could first start.
 	since map[decide.UnitKey]time.Time
 	avoid map[string]bool
+	// rates are how fast its runs got on, by step and task.
+	rates map[decide.UnitKey]map[int]rating
 	// lives are the job's runs that may be at work, in the order in which they
 	// were placed.
 	lives []*live
@@ -116,6 +121,7 @@
 		workers:        map[string]*worker{},
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
+		speeds:         map[string]*speed{},
 		advice:         map[decide.UnitKey]*advice{},
 		waves:          map[int64]*wave{},
 		vacating:       map[string]bool{},
@@ -160,7 +166,7 @@
 	if progress.State.Final() && len(progress.Open) == 0 {
 		return
 	}
-	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, held: map[decide.UnitKey]decide.Reason{}}
+	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, rates: map[decide.UnitKey]map[int]rating{}, held: map[decide.UnitKey]decide.Reason{}}
 	c.jobs[id] = j
 	c.adoptPlaced(j)
 	if e.Cancelled {
@@ -333,6 +339,7 @@
 func (c *Core) forgetEnded() {
 	for id, j := range c.jobs {
 		if j.progress.State.Final() && j.progress.Open == nil && !c.dirty[id] {
+			c.keepSpeeds(j)
 			delete(c.jobs, id)
 		}
 	}
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -31,6 +31,8 @@
 	Firm int64
 	// Capacity is what the worker has when it is empty.
 	Capacity workload.Resources
+	// Speed is the worker's as a factor of the average; 0 is not known.
+	Speed float64
 	// Closed workers get nothing new: draining, silent or distrusted.
 	Closed bool
 }
@@ -173,6 +175,8 @@
 	*Worker
 	free   workload.Resources
 	coming workload.Resources
+	// speed is the class of its speed.
+	speed int
 }
 
 func newPlanner(s *Snapshot) *planner {
@@ -182,7 +186,7 @@
 		if w.Closed {
 			continue
 		}
-		one := &slot{Worker: w, free: w.Free, coming: w.Coming}
+		one := &slot{Worker: w, free: w.Free, coming: w.Coming, speed: speedClass(w.Speed)}
 		p.workers = append(p.workers, one)
 		if len(p.racks[w.Rack]) == 0 {
 			p.rackList = append(p.rackList, w.Rack)
