--- a/workload/book.go
+++ b/workload/book.go
@@ -219,6 +219,21 @@
 	return *e, true
 }
 
+// Complete tells whether the acceptance of every job that a planner has worked
+// on and that has not ended was read. Progress and acceptances are read apart,
+// and a planner that does not know a job takes its runs for strange and
+// forgets their ends.
+func (b *Book) Complete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.entries {
+		if e.Job == nil && len(e.Progress) > 0 && !e.State.Final() {
+			return false
+		}
+	}
+	return true
+}
+
 // Shown is the state that callers see.
 func (e Entry) Shown() State {
 	if e.Cancelled && !e.State.Final() {
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -197,7 +197,7 @@
 }
 
 func (s *Service) mayClaim() bool {
-	return s.plans.connected() && s.jobs.known() && s.spare.known() && s.directory.Load() != nil && s.succession.due(time.Now())
+	return s.plans.connected() && s.jobs.known() && s.spare.known() && s.directory.Load() != nil && s.succession.due(time.Now()) && s.book.Complete()
 }
 
 func (s *Service) claim(ctx context.Context) {
