--- a/cmd/cobalttide-entry/main.go
+++ b/cmd/cobalttide-entry/main.go
@@ -32,7 +32,7 @@
 		fmt.Println("settings are good")
 		return exitOK
 	}
-	if err := platform.Run(settings); err != nil {
+	if err := platform.Run(settings, *file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/events/names.go
+++ b/events/names.go
@@ -10,8 +10,10 @@
 	Started  Name = "started"
 	Stopping Name = "stopping"
 	Stopped  Name = "stopped"
-	// SettingsReloaded: the settings file has changed.
+	// SettingsReloaded: the settings file has changed and was taken over.
+	// SettingsRefused: it has changed and is wrong; the settings before hold on.
 	SettingsReloaded Name = "settings-reloaded"
+	SettingsRefused  Name = "settings-refused"
 	// DependencyLost and DependencyRegained: a topic of the log can't be read,
 	// or can be read again.
 	DependencyLost     Name = "dependency-lost"
