--- /dev/null
+++ b/workload/service/orders.go
@@ -0,0 +1,95 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"github.com/cobalttide/cobalttide/telemetry"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// The planner's calls to workers and to the advice service: one function a
+// kind of order, each in a goroutine of its own while the call lasts.
+
+const (
+	stopTimeout = 600 * time.Millisecond
+	// holdMargin is what a hold may take beyond the wait that it asks for.
+	holdMargin = 700 * time.Millisecond
+)
+
+func (p *planner) start(ctx context.Context, o control.StartOrder) {
+	call, cancel := context.WithTimeout(ctx, p.answers.patience())
+	sent := time.Now()
+	answer := p.s.workers.Start(call, o)
+	cancel()
+	p.answers.observe(time.Since(sent))
+	p.s.metrics.Observe(telemetry.StartAnswer, time.Since(sent))
+	p.mu.Lock()
+	p.core.Started(o, answer, time.Now())
+	p.mu.Unlock()
+	if answer.Verdict != control.Accepted {
+		p.nudge()
+	}
+}
+
+func (p *planner) stop(ctx context.Context, o control.StopOrder) {
+	call, cancel := context.WithTimeout(ctx, stopTimeout)
+	answer := p.s.workers.Stop(call, o)
+	cancel()
+	p.mu.Lock()
+	p.core.Stopped(o, answer, time.Now())
+	p.mu.Unlock()
+	p.nudge()
+}
+
+func (p *planner) pace(ctx context.Context, o control.PaceOrder) {
+	call, cancel := context.WithTimeout(ctx, p.answers.patience())
+	answer := p.s.workers.Pace(call, o)
+	cancel()
+	p.mu.Lock()
+	p.core.Paced(o, answer, time.Now())
+	p.mu.Unlock()
+}
+
+// adviceMargin is what a call for advice may take beyond its own time: calls
+// of other instances may be before it in the service's line.
+const adviceMargin = time.Second
+
+func (p *planner) advise(ctx context.Context, o control.AdviceOrder) {
+	call, cancel := context.WithTimeout(ctx, o.Takes+adviceMargin)
+	sent := time.Now()
+	answer := p.s.workers.Advise(call, o)
+	cancel()
+	p.s.metrics.Observe(telemetry.AdviceAnswer, time.Since(sent))
+	p.mu.Lock()
+	p.core.Advised(o, answer, sent, time.Now())
+	p.mu.Unlock()
+	p.nudge()
+}
+
+// hold keeps one worker's lease and takes its news, call after call, while
+// there is something to hold and no pause between.
+func (p *planner) hold(ctx context.Context, o control.HoldOrder) {
+	for again := true; again; {
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, o.Wait+holdMargin)
+		answer := p.s.workers.Hold(call, o)
+		cancel()
+		o, again = p.held(o, answer, sent)
+		if len(answer.Ended) > 0 || answer.Verdict != control.Accepted {
+			p.nudge()
+		}
+	}
+}
+
+// held takes an answer and returns the worker's next hold, if it is due now.
+func (p *planner) held(o control.HoldOrder, answer control.HoldAnswer, sent time.Time) (control.HoldOrder, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.core.Held(o, answer, sent, now)
+	if !p.acting(now) {
+		return control.HoldOrder{}, false
+	}
+	return p.core.Hold(o.Worker, now)
+}
