Forgetting: a job's progress outlives its acceptance in every topic

Where one topic was down when they were dropped, the instances took the acceptance for gone, the progress was dropped a minute later, and an instance that started anew read the acceptance that was left as a new job. Change: the drop of a job's progress is preceded by another drop of its acceptance in both topics.

--- a/workload/service/forget.go
+++ b/workload/service/forget.go
@@ -34,6 +34,9 @@
 		first = append(first, control.Record{Key: workload.AcceptedKey(id)}, control.Record{Key: workload.CancelledKey(id)})
 	}
 	for _, id := range progress {
+		// Once more: one of the topics may have missed the first time, and an
+		// acceptance that outlives its progress would be a new job.
+		first = append(first, control.Record{Key: workload.AcceptedKey(id)}, control.Record{Key: workload.CancelledKey(id)})
 		rest = append(rest, control.Record{Key: workload.ProgressKey(id)})
 	}
 	if len(first) > 0 && p.dropAcceptances(ctx, first) != nil {
