--- a/workload/control/maintenance.go
+++ b/workload/control/maintenance.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -256,7 +257,7 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b string) int {
-		return int(c.lostOn(a, now) - c.lostOn(b, now))
+		return cmp.Compare(c.lostOn(a, now), c.lostOn(b, now))
 	})
 	for _, host := range waiting[:max(0, min(open, len(waiting)))] {
 		v.phase[host] = hostVacating
--- a/workload/control/speeds.go
+++ b/workload/control/speeds.go
@@ -105,6 +105,9 @@
 		}
 		for _, index := range sortedKeys(rates) {
 			r := rates[index]
+			if c.workers[r.worker] == nil {
+				continue
+			}
 			own := r.rate - c.speeds[r.worker].of()
 			add(c.speedOf(r.worker), r.rate-(sum-own)/float64(len(rates)-1))
 		}
