Succession: a successor stops what its predecessor meant to stop

The successor adopted the runs, saw a final state and left them alone; two ran on for 8 s. The same held for failed jobs. Ruled out: the stops themselves (repeated until answered), the reading of the cancellation (10 ms). Change: runs of a job whose state is final are stopped when they are adopted. The test failed on both states (0 of 3 runs stopped).

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -169,6 +169,11 @@
 	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, rates: map[decide.UnitKey]map[int]rating{}, held: map[decide.UnitKey]decide.Reason{}}
 	c.jobs[id] = j
 	c.adoptPlaced(j)
+	if progress.State.Final() {
+		// Its end is in the log; the stops that follow from it may never have gone out.
+		c.stopAll(j)
+		c.settle(j)
+	}
 	if e.Cancelled {
 		c.Cancel(id)
 	}
--- a/workload/control/protocol_test.go
+++ b/workload/control/protocol_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -398,3 +399,36 @@
 		t.Fatalf("%+v", orders)
 	}
 }
+
+// A planner that ends between writing that a job is over and stopping its runs
+// leaves the stops to its successor.
+func TestASuccessorStopsWhatItsPredecessorMeantToStop(t *testing.T) {
+	for _, state := range []workload.State{workload.Cancelled, workload.Failed} {
+		t.Run(string(state), func(t *testing.T) {
+			s := newScene()
+			s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: time.Minute} }
+			s.add(jobA, nil, workload.Step{Count: 3, Need: need(2)})
+			s.pass(time.Second)
+			progress := workload.NewProgress()
+			if err := json.Unmarshal(s.log[workload.ProgressKey(jobA)], progress); err != nil {
+				t.Fatal(err)
+			}
+			progress.State = state
+			value, err := json.Marshal(progress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.log[workload.ProgressKey(jobA)] = value
+			if state == workload.Cancelled {
+				s.cancels[jobA] = s.now
+			}
+			s.seats[0].dead = true
+			s.claim(nil)
+			s.pass(3 * time.Second)
+			s.check(t)
+			if n := s.ends(jobA, control.EndStopped); n != 3 {
+				t.Fatalf("%d of 3 runs were stopped", n)
+			}
+		})
+	}
+}
