--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -28,10 +28,15 @@
 	looking sync.Mutex
 	looked  time.Time
 
+	// newest is the first read as far as it has come; only run uses it.
+	newest firstRead
+
 	mu   sync.Mutex
 	good time.Time
 	next int64
 	ok   bool
+	// told tells that the state of the connection was reported at all.
+	told bool
 }
 
 const followRetry = 150 * time.Millisecond
@@ -41,21 +46,24 @@
 	fresh := true
 	for ctx.Err() == nil {
 		var err error
-		var got int
+		rest := time.Duration(0)
 		if fresh {
 			err = f.readNewest(ctx)
-			got = 1
 		} else {
-			got, err = f.readOn(ctx)
+			rest, err = f.readOn(ctx)
 		}
 		switch {
 		case err == nil:
 			fresh = false
-			if got > 0 {
-				sleep(ctx, f.pause())
-			}
+			sleep(ctx, rest)
 		case errors.Is(err, ErrForgotten):
 			fresh = true
+		case errors.Is(err, ErrMalformed):
+			// The newest records are another answer: nothing is lost with this one.
+			fresh = true
+			f.newest = firstRead{}
+			f.report(false, err.Error())
+			sleep(ctx, followRetry)
 		default:
 			f.report(false, err.Error())
 			sleep(ctx, followRetry)
@@ -63,33 +71,66 @@
 	}
 }
 
+// readNewest reads the newest record of each key and hands them over once all
+// are there.
 func (f *follower) readNewest(ctx context.Context) error {
-	began := time.Now()
-	entries, end, err := f.log.Newest(ctx, f.topic)
-	if err != nil {
+	if err := f.newest.read(ctx, f.log, f.topic); err != nil {
 		return err
 	}
-	f.snapshot(entries)
-	f.advance(end, began)
+	got := f.newest
+	f.newest = firstRead{}
+	f.snapshot(got.entries)
+	f.advance(got.end, got.began, true)
 	return nil
 }
 
-func (f *follower) readOn(ctx context.Context) (int, error) {
+// readOn reads the next page and returns how long to rest after it: not at all
+// before the topic's end.
+func (f *follower) readOn(ctx context.Context) (time.Duration, error) {
 	began := time.Now()
-	page, err := f.log.Read(ctx, f.topic, f.place(), f.wait)
+	page, err := f.page(ctx, f.wait)
 	if err != nil {
 		return 0, err
 	}
-	for _, e := range page.Entries {
-		f.record(e)
-	}
 	// An empty answer after a wait proves the end only at the time it was given;
 	// one that brought records may have been made at any time since began.
 	if len(page.Entries) == 0 {
 		began = time.Now().Add(-followSlack)
 	}
-	f.advance(page.Next, began)
-	return len(page.Entries), nil
+	f.advance(page.Next, began, page.Next >= page.End)
+	if len(page.Entries) == 0 || page.Next < page.End {
+		return 0, nil
+	}
+	return f.pause(), nil
+}
+
+// page reads one page from where the topic has been read to, and hands its
+// records over.
+func (f *follower) page(ctx context.Context, wait time.Duration) (Page, error) {
+	from := f.place()
+	page, err := f.log.Read(ctx, f.topic, from, wait)
+	if err != nil {
+		return page, err
+	}
+	if err := checkPage(f.topic, from, page); err != nil {
+		return page, err
+	}
+	for _, e := range page.Entries {
+		f.record(e)
+	}
+	return page, nil
+}
+
+// checkPage refuses a page that can't be what follows an offset: a topic never
+// ends below what was read of it, and a page below the end has a record.
+func checkPage(topic Topic, from int64, page Page) error {
+	if page.End < from {
+		return errors.Mark(errors.Newf("topic %s ends at %d, below %d, which was read", topic, page.End, from), ErrMalformed)
+	}
+	if page.Next == from && page.End > from {
+		return errors.Mark(errors.Newf("topic %s has no whole record at %d, below its end %d", topic, from, page.End), ErrMalformed)
+	}
+	return nil
 }
 
 // followSlack covers the way of an answer.
@@ -105,15 +146,17 @@
 		return nil
 	}
 	began := time.Now()
-	page, err := f.log.Read(ctx, f.topic, f.place(), 0)
-	if err != nil {
-		return err
-	}
-	for _, e := range page.Entries {
-		f.record(e)
+	for {
+		page, err := f.page(ctx, 0)
+		if err != nil {
+			return err
+		}
+		f.advance(page.Next, time.Time{}, false)
+		if page.Next >= page.End {
+			f.looked = began
+			return nil
+		}
 	}
-	f.looked = began
-	return nil
 }
 
 func (f *follower) place() int64 {
@@ -122,10 +165,12 @@
 	return f.next
 }
 
-func (f *follower) advance(next int64, read time.Time) {
+// advance notes that the topic was read up to next, and whether that was its end
+// at the time read.
+func (f *follower) advance(next int64, read time.Time, end bool) {
 	f.mu.Lock()
 	f.next = max(f.next, next)
-	if read.After(f.good) {
+	if end && read.After(f.good) {
 		f.good = read
 	}
 	f.mu.Unlock()
@@ -141,8 +186,8 @@
 
 func (f *follower) report(ok bool, cause string) {
 	f.mu.Lock()
-	differs := f.ok != ok
-	f.ok = ok
+	differs := f.ok != ok || !f.told
+	f.ok, f.told = ok, true
 	f.mu.Unlock()
 	if differs && f.changed != nil {
 		f.changed(f.topic, ok, cause)
--- a/workload/service/parts_test.go
+++ b/workload/service/parts_test.go
@@ -41,10 +41,12 @@
 	if fail := p.fault(topic); fail != nil {
 		return Page{}, fail(ctx)
 	}
-	return Page{Next: from}, nil
+	return Page{Next: from, End: from}, nil
 }
 
-func (p *partly) Newest(context.Context, Topic) ([]Entry, int64, error) { return nil, 0, nil }
+func (p *partly) Newest(context.Context, Topic, string) (NewestPage, error) {
+	return NewestPage{}, nil
+}
 
 func refuses(context.Context) error { return ErrNotDone }
 
@@ -107,7 +109,12 @@
 			log := &partly{written: map[Topic]int{}, fails: map[Topic]func(context.Context) error{topic: refuses}}
 			s := New(Settings{Instance: "a", Stale: time.Second, Stretch: time.Hour}, log, nil, nil, nil, nil)
 			s.directory.Store(&Directory{Version: 1})
-			s.declared.good = time.Now()
+			for _, f := range []*follower{s.jobs, s.spare, s.plans, s.declared} {
+				f.good = time.Now()
+				if f.topic == topic {
+					f.good = time.Now().Add(-2 * s.settings.Stale)
+				}
+			}
 			_, err := s.State(context.Background(), workload.JobID("00000000000000aa"))
 			if reason := domain.AsRefusal(err).Reason; reason != domain.ReasonLogUnavailable {
 				t.Fatalf("answered %s", reason)
--- a/workload/service/ports.go
+++ b/workload/service/ports.go
@@ -45,6 +45,22 @@
 	Entries []Entry
 	// Next is the offset to read from next.
 	Next int64
+	// End is where the topic ended when the log answered; a page below it is
+	// followed by more.
+	End int64
+}
+
+// NewestPage is a part of the newest records of each key.
+type NewestPage struct {
+	Entries []Entry
+	// After is the key behind which the next page begins.
+	After string
+	// More tells that a next page follows.
+	More bool
+	// End is where the topic ended when the log answered. Pages are made one
+	// after the other; a reader that goes on from the end of the first one misses
+	// nothing.
+	End int64
 }
 
 // Writer fences a planner's appends: the log refuses those of an epoch below
@@ -65,9 +81,9 @@
 	// Read returns records from an offset on. When there are none it waits for
 	// one, at most for wait, and returns an empty page.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error)
-	// Newest returns the newest record of each key, and the offset from which a
-	// reader misses nothing.
-	Newest(ctx context.Context, topic Topic) ([]Entry, int64, error)
+	// Newest returns the newest record of each key behind a key, page by page; ""
+	// begins with the first.
+	Newest(ctx context.Context, topic Topic, after string) (NewestPage, error)
 }
 
 // Marks of the log's errors.
@@ -82,6 +98,8 @@
 	ErrMoved = errors.New("the topic has moved on: read it and decide again")
 	// ErrForgotten: the records asked for are no longer kept.
 	ErrForgotten = errors.New("the records are no longer kept: read the newest of each key")
+	// ErrMalformed: an answer can't be what the log holds.
+	ErrMalformed = errors.New("the log's answer is malformed: read the newest of each key again")
 )
 
 // Decoder turns the platform's records into the product's terms.
--- a/workload/service/reading.go
+++ b/workload/service/reading.go
@@ -8,12 +8,28 @@
 	"github.com/cobalttide/cobalttide/domain"
 )
 
-// Current refuses where this instance has not read the log for too long.
-func (s *Service) Current() error {
+// Configured refuses where this instance does not know the configuration in
+// force. With it alone an instance accepts jobs, whose records are idempotent:
+// one that comes back reads the configuration long before all jobs.
+func (s *Service) Configured() error {
 	if s.directory.Load() == nil {
 		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
 	}
 	now := time.Now()
+	age := s.declared.age(now)
+	youngest := min(s.jobs.age(now), s.spare.age(now), s.plansAge(now))
+	if age < s.settings.Stale || s.recent(age, youngest) {
+		return nil
+	}
+	return cutOff()
+}
+
+// Current refuses where this instance has not read the log for too long.
+func (s *Service) Current() error {
+	if err := s.Configured(); err != nil {
+		return err
+	}
+	now := time.Now()
 	if s.recent(s.jobs.age(now), s.spare.age(now), s.plansAge(now), s.declared.age(now)) {
 		return nil
 	}
@@ -46,6 +62,10 @@
 // known then was not accepted before. Where that fails, what was read a moment
 // ago has to do.
 func (s *Service) lookForJobs(ctx context.Context) error {
+	if !s.jobs.known() || !s.spare.known() {
+		// What has been read is a part, and says nothing of a job that is not in it.
+		return cutOff()
+	}
 	if s.jobs.look(ctx) == nil && s.spare.look(ctx) == nil {
 		return nil
 	}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -291,8 +291,15 @@
 }
 
 // State returns what became of a job; a refusal with the reason not-found means
-// that nobody handed it in.
+// that nobody handed it in. A final state stands for good, so that it is told
+// however long ago it was read.
 func (s *Service) State(ctx context.Context, id workload.JobID) (workload.State, error) {
+	if e, known := s.book.Get(id); known && e.State.Final() {
+		return e.Shown(), nil
+	}
+	if err := s.Current(); err != nil {
+		return "", err
+	}
 	e, err := s.find(ctx, id)
 	return e.Shown(), err
 }
