Recovery: the acceptances of jobs that have ended are reduced

Cause: an instance that comes back reads every acceptance that is kept, twice status_s of them, with spec and steps: 1.5 KB a job, of which callers ask the state alone. Ruled out: specs in a topic of their own (two appends an acceptance, no longer atomic), forgetting sooner (states are promised for status_s). Change: once a job's final state is in the log and nothing of it may be at work, the planner replaces its acceptance by one with id and queue, one call a second for all; instances that hold the whole one let go of it too. Tests: TestJobsThatHaveEndedAreReduced, TestAReducedAcceptanceReplacesAWholeOneWhereverItWasRead.

--- a/workload/book.go
+++ b/workload/book.go
@@ -32,6 +32,8 @@
 	State   State
 	Begun   bool
 	EndedMS int64
+	// Settled tells that the job has ended and nothing of it may still be at work.
+	Settled bool
 	// Progress is the record as written; it is decoded only by a planner. It
 	// stands at the offset At of its topic.
 	Progress []byte
@@ -157,7 +159,8 @@
 }
 
 func (b *Book) foldAccepted(id JobID, value []byte) error {
-	if e := b.entries[id]; e != nil && e.Job != nil {
+	known := b.entries[id]
+	if known != nil && known.Job != nil && (known.Job.Reduced || !isReduced(value)) {
 		return nil
 	}
 	job := &Job{}
@@ -165,14 +168,18 @@
 		return err
 	}
 	b.change(id, func(e *Entry) { e.Job = job })
+	if job.Reduced {
+		return nil
+	}
 	b.freshen(id)
 	return nil
 }
 
 type progressHead struct {
-	State   State `json:"state"`
-	Begun   bool  `json:"begun"`
-	EndedMS int64 `json:"ended"`
+	State   State             `json:"state"`
+	Begun   bool              `json:"begun"`
+	EndedMS int64             `json:"ended"`
+	Open    []json.RawMessage `json:"open"`
 }
 
 func (b *Book) foldProgress(id JobID, offset int64, value []byte) error {
@@ -187,6 +194,7 @@
 		e.State = head.State
 		e.Begun = head.Begun
 		e.EndedMS = head.EndedMS
+		e.Settled = head.State.Final() && len(head.Open) == 0
 		e.Progress = value
 		e.At = offset
 	})
--- a/workload/job.go
+++ b/workload/job.go
@@ -165,6 +165,9 @@
 	Steps      []Step `json:"steps"`
 	AcceptedMS int64  `json:"at"`
 	Terms      Terms  `json:"terms"`
+	// Reduced tells that the job has ended and that its spec and steps were
+	// dropped (see Reduce).
+	Reduced bool `json:"reduced,omitempty"`
 	// Repetitions above 0 is the number of occurrences; occurrence k is due at
 	// FirstMS + k IntervalMS.
 	Repetitions int   `json:"times,omitempty"`
--- a/workload/service/forget.go
+++ b/workload/service/forget.go
@@ -18,8 +18,44 @@
 	forgetGap = time.Minute
 	// forgetMost bounds one look.
 	forgetMost = 200
+	// reduceEvery is how often ended jobs are reduced. One call then serves the
+	// jobs of a second, and no more than those are read whole for nothing.
+	reduceEvery = time.Second
 )
 
+// reduce replaces the acceptances of jobs that have ended by ones without spec
+// and steps (see workload.Book.Reduce). The final state is in the log before, and
+// whoever claims the planner's role has read the plans to their end, so that
+// nobody plans a job of which only the reduced acceptance is left. An append that
+// is carried out late, or by a planner that was succeeded, does no harm: a final
+// state stands for good. It is done beside the rounds, which must not wait for
+// the topic of acceptances.
+func (p *planner) reduce(ctx context.Context) {
+	if time.Since(p.reduced) < reduceEvery || !p.reducing.CompareAndSwap(false, true) {
+		return
+	}
+	p.reduced = time.Now()
+	p.work.Go(func() {
+		defer p.reducing.Store(false)
+		p.reduceNow(ctx)
+	})
+}
+
+func (p *planner) reduceNow(ctx context.Context) {
+	var records []control.Record
+	for _, id := range p.s.book.Reducible(forgetMost) {
+		if value, ok := p.s.book.Reduce(id); ok {
+			records = append(records, control.Record{Key: workload.AcceptedKey(id), Value: value})
+		}
+	}
+	if len(records) == 0 || p.rewriteAcceptances(ctx, records) != nil {
+		return
+	}
+	for _, r := range records {
+		p.s.fold(Entry{Key: r.Key, Value: r.Value})
+	}
+}
+
 // forget drops the records of jobs that ended long ago, so that the log and the
 // instances' memory do not grow for ever.
 func (p *planner) forget(ctx context.Context) {
@@ -39,7 +75,7 @@
 		first = append(first, control.Record{Key: workload.AcceptedKey(id)}, control.Record{Key: workload.CancelledKey(id)})
 		rest = append(rest, control.Record{Key: workload.ProgressKey(id)})
 	}
-	if len(first) > 0 && p.dropAcceptances(ctx, first) != nil {
+	if len(first) > 0 && p.rewriteAcceptances(ctx, first) != nil {
 		return
 	}
 	if len(rest) > 0 {
@@ -55,15 +91,15 @@
 	}
 }
 
-// dropAcceptances drops records in both topics that may have them.
-func (p *planner) dropAcceptances(ctx context.Context, drops []control.Record) error {
+// rewriteAcceptances appends records to both topics that may have them.
+func (p *planner) rewriteAcceptances(ctx context.Context, records []control.Record) error {
 	topics := []Topic{Jobs}
 	if p.s.spare.place() > 0 {
 		topics = append(topics, SpareJobs)
 	}
 	for _, topic := range topics {
 		attempt, cancel := context.WithTimeout(ctx, appendTry)
-		_, err := p.s.log.Append(attempt, topic, drops, nil)
+		_, err := p.s.log.Append(attempt, topic, records, nil)
 		cancel()
 		if err != nil {
 			return err
--- a/workload/service/forget_test.go
+++ b/workload/service/forget_test.go
@@ -66,3 +66,52 @@
 		t.Fatalf("%v: not dropped once all topics take it", log.written)
 	}
 }
+
+// Of a job that has ended callers ask for its state alone: its spec and steps
+// are dropped from the log, whoever reads it later shows the same, and a
+// submission that comes again brings nothing back to life.
+func TestJobsThatHaveEndedAreReduced(t *testing.T) {
+	log := &memory{}
+	s := New(Settings{Instance: "a"}, log, nil, nil, nil, nil)
+	whole := []byte(`{"id":"a","queue":"q","spec":"much longer than what is left","steps":[{"n":3,"r":{}}]}`)
+	s.fold(Entry{Key: workload.AcceptedKey("a"), Value: whole})
+	s.fold(Entry{Offset: 1, Key: workload.ProgressKey("a"), Value: []byte(`{"state":"completed","open":[{"s":[]}]}`)})
+	p := &planner{s: s}
+	p.reduceNow(context.Background())
+	if len(log.records) != 0 {
+		t.Fatal("a job was reduced while something of it may be at work")
+	}
+	s.fold(Entry{Offset: 2, Key: workload.ProgressKey("a"), Value: []byte(`{"state":"completed"}`)})
+	p.reduceNow(context.Background())
+	if len(log.records) != 1 || len(log.records[0].Value) >= len(whole) {
+		t.Fatalf("%+v", log.records)
+	}
+	p.reduceNow(context.Background())
+	if len(log.records) != 1 {
+		t.Fatal("reduced twice")
+	}
+	later := New(Settings{Instance: "b"}, log, nil, nil, nil, nil)
+	for _, e := range []Entry{log.records[0], {Key: workload.AcceptedKey("a"), Value: whole}, {Offset: 2, Key: workload.ProgressKey("a"), Value: []byte(`{"state":"completed"}`)}} {
+		later.fold(e)
+	}
+	e, known := later.book.Get("a")
+	if !known || e.Shown() != workload.Completed || e.Job.Queue != "q" || len(e.Job.Steps) != 0 {
+		t.Fatalf("%+v, %t", e, known)
+	}
+	core := control.New(control.Bounds{}, 1, time.Now())
+	later.book.All(core.Adopt)
+	core.Round(time.Now(), 1)
+	if records := core.Changes(); len(records) != 0 {
+		t.Fatalf("a job that has ended was taken up: %+v", records)
+	}
+}
+
+// Instances that saw the whole acceptance before let go of it as well.
+func TestAReducedAcceptanceReplacesAWholeOneWhereverItWasRead(t *testing.T) {
+	s := New(Settings{Instance: "a"}, &memory{}, nil, nil, nil, nil)
+	s.fold(Entry{Key: workload.AcceptedKey("a"), Value: []byte(`{"id":"a","queue":"q","steps":[{"n":3,"r":{}}]}`)})
+	s.fold(Entry{Key: workload.AcceptedKey("a"), Value: []byte(`{"reduced":true,"id":"a","queue":"q"}`)})
+	if e, _ := s.book.Get("a"); len(e.Job.Steps) != 0 {
+		t.Fatal("the steps are still there")
+	}
+}
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,10 @@
 	decided time.Duration
 	// forgot is when jobs were last looked through for ones to forget.
 	forgot time.Time
+	// reduced is when jobs were last reduced.
+	reduced time.Time
+	// reducing tells that this is under way.
+	reducing atomic.Bool
 	// wake asks for a round, due for a look at what is due.
 	wake, due chan struct{}
 	work      sync.WaitGroup
@@ -133,6 +138,7 @@
 		}
 	}
 	p.release(ctx)
+	p.reduce(ctx)
 	p.forget(ctx)
 	return ""
 }
