Tools: outcomes in the logs, cobaltctl report and record, mechanisms that can be switched off, a replay rig (cobaltctl experiment)

Change: job-completed says how the job stands to its objective; run-stopping what it throws away; cobaltctl report adds them up, as text and plot (gonum/plot). workload/replay plays declared patterns of load and trouble against the real planner's core in virtual time; two policies are compared on the same seeds with 95 % intervals (gonum/stat). cobalttide-entry -without LIST switches mechanisms off, for ablation. The queue in virtual time moves to internal/, three packages use it. No decision changes.

--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -5,10 +5,10 @@
 	"sort"
 	"time"
 
-	"github.com/cobalttide/cobalttide/bench/virtual"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/estimate"
 	"github.com/cobalttide/cobalttide/guarantee"
+	"github.com/cobalttide/cobalttide/internal/virtual"
 	"github.com/cobalttide/cobalttide/placement"
 	"github.com/cobalttide/cobalttide/scheduler"
 )
--- a/bench/route/route.go
+++ b/bench/route/route.go
@@ -9,8 +9,8 @@
 	"sort"
 	"time"
 
-	"github.com/cobalttide/cobalttide/bench/virtual"
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/internal/virtual"
 	"github.com/cobalttide/cobalttide/routing"
 )
 
--- a/cmd/cobalttide-entry/main.go
+++ b/cmd/cobalttide-entry/main.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"github.com/cobalttide/cobalttide/platform"
+	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
 // Exit codes.
@@ -22,12 +23,18 @@
 func run() int {
 	file := flag.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
 	check := flag.Bool("check", false, "check the settings and exit")
+	without := flag.String("without", "", "mechanisms of the policy to switch off, separated by commas")
 	flag.Parse()
 	settings, err := platform.Load(*file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	settings.Without, err = decide.ParseWithout(*without)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
 	if *check {
 		fmt.Println("settings are good")
 		return exitOK
--- a/command/command.go
+++ b/command/command.go
@@ -49,23 +49,26 @@
 
 func init() {
 	subcommands = map[string]subcommand{
-		"validate": {"check declarations without an instance", "cobaltctl validate deployments/midlands/declarations", validate},
-		"plan":     {"show what applying declarations would change", "cobaltctl plan deployments/midlands/declarations", planCommand},
-		"apply":    {"make declarations the configuration", "cobaltctl apply deployments/midlands/declarations", apply},
-		"get":      {"print the configuration in force", "cobaltctl get", get},
-		"history":  {"list accepted configurations", "cobaltctl history -limit 5", history},
-		"rollback": {"apply an earlier version again", "cobaltctl rollback -to 3", rollback},
-		"status":   {"describe an instance, its peers and its data centre", "cobaltctl status", status},
-		"drain":    {"empty a worker, or put it back with -undo", "cobaltctl drain tyseley-hall-r0-w3", drain},
-		"token":    {"make a token and the hash to declare", "cobaltctl token", token},
-		"submit":   {"submit a gang job", `cobaltctl submit -id f1 -class restock-forecast -tasks 4 -accelerators 8 -adjacency same-rack -estimate 10s -payload '{"run":"5s"}'`, submit},
-		"request":  {"send a request to a backend server", `cobaltctl request -id q1 -class trade-counter-quote -body '{"take":"20ms"}'`, request},
-		"watch":    {"follow a job to its end", "cobaltctl watch f1", watch},
-		"job":      {"print a job's status", "cobaltctl job f1", job},
-		"cancel":   {"ask for a job's end", "cobaltctl cancel f1", cancel},
-		"explain":  {"tell why a job waits", "cobaltctl explain f1", explain},
-		"trace":    {"tell one job's story out of instances' logs", "cobaltctl trace -all 43dc915dcf38ac94 edge-1.log edge-2.log", trace},
-		"demo":     {"run a whole deployment in one process", "cobaltctl demo -deployment midlands -faults", demoCommand},
+		"validate":   {"check declarations without an instance", "cobaltctl validate deployments/midlands/declarations", validate},
+		"plan":       {"show what applying declarations would change", "cobaltctl plan deployments/midlands/declarations", planCommand},
+		"apply":      {"make declarations the configuration", "cobaltctl apply deployments/midlands/declarations", apply},
+		"get":        {"print the configuration in force", "cobaltctl get", get},
+		"history":    {"list accepted configurations", "cobaltctl history -limit 5", history},
+		"rollback":   {"apply an earlier version again", "cobaltctl rollback -to 3", rollback},
+		"status":     {"describe an instance, its peers and its data centre", "cobaltctl status", status},
+		"drain":      {"empty a worker, or put it back with -undo", "cobaltctl drain tyseley-hall-r0-w3", drain},
+		"token":      {"make a token and the hash to declare", "cobaltctl token", token},
+		"submit":     {"submit a gang job", `cobaltctl submit -id f1 -class restock-forecast -tasks 4 -accelerators 8 -adjacency same-rack -estimate 10s -payload '{"run":"5s"}'`, submit},
+		"request":    {"send a request to a backend server", `cobaltctl request -id q1 -class trade-counter-quote -body '{"take":"20ms"}'`, request},
+		"watch":      {"follow a job to its end", "cobaltctl watch f1", watch},
+		"job":        {"print a job's status", "cobaltctl job f1", job},
+		"cancel":     {"ask for a job's end", "cobaltctl cancel f1", cancel},
+		"explain":    {"tell why a job waits", "cobaltctl explain f1", explain},
+		"trace":      {"tell one job's story out of instances' logs", "cobaltctl trace -all 43dc915dcf38ac94 edge-1.log edge-2.log", trace},
+		"report":     {"tell from instances' logs what was late, what it waited for and what was thrown away", "cobaltctl report -plot late.svg edge-1.log edge-2.log", report},
+		"experiment": {"play a pattern of load under two policies and compare them", "cobaltctl experiment -pattern burst-urgent -a easy -b shipping -plots plots", experiment},
+		"record":     {"make a pattern for experiments of the load that instances' logs tell of", "cobaltctl record edge-1.log edge-2.log > day.jsonc", record},
+		"demo":       {"run a whole deployment in one process", "cobaltctl demo -deployment midlands -faults", demoCommand},
 	}
 }
 
@@ -115,7 +118,7 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		fmt.Fprintf(w, "  %-9s %s\n", name, subcommands[name].summary)
+		fmt.Fprintf(w, "  %-10s %s\n", name, subcommands[name].summary)
 	}
 	fmt.Fprintln(w, "\nExit codes: 0 done, 1 failed or refused, 2 wrong command line, 3 a newer configuration is in force,")
 	fmt.Fprintln(w, "4 the outcome is not known and the command may be repeated.")
--- /dev/null
+++ b/command/experiment.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/workload/replay"
+)
+
+// experiment plays a pattern of load under two policies on the same seeds.
+func experiment(_ context.Context, env Env, args []string) error {
+	f := newFlags(env, "experiment")
+	pattern := f.String("pattern", "burst-urgent", "a file, or one of "+strings.Join(replay.Names(), ", "))
+	a := f.String("a", replay.Easy, "the one policy: shipping, before, easy, fifo, or without=MECHANISM,...")
+	b := f.String("b", replay.Shipping, "the other one")
+	first := f.Uint64("seed", 1, "the first seed")
+	seeds := f.Int("seeds", 20, "how many seeds")
+	plots := f.String("plots", "", "folder for plots of queue, room and starts over time")
+	each := f.Bool("each", false, "print every run")
+	if _, err := f.parse(args); err != nil {
+		return err
+	}
+	if *seeds < 1 {
+		return errors.Mark(errors.New("-seeds wants 1 or more"), errUsage)
+	}
+	p, err := replay.Load(*pattern)
+	if err != nil {
+		return err
+	}
+	policyA, err := replay.ParsePolicy(*a)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	policyB, err := replay.ParsePolicy(*b)
+	if err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	e := replay.Compare(p, policyA, policyB, *first, *seeds)
+	if *each {
+		for _, r := range append(e.A, e.B...) {
+			if err := r.Write(env.Out); err != nil {
+				return err
+			}
+			fmt.Fprintln(env.Out)
+		}
+	}
+	if *plots != "" {
+		if err := e.Plots(*plots); err != nil {
+			return errors.Wrap(err, "the plots can't be written; name a folder that can")
+		}
+	}
+	return e.Write(env.Out)
+}
+
+// record prints the load that instances' logs tell of as a pattern.
+func record(_ context.Context, env Env, args []string) error {
+	f := newFlags(env, "record")
+	if err := f.Parse(args); err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	logs, closeAll, err := openLogs(f.Args())
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	lines, err := events.Lines(logs)
+	if err != nil {
+		return err
+	}
+	p, err := replay.Record(lines)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(env.Out)
+	encoder.SetIndent("", " ")
+	return encoder.Encode(p)
+}
--- /dev/null
+++ b/command/report.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	logreport "github.com/cobalttide/cobalttide/events/report"
+)
+
+// report tells what bound a deployment out of the logs of its instances.
+func report(_ context.Context, env Env, args []string) error {
+	f := newFlags(env, "report")
+	plot := f.String("plot", "", "file for a plot of late jobs by second; its ending (svg, png, pdf) says its format")
+	if err := f.Parse(args); err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	logs, closeAll, err := openLogs(f.Args())
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	made, err := logreport.Read(logs)
+	if err != nil {
+		return err
+	}
+	if made.From.IsZero() {
+		return errors.New("the logs hold no line of an instance; name the files that its standard output went to")
+	}
+	if *plot != "" {
+		if err := made.Plot(*plot); err != nil {
+			return errors.Wrap(err, "the plot can't be written; name a file ending in svg, png or pdf")
+		}
+	}
+	return made.Write(env.Out)
+}
--- /dev/null
+++ b/events/report/report.go
@@ -0,0 +1,282 @@
+// Package report tells from the logs of instances what bound a deployment: which
+// jobs were late, what they waited for, what work was thrown away and for what,
+// and when nobody planned. It reads what the instances wrote and nothing else.
+package report
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cobalttide/cobalttide/events"
+)
+
+// Report is what the logs tell of a stretch of time.
+type Report struct {
+	// From is the time of the first line, To of the last.
+	From, To time.Time
+	Queues   []Queue
+	// Waits holds how long steps waited, by reason, in seconds.
+	Waits map[string]float64
+	// Refused counts refusals by reason and outcome.
+	Refused map[string]int
+	// Stopped counts runs that were stopped, by cause; Thrown is the work that
+	// the stops threw away, in core-seconds.
+	Stopped map[string]int
+	Thrown  map[string]float64
+	// Ended counts the ends of runs by how they ended.
+	Ended map[string]int
+	// Gaps are the stretches in which nobody planned.
+	Gaps []Gap
+	// Seconds counts, by second since From, the jobs that were late by when they
+	// were accepted.
+	Seconds []Second
+}
+
+// Queue sums up the jobs of one queue.
+type Queue struct {
+	Name string
+	// Accepted jobs; of these in time, late, worthless, failed and cancelled. The
+	// rest had no end in the logs.
+	Accepted, InTime, Late, Worthless, Failed, Cancelled int
+	// Where the time of jobs that were not in time went, mean milliseconds: until
+	// the planner saw them, waiting before the first start by reason, in runs that
+	// came to nothing, in the runs that completed them.
+	Unseen, Waited, Again, Worked float64
+	// ByReason is Waited by reason.
+	ByReason map[string]float64
+}
+
+// Gap is a stretch without a planner.
+type Gap struct {
+	At  time.Duration
+	For time.Duration
+}
+
+// Second counts the jobs accepted within one second.
+type Second struct {
+	Accepted, NotInTime int
+}
+
+// job is what the logs tell of one.
+type job struct {
+	queue             string
+	accepted          time.Time
+	seen, first, last time.Time
+	reason            string
+	since             time.Time
+	waits             map[string]time.Duration
+	outcome           string
+	worked            time.Duration
+	completed         time.Time
+	failed, cancelled bool
+}
+
+// Read makes a report of logs.
+func Read(logs []io.Reader) (*Report, error) {
+	lines, err := events.Lines(logs)
+	if err != nil {
+		return nil, err
+	}
+	b := &builder{r: newReport(), jobs: map[string]*job{}}
+	for _, l := range lines {
+		b.take(l)
+	}
+	return b.finish(), nil
+}
+
+func newReport() *Report {
+	return &Report{Waits: map[string]float64{}, Refused: map[string]int{}, Stopped: map[string]int{}, Thrown: map[string]float64{}, Ended: map[string]int{}}
+}
+
+type builder struct {
+	r     *Report
+	jobs  map[string]*job
+	order []*job
+	plans int
+	idle  time.Time
+}
+
+func (b *builder) take(l events.Line) {
+	if b.r.From.IsZero() {
+		b.r.From = l.At
+		b.idle = l.At
+	}
+	b.r.To = l.At
+	why := text(l, "why")
+	switch l.Event {
+	case events.PlannerBegins:
+		if b.plans == 0 {
+			b.r.Gaps = append(b.r.Gaps, Gap{b.idle.Sub(b.r.From), l.At.Sub(b.idle)})
+		}
+		b.plans++
+	case events.PlannerEnds:
+		if b.plans--; b.plans <= 0 {
+			b.plans, b.idle = 0, l.At
+		}
+	case events.JobRefused:
+		b.r.Refused[text(l, "reason")+" "+text(l, "outcome")]++
+	case "run-stopping":
+		b.r.Stopped[why]++
+		b.r.Thrown[why] += number(field(text(l, "detail"), "core_s"))
+	case "run-ended":
+		b.r.Ended[why]++
+	}
+	if id := text(l, "job"); id != "" {
+		b.takeJob(id, l, why)
+	}
+}
+
+func (b *builder) takeJob(id string, l events.Line, why string) {
+	if l.Event == events.JobAccepted {
+		if b.jobs[id] == nil {
+			j := &job{queue: text(l, "queue"), accepted: l.At, waits: map[string]time.Duration{}}
+			b.jobs[id] = j
+			b.order = append(b.order, j)
+		}
+		return
+	}
+	j := b.jobs[id]
+	if j == nil {
+		return
+	}
+	switch l.Event {
+	case "unit-waits":
+		j.see(l.At)
+		j.wait(l.At, why)
+	case "unit-started":
+		j.see(l.At)
+		j.wait(l.At, "")
+		j.last = l.At
+		if j.first.IsZero() {
+			j.first = l.At
+		}
+	case "job-completed":
+		j.outcome, j.completed = why, l.At
+		j.worked = time.Duration(number(field(text(l, "detail"), "worked_ms"))) * time.Millisecond
+	case "job-failed":
+		j.failed = true
+	case events.JobCancelled:
+		j.cancelled = true
+	}
+}
+
+func (j *job) see(at time.Time) {
+	if j.seen.IsZero() {
+		j.seen = at
+	}
+}
+
+// wait ends the wait for one reason and begins that for another.
+func (j *job) wait(at time.Time, reason string) {
+	if j.reason != "" {
+		j.waits[j.reason] += at.Sub(j.since)
+	}
+	j.reason, j.since = reason, at
+}
+
+func (b *builder) finish() *Report {
+	queues := map[string]*Queue{}
+	for _, j := range b.order {
+		q := queues[j.queue]
+		if q == nil {
+			q = &Queue{Name: j.queue, ByReason: map[string]float64{}}
+			queues[j.queue] = q
+		}
+		q.add(j)
+		for reason, d := range j.waits {
+			b.r.Waits[reason] += d.Seconds()
+		}
+		b.second(j)
+	}
+	for _, q := range queues {
+		q.mean()
+		b.r.Queues = append(b.r.Queues, *q)
+	}
+	slices.SortFunc(b.r.Queues, func(a, c Queue) int { return strings.Compare(a.Name, c.Name) })
+	return b.r
+}
+
+func (b *builder) second(j *job) {
+	n := int(j.accepted.Sub(b.r.From).Seconds())
+	for len(b.r.Seconds) <= n {
+		b.r.Seconds = append(b.r.Seconds, Second{})
+	}
+	b.r.Seconds[n].Accepted++
+	if !j.cancelled && j.outcome != "in-time" {
+		b.r.Seconds[n].NotInTime++
+	}
+}
+
+func (q *Queue) add(j *job) {
+	q.Accepted++
+	switch {
+	case j.cancelled:
+		q.Cancelled++
+		return
+	case j.failed:
+		q.Failed++
+		return
+	case j.outcome == "in-time":
+		q.InTime++
+		return
+	case j.outcome == "late":
+		q.Late++
+	case j.outcome == "worthless":
+		q.Worthless++
+	default:
+		return
+	}
+	q.Unseen += ms(j.seen.Sub(j.accepted))
+	waited := time.Duration(0)
+	for reason, d := range j.waits {
+		q.ByReason[reason] += ms(d)
+		waited += d
+	}
+	q.Waited += ms(waited)
+	q.Worked += ms(j.worked)
+	q.Again += ms(max(0, j.completed.Sub(j.seen)-waited-j.worked))
+}
+
+func (q *Queue) mean() {
+	n := float64(q.Late + q.Worthless)
+	if n == 0 {
+		return
+	}
+	for _, sum := range []*float64{&q.Unseen, &q.Waited, &q.Again, &q.Worked} {
+		*sum /= n
+	}
+	for reason := range q.ByReason {
+		q.ByReason[reason] /= n
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func text(l events.Line, name string) string {
+	if v, ok := l.Fields[name]; ok {
+		return fmt.Sprint(v)
+	}
+	return ""
+}
+
+// field finds name=value in a line's detail.
+func field(detail, name string) string {
+	for _, part := range strings.Fields(detail) {
+		if value, ok := strings.CutPrefix(part, name+"="); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+func number(text string) float64 {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/events/report/write.go
@@ -0,0 +1,83 @@
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Write writes the report as tables.
+func (r *Report) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "%.1f s of logs\n\n", r.To.Sub(r.From).Seconds())
+	fmt.Fprintln(w, "queue\taccepted\tin time\tlate\tworthless\tfailed\tcancelled\tunseen ms\twaited ms\tagain ms\tworked ms\twaited for, ms")
+	for _, q := range r.Queues {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%s\n", q.Name, q.Accepted, q.InTime, q.Late, q.Worthless,
+			q.Failed, q.Cancelled, q.Unseen, q.Waited, q.Again, q.Worked, largest(q.ByReason))
+	}
+	fmt.Fprintln(w, "\nwaits by reason, s:\t", largest(r.Waits))
+	fmt.Fprintln(w, "refused:\t", largest(r.Refused))
+	fmt.Fprintln(w, "ends of runs:\t", largest(r.Ended))
+	fmt.Fprintln(w, "stopped:\t", largest(r.Stopped))
+	fmt.Fprintln(w, "thrown away by stops, core-seconds:\t", largest(r.Thrown))
+	for _, g := range r.Gaps {
+		fmt.Fprintf(w, "nobody planned:\tfrom %.1f s for %.1f s\n", g.At.Seconds(), g.For.Seconds())
+	}
+	return w.Flush()
+}
+
+// largest writes a map, the largest value first.
+func largest[V cmp.Ordered](m map[string]V) string {
+	names := slices.SortedFunc(maps.Keys(m), func(a, b string) int {
+		return cmp.Or(cmp.Compare(m[b], m[a]), cmp.Compare(a, b))
+	})
+	out := ""
+	for _, name := range names {
+		switch v := any(m[name]).(type) {
+		case float64:
+			out += fmt.Sprintf("%s=%.0f ", name, v)
+		default:
+			out += fmt.Sprintf("%s=%v ", name, v)
+		}
+	}
+	return out
+}
+
+// Size of a plot.
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 3 * vg.Inch
+)
+
+// Plot draws, second by second of their acceptance, how many jobs there were
+// and how many of them were not in time. The file's ending says its format.
+func (r *Report) Plot(file string) error {
+	p := plot.New()
+	p.Title.Text = "jobs by second of acceptance"
+	p.X.Label.Text = "s"
+	all, missed := make(plotter.XYs, len(r.Seconds)), make(plotter.XYs, len(r.Seconds))
+	for i, s := range r.Seconds {
+		all[i] = plotter.XY{X: float64(i), Y: float64(s.Accepted)}
+		missed[i] = plotter.XY{X: float64(i), Y: float64(s.NotInTime)}
+	}
+	for i, line := range []struct {
+		name   string
+		points plotter.XYs
+	}{{"accepted", all}, {"not in time", missed}} {
+		drawn, err := plotter.NewLine(line.points)
+		if err != nil {
+			return err
+		}
+		drawn.Color = colours[i]
+		p.Add(drawn)
+		p.Legend.Add(line.name, drawn)
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
--- a/events/story.go
+++ b/events/story.go
@@ -29,41 +29,51 @@
 // longestLine bounds a line of a log.
 const longestLine = 1 << 20
 
-// Story reads logs of instances, which may have text before each line's JSON,
-// and returns what concerns one job, in order: its own events, and between its
-// first and last those that concern every job, where all is set.
-func Story(logs []io.Reader, job string, all bool) ([]Line, error) {
-	var own, others []Line
+// Lines reads the events of logs of instances, which may have text before each
+// line's JSON, in the order of their times.
+func Lines(logs []io.Reader) ([]Line, error) {
+	var out []Line
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
 		scanner.Buffer(nil, longestLine)
 		for scanner.Scan() {
-			line, ok := parseLine(scanner.Bytes())
-			switch {
-			case !ok:
-			case line.Fields["job"] == job:
-				own = append(own, line)
-			case all && background[line.Event]:
-				others = append(others, line)
+			if line, ok := parseLine(scanner.Bytes()); ok {
+				out = append(out, line)
 			}
 		}
 		if err := scanner.Err(); err != nil {
 			return nil, err
 		}
 	}
-	byTime := func(a, b Line) int { return a.At.Compare(b.At) }
-	slices.SortStableFunc(own, byTime)
-	if len(own) == 0 {
-		return nil, nil
+	slices.SortStableFunc(out, func(a, b Line) int { return a.At.Compare(b.At) })
+	return out, nil
+}
+
+// Story returns what concerns one job, in order: its own events, and between its
+// first and last those that concern every job, where all is set.
+func Story(logs []io.Reader, job string, all bool) ([]Line, error) {
+	lines, err := Lines(logs)
+	if err != nil {
+		return nil, err
+	}
+	var own []Line
+	for _, l := range lines {
+		if l.Fields["job"] == job {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 || !all {
+		return own, nil
 	}
 	first, last := own[0].At, own[len(own)-1].At
-	for _, l := range others {
-		if !l.At.Before(first) && !l.At.After(last) {
-			own = append(own, l)
+	var out []Line
+	for _, l := range lines {
+		within := !l.At.Before(first) && !l.At.After(last)
+		if l.Fields["job"] == job || (background[l.Event] && within) {
+			out = append(out, l)
 		}
 	}
-	slices.SortStableFunc(own, byTime)
-	return own, nil
+	return out, nil
 }
 
 func parseLine(text []byte) (Line, bool) {
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -14,6 +14,8 @@
 // Core is the planner's state. It is not safe for concurrent use.
 type Core struct {
 	bounds Bounds
+	// decide makes the plans.
+	decide func(*decide.Snapshot) decide.Plan
 	// token is the fencing token of this planner.
 	token   int64
 	config  Configuration
@@ -50,8 +52,9 @@
 	dutiesFrom time.Time
 	// asking tells that a call for advice is under way.
 	asking bool
-	// wallMS is the time of day of the last round.
+	// wallMS is the time of day of the last round, at its steady time.
 	wallMS int64
+	at     time.Time
 }
 
 // job is one that has not ended, or whose tasks may still run.
@@ -70,6 +73,8 @@
 	// were placed.
 	lives []*live
 	held  map[decide.UnitKey]decide.Reason
+	// took is how long the runs took that completed each step.
+	took map[int]time.Duration
 }
 
 // live is a run that was ordered and may be at work.
@@ -115,9 +120,13 @@
 // give workers that do not answer to others only after the leases that its
 // predecessor gave must have lapsed.
 func New(bounds Bounds, token int64, now time.Time) *Core {
+	if bounds.Plan == nil {
+		bounds.Plan = decide.Make
+	}
 	return &Core{
 		bounds:         bounds,
 		token:          token,
+		decide:         bounds.Plan,
 		workers:        map[string]*worker{},
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
--- a/workload/control/estimates.go
+++ b/workload/control/estimates.go
@@ -42,24 +42,8 @@
 	return estimate
 }
 
-// chain is the longest chain of work: of the whole job, or from a step on.
+// chain is the longest chain of work that is expected: of the whole job, or from
+// a step on.
 func (e *estimates) chain(j *job, from int, whole bool) time.Duration {
-	longest := make([]time.Duration, len(j.Steps))
-	best := time.Duration(0)
-	for i := range j.Steps {
-		reached := whole || i == from
-		before := time.Duration(0)
-		for _, d := range j.Steps[i].DependsOn {
-			if longest[d] > 0 {
-				before = max(before, longest[d])
-				reached = true
-			}
-		}
-		if !reached {
-			continue
-		}
-		longest[i] = before + e.expected(j, i)
-		best = max(best, longest[i])
-	}
-	return best
+	return longestChain(j.Job, from, whole, func(step int) time.Duration { return e.expected(j, step) })
 }
--- a/workload/control/evacuate.go
+++ b/workload/control/evacuate.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload/decide"
+)
 
 // evacuateMargin is what a stop's way and its end's way back take.
 const evacuateMargin = 500 * time.Millisecond
@@ -20,6 +24,9 @@
 // again elsewhere before they are lost. Those that save their progress go on
 // until the last moment at which a stop still saves it.
 func (c *Core) evacuate(now time.Time) {
+	if c.bounds.Without[decide.Evacuate] {
+		return
+	}
 	for _, l := range c.allLives() {
 		w := l.worker
 		if !w.Draining || w.leavesAt.IsZero() || l.stopping || l.over || !l.confirmed {
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -15,7 +15,7 @@
 	EventHostVacated = "host-vacated"
 	// EventWaveTaken: a wave of maintenance was read.
 	EventWaveTaken = "wave-taken"
-	// EventJobCompleted: all tasks have ended as done.
+	// EventJobCompleted: all tasks have ended as done; why is how it stands to its objective, detail its queue and times.
 	EventJobCompleted = "job-completed"
 	// EventJobFailed: a task or gang has used its attempts; task and worker of the last failure.
 	EventJobFailed = "job-failed"
@@ -33,7 +33,7 @@
 	EventRunPaced = "run-paced"
 	// EventRunStandsStill: a run shows no progress and is stopped.
 	EventRunStandsStill = "run-stands-still"
-	// EventRunStopping: a stop was decided; why tells for what.
+	// EventRunStopping: a stop was decided; why tells for what, detail the core-seconds that it throws away.
 	EventRunStopping = "run-stopping"
 	// EventRunVanished: a worker confirmed a run and no longer lists it.
 	EventRunVanished = "run-vanished"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -134,6 +134,9 @@
 	}
 	c.note(Note{Event: EventRunEnded, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: string(row.How)})
 	c.learn(w, l, row.How, now)
+	if row.How == EndDone {
+		l.job.worked(l, now)
+	}
 	c.ended(l, row.How, row.Saved)
 }
 
@@ -288,7 +291,7 @@
 	j.progress.Open = open
 	if len(open) == 0 && j.progress.Next >= j.Occurrences() && !j.progress.State.Final() {
 		j.progress.State = workload.Completed
-		c.note(Note{Event: EventJobCompleted, Job: j.ID})
+		c.complete(j)
 	}
 	c.settle(j)
 }
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -109,7 +110,11 @@
 		return
 	}
 	l.stopping = true
-	c.note(Note{Event: EventRunStopping, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Why: why})
+	detail := ""
+	if !l.over {
+		detail = fmt.Sprintf("core_s=%.1f", c.lost(l, c.at))
+	}
+	c.note(Note{Event: EventRunStopping, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Why: why, Detail: detail})
 	c.stops = append(c.stops, StopOrder{Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Token: c.token})
 }
 
--- /dev/null
+++ b/workload/control/outcome.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+// Outcome is how a completed job stands to its objective.
+type Outcome string
+
+// The outcomes of completed jobs.
+const (
+	// FinishedInTime: within the objective.
+	FinishedInTime Outcome = "in-time"
+	// FinishedLate: within three times the objective, which still is worth a part.
+	FinishedLate Outcome = "late"
+	// FinishedWorthless: later than that.
+	FinishedWorthless Outcome = "worthless"
+)
+
+// worked notes how long the run that completed a step took.
+func (j *job) worked(l *live, now time.Time) {
+	if l.orderedAt.IsZero() {
+		return
+	}
+	if j.took == nil {
+		j.took = map[int]time.Duration{}
+	}
+	j.took[l.id.Step] = max(j.took[l.id.Step], now.Sub(l.orderedAt))
+}
+
+// complete notes a job's end and how it stands to its objective, as far as this
+// planner saw its runs.
+func (c *Core) complete(j *job) {
+	note := Note{Event: EventJobCompleted, Job: j.ID}
+	if j.Repetitions == 0 && c.wallMS > 0 {
+		took := time.Duration(c.wallMS-j.AcceptedMS) * time.Millisecond
+		worked := j.workedChain()
+		terms := c.terms(j)
+		objective := time.Duration(terms.Stretch*float64(worked)) + time.Duration(terms.TargetMS)*time.Millisecond
+		note.Why = string(outcomeOf(took, objective))
+		note.Detail = fmt.Sprintf("queue=%s took_ms=%d worked_ms=%d objective_ms=%d", j.Queue, took.Milliseconds(), worked.Milliseconds(), objective.Milliseconds())
+	}
+	c.note(note)
+}
+
+func outcomeOf(took, objective time.Duration) Outcome {
+	switch {
+	case took <= objective:
+		return FinishedInTime
+	case took <= lateFactor*objective:
+		return FinishedLate
+	}
+	return FinishedWorthless
+}
+
+// workedChain is the longest chain of the runs that completed the job's steps.
+func (j *job) workedChain() time.Duration {
+	return longestChain(j.Job, 0, true, func(step int) time.Duration { return j.took[step] })
+}
+
+// longestChain is the longest chain of steps by the time that each takes: of the
+// whole job, or from a step on.
+func longestChain(j *workload.Job, from int, whole bool, takes func(step int) time.Duration) time.Duration {
+	longest := make([]time.Duration, len(j.Steps))
+	best := time.Duration(0)
+	for i := range j.Steps {
+		reached := whole || i == from
+		before := time.Duration(0)
+		for _, d := range j.Steps[i].DependsOn {
+			if longest[d] > 0 {
+				before = max(before, longest[d])
+				reached = true
+			}
+		}
+		if !reached {
+			continue
+		}
+		longest[i] = before + takes(i)
+		best = max(best, longest[i])
+	}
+	return best
+}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -13,6 +13,7 @@
 // schedules refer to.
 func (c *Core) Round(now time.Time, wallMS int64) {
 	c.wallMS = wallMS
+	c.at = now
 	c.wishes = nil
 	c.expire(now)
 	c.create(wallMS)
@@ -22,7 +23,7 @@
 	c.learnSpeeds(now)
 	s, units := c.snapshot(now, wallMS)
 	c.orderWishes()
-	plan := decide.Make(s)
+	plan := c.decide(s)
 	for _, index := range plan.Stops {
 		c.preempt(s.Running[index], now)
 	}
@@ -58,7 +59,7 @@
 }
 
 func (c *Core) snapshot(now time.Time, wallMS int64) (*decide.Snapshot, []unit) {
-	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout, FarFactor: c.bounds.FarFactor}
+	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout, FarFactor: c.bounds.FarFactor, Without: c.bounds.Without}
 	guaranteed := c.guaranteed()
 	c.addWorkers(s, now)
 	c.addRunning(s, guaranteed, now)
--- a/workload/control/trust.go
+++ b/workload/control/trust.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload/decide"
+)
 
 const (
 	// distrustAfter is the number of failures in a row, of different jobs, after
@@ -67,11 +71,11 @@
 	switch how {
 	case EndDone:
 		w.trust.succeed()
-		if l.confirmed && l.saved == "" && !l.far && !l.orderedAt.IsZero() {
+		if !c.bounds.Without[decide.LearnEstimates] && l.confirmed && l.saved == "" && !l.far && !l.orderedAt.IsZero() {
 			c.pace.observe(l.job.Queue, time.Duration(l.step.EstimateMS)*time.Millisecond, now.Sub(l.orderedAt))
 		}
 	case EndFailed:
-		if w.trust.fail(string(l.id.Job), now) {
+		if !c.bounds.Without[decide.Distrust] && w.trust.fail(string(l.id.Job), now) {
 			c.note(Note{Event: EventWorkerDistrusted, Worker: w.ID})
 		}
 	}
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
 // Bounds are the times that the deployment guarantees or asks for.
@@ -33,6 +34,10 @@
 	DutyLease time.Duration
 	// Wait is how long a worker may wait for news before it answers a hold.
 	Wait time.Duration
+	// Without are mechanisms of the policy that are switched off.
+	Without decide.Without
+	// Plan decides in place of decide.Make, for measurements; nil is decide.Make.
+	Plan func(*decide.Snapshot) decide.Plan
 }
 
 // clockDrift is the fraction by which a worker's clock may be slow.
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -109,6 +109,8 @@
 	// FarFactor is how many times as long a task takes away from its data, or in
 	// a gang that spans racks against its wish; 0 is as long.
 	FarFactor float64
+	// Without are mechanisms that are switched off.
+	Without Without
 }
 
 // Assignment starts a task on a worker.
@@ -186,7 +188,10 @@
 		if w.Closed {
 			continue
 		}
-		one := &slot{Worker: w, free: w.Free, coming: w.Coming, speed: speedClass(w.Speed)}
+		one := &slot{Worker: w, free: w.Free, coming: w.Coming}
+		if !s.Without[WorkerSpeeds] {
+			one.speed = speedClass(w.Speed)
+		}
 		p.workers = append(p.workers, one)
 		if len(p.racks[w.Rack]) == 0 {
 			p.rackList = append(p.rackList, w.Rack)
@@ -242,6 +247,9 @@
 // long as a start far away would cost it: then it has lost at most twice what
 // it had to.
 func (p *planner) waitsNear(u *Unit) bool {
+	if p.s.Without[WaitNear] {
+		return false
+	}
 	cost := time.Duration(max(0, p.s.FarFactor-1) * float64(u.Run))
 	return p.mayWait(u) && p.s.Now.Before(u.LatestStart.Add(cost))
 }
--- a/workload/decide/headroom.go
+++ b/workload/decide/headroom.go
@@ -16,6 +16,9 @@
 	racks := append([]string(nil), p.rackList...)
 	sort.SliceStable(racks, func(a, b int) bool { return firm[racks[a]] < firm[racks[b]] })
 	kept := map[string]bool{}
+	if p.s.Without[ClearRacks] {
+		return kept
+	}
 	room := int64(0)
 	for _, rack := range racks {
 		if room >= p.s.Headroom {
--- /dev/null
+++ b/workload/decide/mechanism.go
@@ -0,0 +1,57 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Mechanism is a part of the policy that can be switched off, so that what it is
+// worth can be measured, and so that operators can do without one that does harm.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// ClearRacks keeps racks clear of work that a stop would throw away.
+	ClearRacks Mechanism = "clear-racks"
+	// WorkerSpeeds gives the first priority the faster workers.
+	WorkerSpeeds Mechanism = "worker-speeds"
+	// WaitForEnds keeps room where runs are about to end in place of stopping others.
+	WaitForEnds Mechanism = "wait-for-ends"
+	// StopBeyondGuarantee lets the first priority stop others beyond its account's guarantee.
+	StopBeyondGuarantee Mechanism = "stop-beyond-guarantee"
+	// WaitNear lets work wait for a place near its data or in one rack.
+	WaitNear Mechanism = "wait-near"
+	// LearnEstimates corrects callers' estimates by what tasks took.
+	LearnEstimates Mechanism = "learn-estimates"
+	// Distrust gives workers that fail one task after the other a rest.
+	Distrust Mechanism = "distrust"
+	// Evacuate stops runs that their worker will not stay for.
+	Evacuate Mechanism = "evacuate"
+)
+
+// Mechanisms lists all.
+var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, WaitForEnds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate}
+
+// Latest are the mechanisms that the last round of changes to the policy added:
+// without them it decides as it did before.
+var Latest = []Mechanism{}
+
+// Without are the mechanisms that are switched off; none is the policy as it
+// ships.
+type Without map[Mechanism]bool
+
+// ParseWithout reads a list of mechanisms, separated by commas.
+func ParseWithout(list string) (Without, error) {
+	out := Without{}
+	for name := range strings.SplitSeq(list, ",") {
+		if name = strings.TrimSpace(name); name == "" {
+			continue
+		}
+		if !slices.Contains(Mechanisms, Mechanism(name)) {
+			return nil, fmt.Errorf("there is no mechanism %q: name some of %v", name, Mechanisms)
+		}
+		out[Mechanism(name)] = true
+	}
+	return out, nil
+}
--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -14,7 +14,10 @@
 	if u.Priority > 0 || (!u.Guaranteed && u.lateness(p.s.Now) != inTime) {
 		return false
 	}
-	if p.waitForEnds(u) {
+	if !u.Guaranteed && p.s.Without[StopBeyondGuarantee] {
+		return false
+	}
+	if !p.s.Without[WaitForEnds] && p.waitForEnds(u) {
 		return true
 	}
 	best := p.victimsAnywhere(u, behind)
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -243,7 +243,7 @@
 	if err == nil {
 		s.fold(Entry{Key: record.Key, Value: value})
 		s.metrics.Observe(telemetry.Acceptance, time.Since(began))
-		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "features": job.Features(), "version": s.version(), "took_ms": time.Since(began).Milliseconds()})
+		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "features": job.Features(), "shape": shape(job), "version": s.version(), "took_ms": time.Since(began).Milliseconds()})
 		return nil
 	}
 	if _, known := s.book.Get(job.ID); known {
@@ -252,6 +252,19 @@
 	return s.refuse(job.ID, logRefusal(err))
 }
 
+// longestShape bounds what a line says of a job's steps.
+const longestShape = 1000
+
+// shape is the job's steps as a line has them, so that a load can be played
+// again; "" where that is too long.
+func shape(job *workload.Job) string {
+	text, err := json.Marshal(job.Steps)
+	if err != nil || len(text) > longestShape {
+		return ""
+	}
+	return string(text)
+}
+
 // NoteRefusal notes a caller's request that was refused before it reached Submit.
 func (s *Service) NoteRefusal(id workload.JobID, err error) { _ = s.refuse(id, err) }
 
--- a/workload/workertest/advance.go
+++ b/workload/workertest/advance.go
@@ -24,6 +24,7 @@
 		return
 	}
 	f.now = now
+	f.work(now)
 	for _, id := range f.ids() {
 		w := f.Workers[id]
 		if !w.Dead {
@@ -32,6 +33,46 @@
 	}
 }
 
+// gangRun names a run of a gang.
+type gangRun struct {
+	job     workload.JobID
+	k, step int
+	run     int64
+}
+
+// work adds to each run what it got done since the last call, where workers
+// have speeds.
+func (f *Fleet) work(now time.Time) {
+	if f.Speed == nil {
+		return
+	}
+	slowest := map[gangRun]float64{}
+	for id, w := range f.Workers {
+		speed := f.Speed(id)
+		for _, r := range w.runs {
+			if least, ok := slowest[r.gang()]; r.step.Gang && (!ok || speed < least) {
+				slowest[r.gang()] = speed
+			}
+		}
+	}
+	for id, w := range f.Workers {
+		speed := f.Speed(id)
+		for _, r := range w.runs {
+			if r.working.IsZero() {
+				continue
+			}
+			pace := speed
+			if r.step.Gang {
+				pace = slowest[r.gang()]
+			}
+			r.done += time.Duration(pace * float64(now.Sub(r.working)))
+			r.working = now
+		}
+	}
+}
+
+func (r *run) gang() gangRun { return gangRun{r.id.Job, r.id.K, r.id.Step, r.run} }
+
 func (f *Fleet) ids() []string {
 	out := make([]string, 0, len(f.Workers))
 	for id := range f.Workers {
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -49,6 +49,9 @@
 	Step func(workload.TaskID) (step workload.Step, ok bool)
 	// Work says what a run does on a worker.
 	Work func(id workload.TaskID, run int64, worker string) Work
+	// Speed is a worker's now, as a factor; nil is 1 for all. A gang goes at the
+	// pace of its slowest member.
+	Speed func(worker string) float64
 	// Seen takes every event.
 	Seen    func(Event)
 	Workers map[string]*Worker
@@ -132,14 +135,17 @@
 	return out
 }
 
-func (w *Worker) free() workload.Resources {
-	free := w.Capacity
+// Held is what the runs on the worker hold of it.
+func (w *Worker) Held() workload.Resources {
+	held := workload.Resources{}
 	for _, r := range w.runs {
-		free = free.Sub(r.step.Counted())
+		held = held.Add(r.step.Counted())
 	}
-	return free
+	return held
 }
 
+func (w *Worker) free() workload.Resources { return w.Capacity.Sub(w.Held()) }
+
 // admit applies an order's token; false means that a newer one was seen.
 func (w *Worker) admit(token int64) bool {
 	if token < w.token {
@@ -239,6 +245,13 @@
 	return answer
 }
 
+// Keep takes the lease and the token of a hold that waits for news.
+func (w *Worker) Keep(o control.HoldOrder, now time.Time) {
+	if w.admit(o.Token) && o.DeadlineMS > 0 {
+		w.extend(o.DeadlineMS, now)
+	}
+}
+
 // Pace carries an order on pace out, at once.
 func (w *Worker) Pace(o control.PaceOrder, now time.Time) control.Answer {
 	w.fleet.Advance(now)
