Outcomes: runs that fail by the job's own fault are owed

Cause: a job's objective counts the runs that fail by its own fault; the log's outcome did not, and called jobs late that were not. Reports of queues whose first lines were left out had absurd means.

--- a/events/report/report.go
+++ b/events/report/report.go
@@ -230,7 +230,11 @@
 	default:
 		return
 	}
-	q.Unseen += ms(j.seen.Sub(j.accepted))
+	if j.seen.IsZero() {
+		// The lines that would tell were left out.
+		j.seen = j.accepted
+	}
+	q.Unseen += ms(max(0, j.seen.Sub(j.accepted)))
 	waited := time.Duration(0)
 	for reason, d := range j.waits {
 		q.ByReason[reason] += ms(d)
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -73,8 +73,9 @@
 	// were placed.
 	lives []*live
 	held  map[decide.UnitKey]decide.Reason
-	// took is how long the runs took that completed each step.
-	took map[int]time.Duration
+	// took is how long the runs took that completed each step, lost that of those
+	// that failed in it.
+	took, lost map[int]time.Duration
 }
 
 // live is a run that was ordered and may be at work.
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -134,9 +134,7 @@
 	}
 	c.note(Note{Event: EventRunEnded, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: string(row.How)})
 	c.learn(w, l, row.How, now)
-	if row.How == EndDone {
-		l.job.worked(l, now)
-	}
+	l.job.worked(l, row.How, now)
 	c.ended(l, row.How, row.Saved)
 }
 
--- a/workload/control/outcome.go
+++ b/workload/control/outcome.go
@@ -20,15 +20,21 @@
 	FinishedWorthless Outcome = "worthless"
 )
 
-// worked notes how long the run that completed a step took.
-func (j *job) worked(l *live, now time.Time) {
-	if l.orderedAt.IsZero() {
+// worked notes how long a run took that completed a step or failed in it: a job
+// is owed its failures as well. Members of a gang fail once.
+func (j *job) worked(l *live, how End, now time.Time) {
+	if l.orderedAt.IsZero() || (how != EndDone && how != EndFailed) {
 		return
 	}
 	if j.took == nil {
-		j.took = map[int]time.Duration{}
+		j.took, j.lost = map[int]time.Duration{}, map[int]time.Duration{}
 	}
-	j.took[l.id.Step] = max(j.took[l.id.Step], now.Sub(l.orderedAt))
+	took := now.Sub(l.orderedAt)
+	if how == EndFailed {
+		j.lost[l.id.Step] += took
+		return
+	}
+	j.took[l.id.Step] = max(j.took[l.id.Step], took)
 }
 
 // complete notes a job's end and how it stands to its objective, as far as this
@@ -56,9 +62,10 @@
 	return FinishedWorthless
 }
 
-// workedChain is the longest chain of the runs that completed the job's steps.
+// workedChain is the longest chain of the runs that completed the job's steps,
+// and of those that failed in them.
 func (j *job) workedChain() time.Duration {
-	return longestChain(j.Job, 0, true, func(step int) time.Duration { return j.took[step] })
+	return longestChain(j.Job, 0, true, func(step int) time.Duration { return j.took[step] + j.lost[step] })
 }
 
 // longestChain is the longest chain of steps by the time that each takes: of the
