--- a/workload/decide/headroom.go
+++ b/workload/decide/headroom.go
@@ -33,5 +33,8 @@
 // keptFrom tells whether the worker's rack is kept from the unit: from firm work
 // behind the first priority that still has time.
 func (p *planner) keptFrom(u *Unit, w *slot) bool {
-	return p.kept[w.Rack] && u.Priority > 0 && !u.Step.Checkpoint && p.mayWait(u) && p.inTime(u)
+	if u.Step.Checkpoint && p.s.Without[KeepIdle] {
+		return false
+	}
+	return p.kept[w.Rack] && u.Priority > 0 && p.mayWait(u) && p.inTime(u)
 }
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -26,16 +26,18 @@
 	LearnEstimates Mechanism = "learn-estimates"
 	// Distrust gives workers that fail one task after the other a rest.
 	Distrust Mechanism = "distrust"
+	// KeepIdle keeps the clear racks of work that could be stopped without loss, too.
+	KeepIdle Mechanism = "keep-idle"
 	// Evacuate stops runs that their worker will not stay for.
 	Evacuate Mechanism = "evacuate"
 )
 
 // Mechanisms lists all.
-var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, WaitForEnds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate}
+var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, WaitForEnds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate, KeepIdle}
 
 // Latest are the mechanisms that the last round of changes to the policy added:
 // without them it decides as it did before.
-var Latest = []Mechanism{}
+var Latest = []Mechanism{KeepIdle}
 
 // Without are the mechanisms that are switched off; none is the policy as it
 // ships.
