Headroom: racks that are kept clear stay idle where stops are slow

Change: the kept racks are closed to all work behind the first priority that has time, where three in ten of the first priority's units can't wait for a stop, as observed.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -34,6 +34,8 @@
 	speedsAt time.Time
 	// headroom is what the first priority is expected to need at once.
 	headroom headroom
+	// hurry is how many of its units can't wait for a stop.
+	hurry hurry
 	// strangersUntil is when the leases that an earlier planner gave to workers
 	// that have not answered yet must have lapsed.
 	strangersUntil time.Time
--- a/workload/control/headroom.go
+++ b/workload/control/headroom.go
@@ -17,6 +17,25 @@
 // headroomHalfLife is the time in which half of a peak is forgotten.
 const headroomHalfLife = 15 * time.Second
 
+// hurry is the share of the first priority's units that can't wait for a stop, a
+// mean of all at first and a moving mean after.
+type hurry struct {
+	share float64
+	seen  float64
+}
+
+// hurryRate is the least weight of one more unit.
+const hurryRate = 0.03
+
+func (h *hurry) observe(hurries bool) {
+	seen := 0.0
+	if hurries {
+		seen = 1
+	}
+	h.seen++
+	h.share += max(hurryRate, 1/(h.seen+1)) * (seen - h.share)
+}
+
 // observe takes what is needed now, in accelerators, and returns the peak.
 func (h *headroom) observe(needed int64, now time.Time) int64 {
 	if !h.at.IsZero() {
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -65,6 +65,7 @@
 	c.addRunning(s, guaranteed, now)
 	units := c.addWaiting(s, guaranteed, now, wallMS)
 	s.Headroom = c.headroom.observe(c.demand(s), now)
+	s.Hurried = c.hurry.share
 	return s, units
 }
 
@@ -209,7 +210,8 @@
 }
 
 func (c *Core) describe(u *decide.Unit, j *job, o *workload.Occurrence, now time.Time, wallMS int64) {
-	if j.since[u.Key].IsZero() {
+	fresh := j.since[u.Key].IsZero()
+	if fresh {
 		j.since[u.Key] = now
 	}
 	u.Since = j.since[u.Key]
@@ -222,6 +224,9 @@
 	objective := time.Duration(terms.Stretch*float64(whole)) + time.Duration(terms.TargetMS)*time.Millisecond
 	u.Run = c.pace.expected(j, u.Key.Step)
 	u.LatestStart = due.Add(objective - rest)
+	if fresh && u.Priority == 0 {
+		c.hurry.observe(decide.Hurries(u.LatestStart.Sub(now), c.bounds.StopTimeout))
+	}
 	u.Worthless = due.Add(lateFactor*objective - rest)
 	if u.Step.Spread > 0 {
 		u.Beside = j.beside(u.Key)
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -102,6 +102,9 @@
 	// Headroom is the number of accelerators that the first priority is expected
 	// to need at once.
 	Headroom int64
+	// Hurried is the share of the first priority's units that have less time to
+	// start than a stop takes.
+	Hurried float64
 	// ReclaimWithin is the time in which guaranteed work has to begin.
 	ReclaimWithin time.Duration
 	// StopTimeout is the longest that a stop takes.
--- a/workload/decide/headroom.go
+++ b/workload/decide/headroom.go
@@ -30,11 +30,24 @@
 	return kept
 }
 
-// keptFrom tells whether the worker's rack is kept from the unit: from firm work
-// behind the first priority that still has time.
+// keptFrom tells whether the worker's rack is kept from the unit: from work
+// behind the first priority that still has time, and that would be in its way.
 func (p *planner) keptFrom(u *Unit, w *slot) bool {
-	if u.Step.Checkpoint && p.s.Without[KeepIdle] {
+	if !p.kept[w.Rack] || u.Priority == 0 || !p.mayWait(u) || !p.inTime(u) {
 		return false
 	}
-	return p.kept[w.Rack] && u.Priority > 0 && p.mayWait(u) && p.inTime(u)
+	return !u.Step.Checkpoint || p.keepsIdle()
+}
+
+// hurriedShare is the share of the first priority's units that can't wait for a
+// stop from which on kept racks are kept of work that saves its progress, too.
+// Below it such work is stopped for the few, at the price of a moment.
+const hurriedShare = 0.3
+
+// keepsIdle tells whether the kept racks stay idle. It answers short work of the
+// first priority that comes while the pool is full: a stop takes longer than the
+// time that such work has, and what has a place kept idle starts at once. Where
+// stops are quick or the work has time, idle racks would be wasted.
+func (p *planner) keepsIdle() bool {
+	return !p.s.Without[KeepIdle] && p.s.Hurried >= hurriedShare
 }
--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -38,6 +38,9 @@
 // stopMargin is what a decision, its way and an end's way back take.
 const stopMargin = 300 * time.Millisecond
 
+// Hurries tells whether a unit with so much time to start can't wait for a stop.
+func Hurries(slack, stopTimeout time.Duration) bool { return slack < stopTimeout+stopMargin }
+
 // waitForEnds keeps room for the unit where groups are about to end by
 // themselves, as soon as a stop would take effect, while there is time to stop
 // others if they do not.
