--- a/workload/service/answers.go
+++ b/workload/service/answers.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// answerTimes learns how long workers take to answer orders, so that an order
+// AnswerTimes learns how long workers take to answer orders, so that an order
 // that will have no answer is repeated soon, and one that is only slow is not.
-type answerTimes struct {
+type AnswerTimes struct {
 	mu   sync.Mutex
 	mean time.Duration
 }
@@ -21,16 +21,16 @@
 	answerWeight = 0.1
 )
 
-// observe takes one order's time; an order without an answer counts with the
+// Observe takes one order's time; an order without an answer counts with the
 // time that it was given.
-func (a *answerTimes) observe(took time.Duration) {
+func (a *AnswerTimes) Observe(took time.Duration) {
 	a.mu.Lock()
 	a.mean += time.Duration(answerWeight * float64(took-a.mean))
 	a.mu.Unlock()
 }
 
-// patience is how long to wait for an answer.
-func (a *answerTimes) patience() time.Duration {
+// Patience is how long to wait for an answer.
+func (a *AnswerTimes) Patience() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return min(mostAnswer, max(leastAnswer, answerFactor*a.mean))
--- a/workload/service/commit.go
+++ b/workload/service/commit.go
@@ -16,7 +16,7 @@
 	queue chan *commit
 	// times learns how long the log takes, so that the other topic is tried in
 	// time where one is down.
-	times answerTimes
+	times AnswerTimes
 	// spare tells that the spare topic served last; it is tried first then.
 	spare atomic.Bool
 	// flight bounds the appends under way, so that a slow one does not hold up
@@ -124,7 +124,7 @@
 	spare := c.spare.Load()
 	results := make(chan attempt, 2)
 	go c.append(ctx, spare, records, results)
-	slow := time.NewTimer(c.times.patience())
+	slow := time.NewTimer(c.times.Patience())
 	defer slow.Stop()
 	var failed error
 	for running, both := 1, false; running > 0; {
@@ -163,7 +163,7 @@
 	began := time.Now()
 	_, err := c.log.Append(ctx, topic, records, nil)
 	if err == nil {
-		c.times.observe(time.Since(began))
+		c.times.Observe(time.Since(began))
 	}
 	results <- attempt{spare, err}
 }
--- a/workload/service/orders.go
+++ b/workload/service/orders.go
@@ -18,11 +18,11 @@
 )
 
 func (p *planner) start(ctx context.Context, o control.StartOrder) {
-	call, cancel := context.WithTimeout(ctx, p.answers.patience())
+	call, cancel := context.WithTimeout(ctx, p.answers.Patience())
 	sent := time.Now()
 	answer := p.s.workers.Start(call, o)
 	cancel()
-	p.answers.observe(time.Since(sent))
+	p.answers.Observe(time.Since(sent))
 	p.s.metrics.Observe(telemetry.StartAnswer, time.Since(sent))
 	p.mu.Lock()
 	p.core.Started(o, answer, time.Now())
@@ -43,7 +43,7 @@
 }
 
 func (p *planner) pace(ctx context.Context, o control.PaceOrder) {
-	call, cancel := context.WithTimeout(ctx, p.answers.patience())
+	call, cancel := context.WithTimeout(ctx, p.answers.Patience())
 	answer := p.s.workers.Pace(call, o)
 	cancel()
 	p.mu.Lock()
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -41,7 +41,7 @@
 	wake, due chan struct{}
 	work      sync.WaitGroup
 
-	answers answerTimes
+	answers AnswerTimes
 
 	mu   sync.Mutex
 	core *control.Core
