Planner: reads that wait for news wait for a quarter of a second

Cause: a read that waits 0.7 s on a connection that has gone silent is noticed 0.9 s after; jobs accepted meanwhile are not seen. Change: the planner's reads wait 0.25 s; the others' 0.7 s as before. The outcome in the log is left open for jobs that an earlier planner had begun, whose times are not known.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -75,6 +75,8 @@
 	// were placed.
 	lives []*live
 	held  map[decide.UnitKey]decide.Reason
+	// inherited tells that an earlier planner had begun the job.
+	inherited bool
 	// took is how long the runs took that completed each step, lost that of those
 	// that failed in it.
 	took, lost map[int]time.Duration
@@ -179,6 +181,7 @@
 		return
 	}
 	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, rates: map[decide.UnitKey]map[int]rating{}, held: map[decide.UnitKey]decide.Reason{}}
+	j.inherited = progress.Begun
 	c.jobs[id] = j
 	c.adoptPlaced(j)
 	if progress.State.Final() {
--- a/workload/control/outcome.go
+++ b/workload/control/outcome.go
@@ -37,11 +37,11 @@
 	j.took[l.id.Step] = max(j.took[l.id.Step], took)
 }
 
-// complete notes a job's end and how it stands to its objective, as far as this
-// planner saw its runs.
+// complete notes a job's end and how it stands to its objective, unless an earlier
+// planner saw some of its runs.
 func (c *Core) complete(j *job) {
 	note := Note{Event: EventJobCompleted, Job: j.ID}
-	if j.Repetitions == 0 && c.wallMS > 0 {
+	if j.Repetitions == 0 && c.wallMS > 0 && !j.inherited {
 		took := time.Duration(c.wallMS-j.AcceptedMS) * time.Millisecond
 		worked := j.workedChain()
 		terms := c.terms(j)
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -14,7 +14,7 @@
 	topic Topic
 	log   Log
 	// wait bounds one read that waits for news.
-	wait time.Duration
+	wait func() time.Duration
 	// pause returns the rest after a read that brought something.
 	pause func() time.Duration
 	// snapshot takes the newest record of each key; entries then follow one by
@@ -88,7 +88,7 @@
 // before the topic's end.
 func (f *follower) readOn(ctx context.Context) (time.Duration, error) {
 	began := time.Now()
-	page, err := f.page(ctx, f.wait)
+	page, err := f.page(ctx, f.wait())
 	if err != nil {
 		return 0, err
 	}
--- a/workload/service/members.go
+++ b/workload/service/members.go
@@ -45,7 +45,7 @@
 		}
 	}
 	m.follow = s.follow(Members, m.takeAll, m.take, func() time.Duration { return 0 })
-	m.follow.wait = memberWait
+	m.follow.wait = func() time.Duration { return memberWait }
 	return m
 }
 
--- a/workload/service/parts_test.go
+++ b/workload/service/parts_test.go
@@ -134,8 +134,8 @@
 	s := New(Settings{Instance: "a"}, &partly{}, nil, nil, nil, nil)
 	const leastStale = 2 * time.Second
 	for _, f := range []*follower{s.jobs, s.spare, s.plans, s.declared} {
-		if f.wait+f.pause() > leastStale/2 {
-			t.Errorf("%s is read each %v", f.topic, f.wait)
+		if f.wait()+f.pause() > leastStale/2 {
+			t.Errorf("%s is read each %v", f.topic, f.wait())
 		}
 	}
 }
--- a/workload/service/recovery_test.go
+++ b/workload/service/recovery_test.go
@@ -32,7 +32,7 @@
 
 func newReader(log Log, topic Topic) *reader {
 	r := &reader{seen: map[string]bool{}}
-	r.f = &follower{topic: topic, log: log, wait: readWait, pause: func() time.Duration { return readerRest }}
+	r.f = &follower{topic: topic, log: log, wait: func() time.Duration { return readerWait }, pause: func() time.Duration { return readerRest }}
 	r.f.snapshot = func(entries []Entry) {
 		r.snapshots = append(r.snapshots, entries)
 		for _, e := range entries {
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -75,7 +75,11 @@
 }
 
 const (
-	readWait     = 700 * time.Millisecond
+	readerWait = 700 * time.Millisecond
+	// planWait bounds the planner's reads that wait for news: a connection that has
+	// gone silent, or a log that keeps news from a read that waits, then costs a job
+	// no more than that. One instance reads so often, the others don't.
+	planWait     = 250 * time.Millisecond
 	readerRest   = 200 * time.Millisecond
 	plannerRest  = 10 * time.Millisecond
 	watcherRest  = time.Second
@@ -84,7 +88,14 @@
 )
 
 func (s *Service) follow(topic Topic, snapshot func([]Entry), record func(Entry), pause func() time.Duration) *follower {
-	return &follower{topic: topic, log: s.log, wait: readWait, pause: pause, snapshot: snapshot, record: record, changed: s.connection}
+	return &follower{topic: topic, log: s.log, wait: s.readWait, pause: pause, snapshot: snapshot, record: record, changed: s.connection}
+}
+
+func (s *Service) readWait() time.Duration {
+	if s.planning.Load() {
+		return planWait
+	}
+	return readerWait
 }
 
 func (s *Service) restOfReader() time.Duration {
