Placement: a data centre that does not answer gets nothing new

Ruled out: shorter leases (work of 8 s that runs on there would be lost at each cut), taking a dial that failed for proof (the order may have gone over a kept connection). Change: a call without an answer closes its data centre to new work until any worker there answers a call that was sent later; up to three idle workers are asked meanwhile.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -40,6 +40,8 @@
 	// that have not answered yet must have lapsed.
 	strangersUntil time.Time
 	deposed        bool
+	// centres are the data centres by name.
+	centres map[string]*centre
 	// advice holds what is known of each step whose queue has a policy; wishes
 	// are the units of the last round that lack allowed workers.
 	advice map[decide.UnitKey]*advice
@@ -99,6 +101,7 @@
 	confirmed  bool
 	far        bool
 	tries      int
+	sentAt     time.Time
 	retryAt    time.Time
 	stopping   bool
 	stopAt     time.Time
@@ -136,6 +139,7 @@
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
 		speeds:         map[string]*speed{},
+		centres:        map[string]*centre{},
 		advice:         map[decide.UnitKey]*advice{},
 		waves:          map[int64]*wave{},
 		vacating:       map[string]bool{},
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -25,12 +25,14 @@
 	w.holding = false
 	switch answer.Verdict {
 	case Accepted:
+		c.answers(w, now)
 		c.news(w, order, answer, sent, now)
 	case Fenced:
 		c.depose(w)
 	case Gone:
 		c.lose(w, "another-life")
 	default:
+		c.mute(w, sent.Add(order.Wait))
 		c.silence(w, now)
 		w.holdAt = now.Add(holdRetry)
 	}
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -21,6 +21,7 @@
 
 func (c *Core) startOrder(l *live, now time.Time) StartOrder {
 	l.tries++
+	l.sentAt = now
 	return StartOrder{
 		Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Spec: l.job.Spec,
 		Saved: l.saved, Ticket: c.ticketFor(l), DeadlineMS: c.deadline(l.worker, now), Token: c.token, Try: l.tries,
@@ -39,6 +40,7 @@
 	}
 	switch answer.Verdict {
 	case Accepted:
+		c.answers(w, l.sentAt)
 		l.answered = true
 		if l.answeredAt.IsZero() {
 			l.answeredAt = now
@@ -71,6 +73,7 @@
 func (c *Core) unanswered(l *live, now time.Time) {
 	c.note(Note{Event: EventStartUnanswered, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run})
 	c.silence(l.worker, now)
+	c.mute(l.worker, l.sentAt)
 	l.retryAt = now.Add(orderRetry)
 	if l.step.Gang && now.Sub(l.orderedAt) > c.bounds.GangTimeout/3 {
 		c.breakGang(l, EndAlone, "")
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		one := decide.Worker{ID: id, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speeds[id].factor()}
-		one.Closed = !w.met || w.Draining || w.trust.closed(now) || len(w.strange) > 0 || c.vacating[id]
+		one.Closed = !w.met || w.Draining || w.trust.closed(now) || len(w.strange) > 0 || c.vacating[id] || c.cutOff(w)
 		for _, l := range w.tasks {
 			need := l.step.Counted()
 			one.Free = one.Free.Sub(need)
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -182,9 +182,15 @@
 // about or to be told, and no hold under way.
 func (c *Core) NeedsHold(now time.Time) []string {
 	var out []string
+	probes := map[string]int{}
 	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
-		if !w.holding && c.wantsHold(w) && !now.Before(w.holdAt) {
+		switch {
+		case w.holding || now.Before(w.holdAt):
+		case c.wantsHold(w):
+			out = append(out, id)
+		case c.probes(w) && probes[w.DataCentre] < probesOfCentre:
+			probes[w.DataCentre]++
 			out = append(out, id)
 		}
 	}
@@ -201,10 +207,14 @@
 	return w.listed && !w.met
 }
 
+// probes tells whether an idle worker is asked to see whether its data centre
+// answers again.
+func (c *Core) probes(w *worker) bool { return w.listed && !w.gone && w.Address != "" && c.cutOff(w) }
+
 // Hold returns the next hold of a worker; ok is false if it needs none.
 func (c *Core) Hold(id string, now time.Time) (HoldOrder, bool) {
 	w := c.workers[id]
-	if w == nil || w.holding || !c.wantsHold(w) || now.Before(w.holdAt) {
+	if w == nil || w.holding || (!c.wantsHold(w) && !c.probes(w)) || now.Before(w.holdAt) {
 		return HoldOrder{}, false
 	}
 	w.holding = true
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -28,16 +28,18 @@
 	Distrust Mechanism = "distrust"
 	// KeepIdle keeps the clear racks of work that could be stopped without loss, too.
 	KeepIdle Mechanism = "keep-idle"
+	// WatchCentres closes a data centre to new work while it does not answer.
+	WatchCentres Mechanism = "watch-centres"
 	// Evacuate stops runs that their worker will not stay for.
 	Evacuate Mechanism = "evacuate"
 )
 
 // Mechanisms lists all.
-var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, WaitForEnds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate, KeepIdle}
+var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, WaitForEnds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate, KeepIdle, WatchCentres}
 
 // Latest are the mechanisms that the last round of changes to the policy added:
 // without them it decides as it did before.
-var Latest = []Mechanism{KeepIdle}
+var Latest = []Mechanism{KeepIdle, WatchCentres}
 
 // Without are the mechanisms that are switched off; none is the policy as it
 // ships.
