Readiness: an instance that the log does not answer is not ready

Ruled out: shorter waits of reads on all instances (calls are priced; a third of a second less). The age at which nothing is answered any more stays. Change: ready only if some topic was read within what a read that waits takes (1.0 s).

--- a/workload/service/reading.go
+++ b/workload/service/reading.go
@@ -36,6 +36,19 @@
 	return cutOff()
 }
 
+// reachedWithin is how long ago the log was read last at the most where it
+// answers: a read that waits for news, the rest after it, and the way.
+const reachedWithin = readerWait + readerRest + 2*followSlack
+
+// reaches tells whether the log answers here. An instance that it does not answer
+// can still tell what it knows, but accepts nothing: new callers do better
+// elsewhere. Callers in a data centre that is cut off are led to others about a
+// second sooner than by the age at which nothing is answered any more.
+func (s *Service) reaches() bool {
+	now := time.Now()
+	return min(s.jobs.age(now), s.spare.age(now), s.plans.age(now), s.declared.age(now)) < reachedWithin
+}
+
 func cutOff() error {
 	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance is cut off from the log", "try another instance, or come back later").After(time.Second)
 }
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -228,7 +228,7 @@
 
 // Ready tells whether new callers are served well here.
 func (s *Service) Ready() bool {
-	return !s.leaving.Load() && s.Current() == nil
+	return !s.leaving.Load() && s.Current() == nil && s.reaches()
 }
 
 // Directory returns the configuration in force; nil before the first.
