--- a/workload/control/headroom.go
+++ b/workload/control/headroom.go
@@ -25,7 +25,7 @@
 }
 
 // hurryRate is the least weight of one more unit.
-const hurryRate = 0.03
+const hurryRate = 0.02
 
 func (h *hurry) observe(hurries bool) {
 	seen := 0.0
