Store away: current again at once when it is back; silence told from refusal; the pool's load in the logs

After an outage of the log a topic without news was known for current only once a read had waited 0.7 s: callers, who wait 3 s in all, were refused that much longer. Change: the first read after a failure does not wait. Test: TestReadingIsCurrentSoonAfterTheLogIsBack (4.17 s old 0.3 s after the return before). Change: only calls that were silent for 150 ms count. Whether most room is free was asked of the open workers alone; a cut data centre made the others look full. Change: all count. The log says once a second what the pool looks like while something waits (load): used, kept, closed, hurried.

--- a/workload/control/centres.go
+++ b/workload/control/centres.go
@@ -39,7 +39,14 @@
 	}
 }
 
-func (c *Core) mute(w *worker, sent time.Time) {
+// silentFor is how long a call has no answer at the least that says something of
+// the way: one that failed sooner was refused by whoever is there.
+const silentFor = 150 * time.Millisecond
+
+func (c *Core) mute(w *worker, sent, now time.Time) {
+	if now.Sub(sent) < silentFor {
+		return
+	}
 	if at := c.centreOf(w); sent.After(at.silent) {
 		at.silent = sent
 	}
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -54,6 +54,8 @@
 	vacating   map[string]bool
 	ordered    []DutyOrder
 	dutiesFrom time.Time
+	// loadAt is when the pool's load was last noted.
+	loadAt time.Time
 	// asking tells that a call for advice is under way.
 	asking bool
 	// wallMS is the time of day of the last round, at its steady time.
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -32,7 +32,7 @@
 	case Gone:
 		c.lose(w, "another-life")
 	default:
-		c.mute(w, sent.Add(order.Wait))
+		c.mute(w, sent.Add(order.Wait), now)
 		c.silence(w, now)
 		w.holdAt = now.Add(holdRetry)
 	}
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -73,7 +73,7 @@
 func (c *Core) unanswered(l *live, now time.Time) {
 	c.note(Note{Event: EventStartUnanswered, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run})
 	c.silence(l.worker, now)
-	c.mute(l.worker, l.sentAt)
+	c.mute(l.worker, l.sentAt, now)
 	l.retryAt = now.Add(orderRetry)
 	if l.step.Gang && now.Sub(l.orderedAt) > c.bounds.GangTimeout/3 {
 		c.breakGang(l, EndAlone, "")
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -29,6 +29,19 @@
 	}
 	c.apply(s, units, plan.Starts, now)
 	c.explain(s, units, plan.Held)
+	c.noteLoad(plan, s, now)
+}
+
+// loadEvery is how often the pool's load is noted.
+const loadEvery = time.Second
+
+func (c *Core) noteLoad(plan decide.Plan, s *decide.Snapshot, now time.Time) {
+	if len(plan.Held) == 0 || now.Sub(c.loadAt) < loadEvery {
+		return
+	}
+	c.loadAt = now
+	l := plan.Load
+	c.note(Note{Event: EventLoad, Detail: fmt.Sprintf("used=%.2f idle=%t kept=%d closed=%d hurried=%.2f waiting=%d", l.Used, l.Idle, l.Kept, l.Closed, s.Hurried, len(plan.Held))})
 }
 
 // create opens the occurrences whose time has come, as far as a job's progress
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -150,6 +150,19 @@
 	// Stops are indexes of Running.
 	Stops []int
 	Held  []Held
+	Load  Load
+}
+
+// Load is what the pool looked like to the plan.
+type Load struct {
+	// Used is the share of all accelerators or processors that is in use, whichever
+	// is more, closed workers counted.
+	Used float64
+	// Idle tells that nothing is held back for a better place for long.
+	Idle bool
+	// Kept is the number of racks that are kept clear, Closed that of workers that
+	// get nothing new.
+	Kept, Closed int
 }
 
 // Make decides.
@@ -189,6 +202,7 @@
 	for i := range s.Workers {
 		w := &s.Workers[i]
 		if w.Closed {
+			p.plan.Load.Closed++
 			continue
 		}
 		one := &slot{Worker: w, free: w.Free, coming: w.Coming}
@@ -201,8 +215,11 @@
 		}
 		p.racks[w.Rack] = append(p.racks[w.Rack], one)
 	}
-	p.idle = p.mostIsFree()
+	p.plan.Load.Used = used(s.Workers)
+	p.idle = p.plan.Load.Used < busyShare
+	p.plan.Load.Idle = p.idle
 	p.kept = p.keepRacks()
+	p.plan.Load.Kept = len(p.kept)
 	return p
 }
 
@@ -211,14 +228,24 @@
 // back for seconds counts as forgetting.
 const busyShare = 0.6
 
-func (p *planner) mostIsFree() bool {
+// used is the share of all workers' room that is in use. Those that are closed
+// count: while a data centre is cut off the others are fuller, but most room is
+// free all the same, and what is held back for a better place may wait for it in
+// vain.
+func used(workers []Worker) float64 {
 	var have, free workload.Resources
-	for _, w := range p.workers {
-		have = have.Add(w.Capacity)
-		free = free.Add(w.Free)
+	for i := range workers {
+		have = have.Add(workers[i].Capacity)
+		free = free.Add(workers[i].Free)
+	}
+	return max(share(have.Accelerators-free.Accelerators, have.Accelerators), share(have.MilliCPU-free.MilliCPU, have.MilliCPU))
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
 	}
-	return float64(have.Accelerators-free.Accelerators) < busyShare*float64(have.Accelerators) &&
-		float64(have.MilliCPU-free.MilliCPU) <= busyShare*float64(have.MilliCPU)
+	return float64(part) / float64(whole)
 }
 
 // idleWait is the longest that a unit waits for a better place while most room
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -43,15 +43,21 @@
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	fresh := true
+	fresh, failed := true, false
 	for ctx.Err() == nil {
 		var err error
 		rest := time.Duration(0)
-		if fresh {
+		switch {
+		case fresh:
 			err = f.readNewest(ctx)
-		} else {
-			rest, err = f.readOn(ctx)
+		case failed:
+			// A log that is back tells at once that there is no news, not after a wait:
+			// until then nothing is accepted here.
+			rest, err = f.readOn(ctx, 0)
+		default:
+			rest, err = f.readOn(ctx, f.wait())
 		}
+		failed = err != nil
 		switch {
 		case err == nil:
 			fresh = false
@@ -86,9 +92,9 @@
 
 // readOn reads the next page and returns how long to rest after it: not at all
 // before the topic's end.
-func (f *follower) readOn(ctx context.Context) (time.Duration, error) {
+func (f *follower) readOn(ctx context.Context, wait time.Duration) (time.Duration, error) {
 	began := time.Now()
-	page, err := f.page(ctx, f.wait())
+	page, err := f.page(ctx, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/workload/service/recovery_test.go
+++ b/workload/service/recovery_test.go
@@ -348,3 +348,39 @@
 	}
 	t.Logf("%g | %d | %d | %.1f | %.1f | %.0f | %d", link, instances, jobs, first.Seconds(), last.Seconds(), float64(log.bytes)/1e6, log.calls)
 }
+
+// away is a log that refuses all reads until a time.
+type away struct {
+	*door
+	until time.Time
+}
+
+func (a *away) Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error) {
+	if time.Now().Before(a.until) {
+		return Page{}, ErrNotDone
+	}
+	return a.door.Read(ctx, topic, from, wait)
+}
+
+// Callers wait for 3 s and come back a few times: what is known has to be known
+// for current as soon as the log is back, though there is no news in it.
+func TestReadingIsCurrentSoonAfterTheLogIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLinked(0)
+		log.fill(Declarations, 3, 10, jobKey, make([]byte, 10))
+		a := &away{door: newDoor(log, steady(mbits(100)))}
+		r := newReader(a, Declarations)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { r.f.run(ctx) })
+		time.Sleep(2 * time.Second)
+		a.until = time.Now().Add(4 * time.Second)
+		const soon = 300 * time.Millisecond
+		time.Sleep(4*time.Second + soon)
+		if age := r.f.age(time.Now()); age > soon {
+			t.Errorf("what was read is %v old %v after the log is back", age, soon)
+		}
+		cancel()
+		group.Wait()
+	})
+}
