--- /dev/null
+++ b/events/report/report_test.go
@@ -0,0 +1,56 @@
+package report
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const someLog = `
+{"instance":"a","level":"info","msg":"started","time":"2026-12-02T10:00:00.000Z"}
+{"instance":"a","level":"info","msg":"planner-begins","token":1,"time":"2026-12-02T10:00:01.000Z"}
+{"instance":"b","job":"x","queue":"q","level":"info","msg":"job-accepted","time":"2026-12-02T10:00:02.000Z"}
+{"instance":"a","job":"x","level":"info","msg":"unit-waits","why":"no-room","time":"2026-12-02T10:00:02.100Z"}
+{"instance":"a","job":"x","level":"info","msg":"unit-waits","why":"waits-for-stop","time":"2026-12-02T10:00:03.100Z"}
+{"instance":"a","job":"x","level":"info","msg":"unit-started","time":"2026-12-02T10:00:03.600Z"}
+{"instance":"a","job":"x","level":"info","msg":"run-stopping","why":"preempted","detail":"core_s=12.5","time":"2026-12-02T10:00:04.000Z"}
+{"instance":"a","job":"x","level":"info","msg":"run-ended","why":"stopped","time":"2026-12-02T10:00:04.500Z"}
+{"instance":"a","job":"x","level":"info","msg":"unit-started","time":"2026-12-02T10:00:05.000Z"}
+{"instance":"a","job":"x","level":"info","msg":"job-completed","why":"late","detail":"queue=q took_ms=5000 worked_ms=2000 objective_ms=3000","time":"2026-12-02T10:00:07.000Z"}
+{"instance":"b","job":"y","queue":"q","level":"info","msg":"job-accepted","time":"2026-12-02T10:00:03.000Z"}
+{"instance":"a","job":"y","level":"info","msg":"job-completed","why":"in-time","time":"2026-12-02T10:00:04.000Z"}
+{"instance":"b","job":"z","level":"info","msg":"job-refused","reason":"log-unavailable","outcome":"not-run","time":"2026-12-02T10:00:05.000Z"}
+{"instance":"a","level":"info","msg":"planner-ends","time":"2026-12-02T10:00:08.000Z"}
+{"instance":"b","level":"info","msg":"planner-begins","token":9,"time":"2026-12-02T10:00:09.500Z"}
+`
+
+func TestAReportTellsWhereTheTimeOfLateJobsWent(t *testing.T) {
+	r, err := Read([]io.Reader{strings.NewReader(someLog)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := r.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "report", out.Bytes())
+}
+
+func TestAReportIsPlotted(t *testing.T) {
+	r, err := Read([]io.Reader{strings.NewReader(someLog)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "late.svg")
+	if err := r.Plot(file); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := os.ReadFile(file); err != nil || !bytes.Contains(text, []byte("<svg")) {
+		t.Fatalf("%.40s, %v", text, err)
+	}
+}
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -54,6 +54,8 @@
 	vacating   map[string]bool
 	ordered    []DutyOrder
 	dutiesFrom time.Time
+	// began is when this planner began.
+	began time.Time
 	// loadAt is when the pool's load was last noted.
 	loadAt time.Time
 	// asking tells that a call for advice is under way.
@@ -79,6 +81,8 @@
 	// were placed.
 	lives []*live
 	held  map[decide.UnitKey]decide.Reason
+	// dueAt is when a job without a schedule was due.
+	dueAt time.Time
 	// inherited tells that an earlier planner had begun the job.
 	inherited bool
 	// took is how long the runs took that completed each step, lost that of those
@@ -146,6 +150,7 @@
 		waves:          map[int64]*wave{},
 		vacating:       map[string]bool{},
 		dutiesFrom:     now.Add(bounds.DutyLease),
+		began:          now,
 		dirty:          map[workload.JobID]bool{},
 		pace:           newEstimates(),
 		strangersUntil: now.Add(bounds.Authority + stretched(bounds.Lease) + lapseSlack),
--- a/workload/control/outcome.go
+++ b/workload/control/outcome.go
@@ -41,8 +41,8 @@
 // planner saw some of its runs.
 func (c *Core) complete(j *job) {
 	note := Note{Event: EventJobCompleted, Job: j.ID}
-	if j.Repetitions == 0 && c.wallMS > 0 && !j.inherited {
-		took := time.Duration(c.wallMS-j.AcceptedMS) * time.Millisecond
+	if !j.dueAt.IsZero() && !j.inherited {
+		took := c.at.Sub(j.dueAt)
 		worked := j.workedChain()
 		terms := c.terms(j)
 		objective := time.Duration(terms.Stretch*float64(worked)) + time.Duration(terms.TargetMS)*time.Millisecond
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -231,7 +231,7 @@
 	terms := c.terms(j)
 	u.Priority = terms.Priority
 	u.Service = terms.Service
-	due := now.Add(time.Duration(j.DueMS(o.K)-wallMS) * time.Millisecond)
+	due := c.due(j, o.K, now, wallMS)
 	whole := c.pace.chain(j, 0, true)
 	rest := c.pace.chain(j, u.Key.Step, false)
 	objective := time.Duration(terms.Stretch*float64(whole)) + time.Duration(terms.TargetMS)*time.Millisecond
