--- a/command/experiment.go
+++ b/command/experiment.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cobalttide/cobalttide/events"
 	"github.com/cobalttide/cobalttide/workload/replay"
 )
 
@@ -59,16 +58,7 @@
 
 // record prints the load that instances' logs tell of as a pattern.
 func record(_ context.Context, env Env, args []string) error {
-	f := newFlags(env, "record")
-	if err := f.Parse(args); err != nil {
-		return errors.Mark(err, errUsage)
-	}
-	logs, closeAll, err := openLogs(f.Args())
-	if err != nil {
-		return err
-	}
-	defer closeAll()
-	lines, err := events.Lines(logs)
+	lines, err := newFlags(env, "record").readLogs(args)
 	if err != nil {
 		return err
 	}
--- a/command/report.go
+++ b/command/report.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cobalttide/cobalttide/events"
 	logreport "github.com/cobalttide/cobalttide/events/report"
 )
 
@@ -12,18 +13,11 @@
 func report(_ context.Context, env Env, args []string) error {
 	f := newFlags(env, "report")
 	plot := f.String("plot", "", "file for a plot of late jobs by second; its ending (svg, png, pdf) says its format")
-	if err := f.Parse(args); err != nil {
-		return errors.Mark(err, errUsage)
-	}
-	logs, closeAll, err := openLogs(f.Args())
-	if err != nil {
-		return err
-	}
-	defer closeAll()
-	made, err := logreport.Read(logs)
+	lines, err := f.readLogs(args)
 	if err != nil {
 		return err
 	}
+	made := logreport.Make(lines)
 	if made.From.IsZero() {
 		return errors.New("the logs hold no line of an instance; name the files that its standard output went to")
 	}
@@ -34,3 +28,17 @@
 	}
 	return made.Write(env.Out)
 }
+
+// readLogs parses flags and reads the logs that the operands name, or standard
+// input without any.
+func (f *flags) readLogs(args []string) ([]events.Line, error) {
+	if err := f.Parse(args); err != nil {
+		return nil, errors.Mark(err, errUsage)
+	}
+	logs, closeAll, err := openLogs(f.Args())
+	if err != nil {
+		return nil, err
+	}
+	defer closeAll()
+	return events.Lines(logs)
+}
--- a/events/report/report.go
+++ b/events/report/report.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -75,17 +74,13 @@
 	failed, cancelled bool
 }
 
-// Read makes a report of logs.
-func Read(logs []io.Reader) (*Report, error) {
-	lines, err := events.Lines(logs)
-	if err != nil {
-		return nil, err
-	}
+// Make makes a report of the lines of logs, which are in the order of their times.
+func Make(lines []events.Line) *Report {
 	b := &builder{r: newReport(), jobs: map[string]*job{}}
 	for _, l := range lines {
 		b.take(l)
 	}
-	return b.finish(), nil
+	return b.finish()
 }
 
 func newReport() *Report {
--- a/events/report/report_test.go
+++ b/events/report/report_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
+
+	"github.com/cobalttide/cobalttide/events"
 )
 
 const someLog = `
@@ -29,25 +31,26 @@
 {"instance":"b","level":"info","msg":"planner-begins","token":9,"time":"2026-12-02T10:00:09.500Z"}
 `
 
-func TestAReportTellsWhereTheTimeOfLateJobsWent(t *testing.T) {
-	r, err := Read([]io.Reader{strings.NewReader(someLog)})
+func made(t *testing.T) *Report {
+	t.Helper()
+	lines, err := events.Lines([]io.Reader{strings.NewReader(someLog)})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return Make(lines)
+}
+
+func TestAReportTellsWhereTheTimeOfLateJobsWent(t *testing.T) {
 	var out bytes.Buffer
-	if err := r.Write(&out); err != nil {
+	if err := made(t).Write(&out); err != nil {
 		t.Fatal(err)
 	}
 	goldie.New(t).Assert(t, "report", out.Bytes())
 }
 
 func TestAReportIsPlotted(t *testing.T) {
-	r, err := Read([]io.Reader{strings.NewReader(someLog)})
-	if err != nil {
-		t.Fatal(err)
-	}
 	file := filepath.Join(t.TempDir(), "late.svg")
-	if err := r.Plot(file); err != nil {
+	if err := made(t).Plot(file); err != nil {
 		t.Fatal(err)
 	}
 	if text, err := os.ReadFile(file); err != nil || !bytes.Contains(text, []byte("<svg")) {
--- a/workload/control/centres_test.go
+++ b/workload/control/centres_test.go
@@ -61,3 +61,30 @@
 		t.Fatalf("none has for long: %.2f", h.share)
 	}
 }
+
+// It is quiet once nothing has come for many times the usual gap, and no longer
+// as soon as something comes.
+func TestItIsQuietOnceNothingNewComes(t *testing.T) {
+	a, now := arrivals{}, time.Unix(1000, 0)
+	if a.quiet(now) {
+		t.Fatal("quiet before anything came")
+	}
+	step := func(d time.Duration, jobs int) bool {
+		now = now.Add(d)
+		for range jobs {
+			a.note()
+		}
+		return a.quiet(now)
+	}
+	for range 50 {
+		if step(100*time.Millisecond, 1) {
+			t.Fatal("quiet while jobs come")
+		}
+	}
+	if step(leastQuiet-time.Millisecond, 0) || !step(2*time.Millisecond, 0) {
+		t.Fatal("not quiet after a while without jobs")
+	}
+	if step(100*time.Millisecond, 1) {
+		t.Fatal("quiet although a job came")
+	}
+}
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -34,6 +34,7 @@
 	speedsAt time.Time
 	// headroom is what the first priority is expected to need at once.
 	headroom headroom
+	arrivals arrivals
 	// hurry is how many of its units can't wait for a stop.
 	hurry hurry
 	// strangersUntil is when the leases that an earlier planner gave to workers
@@ -193,6 +194,7 @@
 	}
 	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, rates: map[decide.UnitKey]map[int]rating{}, held: map[decide.UnitKey]decide.Reason{}}
 	j.inherited = progress.Begun
+	c.arrivals.note()
 	c.jobs[id] = j
 	c.adoptPlaced(j)
 	if progress.State.Final() {
--- a/workload/control/headroom.go
+++ b/workload/control/headroom.go
@@ -37,7 +37,11 @@
 }
 
 // observe takes what is needed now, in accelerators, and returns the peak.
-func (h *headroom) observe(needed int64, now time.Time) int64 {
+// While nothing new comes there is no peak to be ready for.
+func (h *headroom) observe(needed int64, quiet bool, now time.Time) int64 {
+	if quiet {
+		h.most = 0
+	}
 	if !h.at.IsZero() {
 		h.most *= math.Exp2(-float64(now.Sub(h.at)) / float64(headroomHalfLife))
 	}
--- a/workload/control/late_starts_test.go
+++ b/workload/control/late_starts_test.go
@@ -30,23 +30,25 @@
 	}
 }
 
-// cutAll cuts all workers off for a while: orders get lost there.
-func (s *scene) cutAll(d time.Duration) {
+// newCutScene has a job that was ordered a second ago while all workers are cut
+// off for four: the order got lost.
+func newCutScene() *scene {
+	s := newScene()
+	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: time.Minute} }
+	s.pass(time.Second)
 	for id := range s.fleet.Workers {
-		s.cut[id] = s.now.Add(d)
+		s.cut[id] = s.now.Add(4 * time.Second)
 	}
+	s.add(jobA, nil, workload.Step{Count: 1, Need: need(1)})
+	s.pass(time.Second)
+	return s
 }
 
 // A worker carries a start out long after its caller has cancelled the job, out
 // of touch with the planner: the run is found and stopped as soon as the worker
 // can be reached.
 func TestARunThatAWorkerStartedLateIsStoppedOnceItsJobIsCancelled(t *testing.T) {
-	s := newScene()
-	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: time.Minute} }
-	s.pass(time.Second)
-	s.cutAll(4 * time.Second)
-	s.add(jobA, nil, workload.Step{Count: 1, Need: need(1)})
-	s.pass(time.Second)
+	s := newCutScene()
 	token := s.seats[0].token
 	s.carryOutLate(t, token)
 	s.cancels[jobA] = s.now
@@ -60,12 +62,7 @@
 // The same where the planner that sent the order was removed for good before:
 // its successor finds the run on a worker that it has no order for.
 func TestARunWhoseStarterIsGoneIsStoppedOnceItsJobIsCancelled(t *testing.T) {
-	s := newScene()
-	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: time.Minute} }
-	s.pass(time.Second)
-	s.cutAll(4 * time.Second)
-	s.add(jobA, nil, workload.Step{Count: 1, Need: need(1)})
-	s.pass(time.Second)
+	s := newCutScene()
 	old := s.seats[0]
 	old.dead = true
 	s.cancels[jobA] = s.now
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -77,7 +77,8 @@
 	c.addWorkers(s, now)
 	c.addRunning(s, guaranteed, now)
 	units := c.addWaiting(s, guaranteed, now, wallMS)
-	s.Headroom = c.headroom.observe(c.demand(s), now)
+	s.Quiet = c.arrivals.quiet(now)
+	s.Headroom = c.headroom.observe(c.demand(s), s.Quiet, now)
 	s.Hurried = c.hurry.share
 	return s, units
 }
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -102,6 +102,9 @@
 	// Headroom is the number of accelerators that the first priority is expected
 	// to need at once.
 	Headroom int64
+	// Quiet tells that nothing new has come for long. What is held back for what may
+	// come is then held back for nothing.
+	Quiet bool
 	// Hurried is the share of the first priority's units that have less time to
 	// start than a stop takes.
 	Hurried float64
@@ -215,8 +218,9 @@
 		}
 		p.racks[w.Rack] = append(p.racks[w.Rack], one)
 	}
-	p.plan.Load.Used = used(s.Workers)
-	p.idle = p.plan.Load.Used < busyShare
+	least, most := used(s.Workers)
+	p.plan.Load.Used = most
+	p.idle = most < busyShare || (s.Quiet && least < busyShare)
 	p.plan.Load.Idle = p.idle
 	p.kept = p.keepRacks()
 	p.plan.Load.Kept = len(p.kept)
@@ -231,14 +235,17 @@
 // used is the share of all workers' room that is in use. Those that are closed
 // count: while a data centre is cut off the others are fuller, but most room is
 // free all the same, and what is held back for a better place may wait for it in
-// vain.
-func used(workers []Worker) float64 {
+// vain. Work that needs many processors and few accelerators leaves the one full
+// and the other free: least and most tell both.
+func used(workers []Worker) (least, most float64) {
 	var have, free workload.Resources
 	for i := range workers {
 		have = have.Add(workers[i].Capacity)
 		free = free.Add(workers[i].Free)
 	}
-	return max(share(have.Accelerators-free.Accelerators, have.Accelerators), share(have.MilliCPU-free.MilliCPU, have.MilliCPU))
+	a := share(have.Accelerators-free.Accelerators, have.Accelerators)
+	b := share(have.MilliCPU-free.MilliCPU, have.MilliCPU)
+	return min(a, b), max(a, b)
 }
 
 func share(part, whole int64) float64 {
--- a/workload/decide/headroom_test.go
+++ b/workload/decide/headroom_test.go
@@ -83,3 +83,27 @@
 		t.Fatal("an unknown mechanism is taken")
 	}
 }
+
+// Work that takes many processors and few accelerators leaves the accelerators
+// free. Once nothing new comes, nothing is held back for what may come.
+func TestNothingIsHeldBackOnceNothingNewComes(t *testing.T) {
+	for _, quiet := range []bool{false, true} {
+		s := twoRacks()
+		s.Hurried, s.Quiet = 1, quiet
+		for i := range s.Workers {
+			s.Workers[i].Free = workload.Resources{MilliCPU: 8000, MemoryMiB: 64000, Accelerators: 5}
+			s.Workers[i].Firm = 0
+		}
+		for i := range 2 {
+			s.Workers[i].Free.Accelerators = 5
+			s.Workers[2+i].Free.Accelerators = 3
+		}
+		u := saving(s, time.Minute)
+		u.Step.Need.Accelerators = 4
+		u.Since = s.Now.Add(-2 * idleWait)
+		s.Waiting = []Unit{u}
+		if plan := Make(s); (len(plan.Starts) == 1) != quiet {
+			t.Errorf("quiet %t: %d starts, %+v", quiet, len(plan.Starts), plan.Load)
+		}
+	}
+}
