--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -29,9 +29,6 @@
 	paces   []PaceOrder
 	notes   []Note
 	pace    *estimates
-	// speeds are the workers' speeds; speedsAt is when they were last compared.
-	speeds   map[string]*speed
-	speedsAt time.Time
 	// headroom is what the first priority is expected to need at once.
 	headroom headroom
 	arrivals arrivals
@@ -76,8 +73,6 @@
 	// stepsSince is when each open step could first start.
 	since map[decide.UnitKey]time.Time
 	avoid map[string]bool
-	// rates are how fast its runs got on, by step and task.
-	rates map[decide.UnitKey]map[int]rating
 	// lives are the job's runs that may be at work, in the order in which they
 	// were placed.
 	lives []*live
@@ -145,7 +140,6 @@
 		workers:        map[string]*worker{},
 		jobs:           map[workload.JobID]*job{},
 		live:           map[workload.TaskID]*live{},
-		speeds:         map[string]*speed{},
 		centres:        map[string]*centre{},
 		advice:         map[decide.UnitKey]*advice{},
 		waves:          map[int64]*wave{},
@@ -192,7 +186,7 @@
 	if progress.State.Final() && len(progress.Open) == 0 {
 		return
 	}
-	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, rates: map[decide.UnitKey]map[int]rating{}, held: map[decide.UnitKey]decide.Reason{}}
+	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, held: map[decide.UnitKey]decide.Reason{}}
 	j.inherited = progress.Begun
 	c.arrivals.note()
 	c.jobs[id] = j
@@ -372,7 +366,6 @@
 func (c *Core) forgetEnded() {
 	for id, j := range c.jobs {
 		if j.progress.State.Final() && j.progress.Open == nil && !c.dirty[id] {
-			c.keepSpeeds(j)
 			delete(c.jobs, id)
 		}
 	}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -20,7 +20,6 @@
 	c.overdue(now)
 	c.evacuate(now)
 	c.maintain(now)
-	c.learnSpeeds(now)
 	s, units := c.snapshot(now, wallMS)
 	c.orderWishes()
 	plan := c.decide(s)
@@ -89,7 +88,7 @@
 		if w.gone || !w.listed {
 			continue
 		}
-		one := decide.Worker{ID: id, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speeds[id].factor()}
+		one := decide.Worker{ID: id, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity}
 		one.Closed = !w.met || w.Draining || w.trust.closed(now) || len(w.strange) > 0 || c.vacating[id] || c.cutOff(w)
 		for _, l := range w.tasks {
 			need := l.step.Counted()
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -31,8 +31,6 @@
 	Firm int64
 	// Capacity is what the worker has when it is empty.
 	Capacity workload.Resources
-	// Speed is the worker's as a factor of the average; 0 is not known.
-	Speed float64
 	// Closed workers get nothing new: draining, silent or distrusted.
 	Closed bool
 }
@@ -196,8 +194,6 @@
 	*Worker
 	free   workload.Resources
 	coming workload.Resources
-	// speed is the class of its speed.
-	speed int
 }
 
 func newPlanner(s *Snapshot) *planner {
@@ -209,9 +205,6 @@
 			continue
 		}
 		one := &slot{Worker: w, free: w.Free, coming: w.Coming}
-		if !s.Without[WorkerSpeeds] {
-			one.speed = speedClass(w.Speed)
-		}
 		p.workers = append(p.workers, one)
 		if len(p.racks[w.Rack]) == 0 {
 			p.rackList = append(p.rackList, w.Rack)
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -14,10 +14,6 @@
 const (
 	// ClearRacks keeps racks clear of work that a stop would throw away.
 	ClearRacks Mechanism = "clear-racks"
-	// WorkerSpeeds gives the first priority the faster workers.
-	WorkerSpeeds Mechanism = "worker-speeds"
-	// WaitForEnds keeps room where runs are about to end in place of stopping others.
-	WaitForEnds Mechanism = "wait-for-ends"
 	// StopBeyondGuarantee lets the first priority stop others beyond its account's guarantee.
 	StopBeyondGuarantee Mechanism = "stop-beyond-guarantee"
 	// WaitNear lets work wait for a place near its data or in one rack.
@@ -35,7 +31,7 @@
 )
 
 // Mechanisms lists all.
-var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, WaitForEnds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate, KeepIdle, WatchCentres}
+var Mechanisms = []Mechanism{ClearRacks, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate, KeepIdle, WatchCentres}
 
 // Latest are the mechanisms that the last round of changes to the policy added:
 // without them it decides as it did before.
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"math"
 	"sort"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -114,37 +113,15 @@
 		if p.fit(u, w, w.free, 1) == 0 {
 			continue
 		}
-		if best == nil || u.prefers(w, best) {
+		if best == nil || tighter(w, best) {
 			best = w
 		}
 	}
 	return best
 }
 
-// prefers orders workers for a unit. The first priority takes the faster ones,
-// since its time is short and it does not stay for long; all others take the
-// tighter, and of equally tight ones the slower.
-func (u *Unit) prefers(a, b *slot) bool {
-	if u.Priority == 0 && a.speed != b.speed {
-		return a.speed > b.speed
-	}
-	if tighter(a, b) != tighter(b, a) || u.Priority == 0 {
-		return tighter(a, b)
-	}
-	return a.speed < b.speed
-}
-
-// speedStep is the factor between two classes of speed.
-const speedStep = 1.1
-
-// speedClass rounds a speed to its class; 0 is the average's.
-func speedClass(speed float64) int {
-	if speed <= 0 {
-		return 0
-	}
-	return int(math.Round(math.Log(speed) / math.Log(speedStep)))
-}
-
+// tighter orders workers: those with less left come first, so that large blocks
+// stay whole.
 func tighter(a, b *slot) bool {
 	if a.free.Accelerators != b.free.Accelerators {
 		return a.free.Accelerators < b.free.Accelerators
@@ -281,7 +258,7 @@
 	if total < n {
 		return nil
 	}
-	sort.SliceStable(found, func(a, b int) bool { return u.prefers(found[a].w, found[b].w) })
+	sort.SliceStable(found, func(a, b int) bool { return tighter(found[a].w, found[b].w) })
 	return cut(found, n)
 }
 
--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -1,10 +1,6 @@
 package decide
 
-import (
-	"time"
-
-	"github.com/cobalttide/cobalttide/workload"
-)
+import "time"
 
 // preempt looks for the groups whose stop makes room for the unit at the least
 // work lost, marks them as stopping and keeps the room for the unit. Work of
@@ -17,9 +13,6 @@
 	if !u.Guaranteed && p.s.Without[StopBeyondGuarantee] {
 		return false
 	}
-	if !p.s.Without[WaitForEnds] && p.waitForEnds(u) {
-		return true
-	}
 	best := p.victimsAnywhere(u, behind)
 	if best == nil && u.Guaranteed {
 		// Work of the same priority earns as much: it is stopped last.
@@ -41,36 +34,6 @@
 // Hurries tells whether a unit with so much time to start can't wait for a stop.
 func Hurries(slack, stopTimeout time.Duration) bool { return slack < stopTimeout+stopMargin }
 
-// waitForEnds keeps room for the unit where groups are about to end by
-// themselves, as soon as a stop would take effect, while there is time to stop
-// others if they do not.
-func (p *planner) waitForEnds(u *Unit) bool {
-	until := u.LatestStart
-	if u.Guaranteed {
-		until = earlier(until, u.Since.Add(p.s.ReclaimWithin))
-	}
-	left := until.Sub(p.s.Now) - p.s.StopTimeout - stopMargin
-	if left <= 0 {
-		return false
-	}
-	left = min(left, p.s.StopTimeout+stopMargin)
-	soon := map[string]workload.Resources{}
-	for i := range p.s.Running {
-		g := &p.s.Running[i]
-		if g.Left > 0 && g.Left < left && !g.Stopping && !p.stopped[i] {
-			p.shift(soon, i, 1)
-		}
-	}
-	return p.reserveGang(u, func(w *slot) workload.Resources { return comingRoom(w).Add(soon[w.ID]) })
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // work is what the unit does in all, in core-seconds. Beyond a guarantee no more
 // work is thrown away than that.
 func (u *Unit) work() float64 {
