--- a/workload/replay/policy.go
+++ b/workload/replay/policy.go
@@ -44,7 +44,7 @@
 	}
 	list, ok := strings.CutPrefix(name, "without=")
 	if !ok {
-		return Policy{}, fmt.Errorf("there is no policy %q: use %s, %s, %s, %s or without=MECHANISM,...", name, Shipping, Before, Easy, Fifo)
+		return Policy{}, fmt.Errorf("there is no policy %q: use %s, %s, %s, %s, or without=MECHANISM with a list of them", name, Shipping, Before, Easy, Fifo)
 	}
 	without, err := decide.ParseWithout(list)
 	return Policy{Name: name, Without: without}, err
