--- a/workload/decide/headroom.go
+++ b/workload/decide/headroom.go
@@ -41,9 +41,7 @@
 
 // hurriedShare is the share of the first priority's units that can't wait for a
 // stop from which on kept racks are kept of work that saves its progress, too.
-// Below it such work is stopped for the few, at the price of a moment. Where stops
-// take a fifth of a second wrong estimates alone make up to 0.15 look hurried,
-// where they take most of a second the share is 0.3 to 0.45.
+// Below it such work is stopped for the few, at the price of a moment.
 const hurriedShare = 0.2
 
 // keepsIdle tells whether the kept racks stay idle. It answers short work of the
--- a/workload/decide/preempt.go
+++ b/workload/decide/preempt.go
@@ -31,8 +31,13 @@
 // stopMargin is what a decision, its way and an end's way back take.
 const stopMargin = 300 * time.Millisecond
 
+// hurryMargin is the least that a stop takes beyond its time: a decision and an
+// order's way. With all of stopMargin short estimates alone would make a quarter of
+// the units look hurried where a stop takes a fifth of a second.
+const hurryMargin = 100 * time.Millisecond
+
 // Hurries tells whether a unit with so much time to start can't wait for a stop.
-func Hurries(slack, stopTimeout time.Duration) bool { return slack < stopTimeout+stopMargin }
+func Hurries(slack, stopTimeout time.Duration) bool { return slack < stopTimeout+hurryMargin }
 
 // work is what the unit does in all, in core-seconds. Beyond a guarantee no more
 // work is thrown away than that.
