--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -43,6 +43,8 @@
 	deposed        bool
 	// centres are the data centres by name.
 	centres map[string]*centre
+	// evacuations are the data centres that operators have asked to get nothing new.
+	evacuations map[string]*evacuation
 	// advice holds what is known of each step whose queue has a policy; wishes
 	// are the units of the last round that lack allowed workers.
 	advice map[decide.UnitKey]*advice
@@ -149,6 +151,7 @@
 		live:           map[workload.TaskID]*live{},
 		speeds:         map[string]*speed{},
 		centres:        map[string]*centre{},
+		evacuations:    map[string]*evacuation{},
 		advice:         map[decide.UnitKey]*advice{},
 		waves:          map[int64]*wave{},
 		vacating:       map[string]bool{},
@@ -355,6 +358,7 @@
 			w.holdAt = now
 		}
 	}
+	c.withdraw()
 	var out []StartOrder
 	for _, l := range c.batch {
 		if c.live[l.id] != l || l.stopping {
--- a/workload/control/evacuate.go
+++ b/workload/control/departures.go
@@ -6,8 +6,8 @@
 	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
-// evacuateMargin is what a stop's way and its end's way back take.
-const evacuateMargin = 500 * time.Millisecond
+// departMargin is what a stop's way and its end's way back take.
+const departMargin = 500 * time.Millisecond
 
 // leaving notes how long a draining worker stays at the least.
 func (w *worker) leaving(l Listing, now time.Time) {
@@ -20,11 +20,11 @@
 	}
 }
 
-// evacuate stops runs that their worker will not stay for, so that they begin
+// depart stops runs that their worker will not stay for, so that they begin
 // again elsewhere before they are lost. Those that save their progress go on
 // until the last moment at which a stop still saves it.
-func (c *Core) evacuate(now time.Time) {
-	if c.bounds.Without[decide.Evacuate] {
+func (c *Core) depart(now time.Time) {
+	if c.bounds.Without[decide.LeaveEarly] {
 		return
 	}
 	for _, l := range c.allLives() {
@@ -36,7 +36,7 @@
 		if c.remaining(l, now) <= stays {
 			continue
 		}
-		if l.step.Checkpoint && !l.step.Perpetual && stays > c.bounds.StopTimeout+evacuateMargin {
+		if l.step.Checkpoint && !l.step.Perpetual && stays > c.bounds.StopTimeout+departMargin {
 			continue
 		}
 		c.stop(l, "worker-leaves")
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -11,6 +11,12 @@
 	EventCancelling = "cancelling"
 	// EventDutyAnswered: an order to begin a host's maintenance was answered, or was not; why is the verdict.
 	EventDutyAnswered = "duty-answered"
+	// EventEvacuationBegins: operators have asked that a data centre gets nothing new; detail is which, and how many runs are there.
+	EventEvacuationBegins = "evacuation-begins"
+	// EventEvacuationEmpty: the last run of an evacuated data centre is over; detail is which, and after how long.
+	EventEvacuationEmpty = "evacuation-empty"
+	// EventEvacuationEnds: operators have taken a data centre back; detail is which, what still runs there, and how long it lasted.
+	EventEvacuationEnds = "evacuation-ends"
 	// EventHostVacated: a host of a wave gets nothing new until its maintenance.
 	EventHostVacated = "host-vacated"
 	// EventWaveTaken: a wave of maintenance was read.
@@ -66,6 +72,8 @@
 	EventWorkerListed = "worker-listed"
 	// EventWorkerSilent: a worker did not answer; its lease is not raised from here.
 	EventWorkerSilent = "worker-silent"
+	// EventWorkerUnreadable: a worker's newest entry in the list can't be understood; it gets nothing new, and what runs there is held on.
+	EventWorkerUnreadable = "worker-unreadable"
 	// EventWorkerUnlisted: the platform's list has lost a worker; it may still run what it had.
 	EventWorkerUnlisted = "worker-unlisted"
 )
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -162,7 +162,10 @@
 		switch {
 		case l.stopping && !l.barred:
 			c.stops = append(c.stops, StopOrder{Worker: l.worker.ID, Address: l.worker.Address, Task: l.id, Run: l.run, Token: c.token})
-		case !l.stopping && l.ordered && !l.answered && !l.confirmed:
+		case l.stopping || !l.ordered || l.answered || l.confirmed:
+		case c.takeBack(l):
+			// A repetition may be what begins it.
+		default:
 			out = append(out, c.startOrder(l, now))
 		}
 	}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -18,7 +18,7 @@
 	c.expire(now)
 	c.create(wallMS)
 	c.overdue(now)
-	c.evacuate(now)
+	c.depart(now)
 	c.maintain(now)
 	c.learnSpeeds(now)
 	s, units := c.snapshot(now, wallMS)
@@ -89,8 +89,10 @@
 		if w.gone || !w.listed {
 			continue
 		}
-		one := decide.Worker{ID: id, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speeds[id].factor()}
-		one.Closed = !w.met || w.Draining || w.trust.closed(now) || len(w.strange) > 0 || c.vacating[id] || c.cutOff(w)
+		one := decide.Worker{ID: id, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.paceOf(w, now)}
+		closure := c.closure(w, now)
+		one.Closed = closure != open
+		one.Removed = closure == evacuated
 		for _, l := range w.tasks {
 			need := l.step.Counted()
 			one.Free = one.Free.Sub(need)
@@ -284,7 +286,7 @@
 		id := workload.TaskID{Job: key.Job, K: key.K, Step: key.Step, Index: a.Index}
 		l := c.addLive(u.job, id, t)
 		l.far = a.Far
-		l.slow = decide.Slow(c.speeds[a.Worker].factor())
+		l.slow = decide.Slow(c.paceOf(l.worker, now))
 		slow[key] = slow[key] || l.slow
 		c.starts = append(c.starts, l)
 		u.job.progress.Begun = true
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -61,6 +61,11 @@
 	Labels     []string
 	Capacity   workload.Resources
 	Draining   bool
+	// Unreadable tells that the worker's newest entry can't be understood; the other
+	// fields are those of the last one that could.
+	Unreadable bool
+	// ColdMS is how much longer the worker is slow after its start.
+	ColdMS int64
 	// RemainingMS is the least time that is left to a draining worker.
 	RemainingMS int64
 	// ClockMS is a reading of the worker's clock, already past; 0 is none.
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -36,6 +36,8 @@
 	holding bool
 	holdAt  time.Time
 	trust   trust
+	// coldUntil is when the worker is as fast as ever after its start; zero is now.
+	coldUntil time.Time
 	// leavesAt is when a draining worker may be gone; zero is never.
 	leavesAt time.Time
 	// strange holds what runs there and should not.
@@ -95,7 +97,11 @@
 	if l.Draining && !w.Draining {
 		c.note(Note{Event: EventWorkerDraining, Worker: l.ID})
 	}
+	if l.Unreadable && !w.Unreadable {
+		c.note(Note{Event: EventWorkerUnreadable, Worker: l.ID})
+	}
 	w.leaving(l, now)
+	w.warming(l, now)
 	w.Listing = l
 	w.labels = make(map[string]bool, len(l.Labels))
 	for _, label := range l.Labels {
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -35,6 +35,9 @@
 	Speed float64
 	// Closed workers get nothing new: draining, silent or distrusted.
 	Closed bool
+	// Removed workers are closed until operators say otherwise: their room is not part
+	// of the pool, where that of other closed workers is expected back.
+	Removed bool
 }
 
 // UnitKey names a step of an occurrence of a job.
@@ -239,15 +242,16 @@
 		}
 		one := &slot{Worker: w, index: len(p.workers), free: w.Free, coming: w.Coming}
 		p.workers = append(p.workers, one)
-		if len(p.racks[w.Rack]) == 0 {
+		if len(p.racks[w.Rack]) == 0 && w.Rack != "" {
+			// Workers whose rack is not known are not in one.
 			p.rackList = append(p.rackList, w.Rack)
 		}
 		p.racks[w.Rack] = append(p.racks[w.Rack], one)
 	}
 	p.sortByPace()
-	least, most := used(s.Workers)
+	least, most := used(s.Workers, false)
 	p.plan.Load.Used = most
-	p.idle = most < busyShare || (s.Quiet && least < busyShare)
+	p.idle = most < busyShare || (s.Quiet && least < busyShare) || mostlyForgotten(s.Workers)
 	p.plan.Load.Idle = p.idle
 	p.plan.Load.Kept = p.keepRacks()
 	return p
@@ -263,9 +267,15 @@
 // free all the same, and what is held back for a better place may wait for it in
 // vain. Work that needs many processors and few accelerators leaves the one full
 // and the other free: least and most tell both.
-func used(workers []Worker) (least, most float64) {
+//
+// Removed workers count only where that is asked for: while operators evacuate a third
+// of the pool, the rest is what work can wait for.
+func used(workers []Worker, removed bool) (least, most float64) {
 	var have, free workload.Resources
 	for i := range workers {
+		if workers[i].Removed && !removed {
+			continue
+		}
 		have = have.Add(workers[i].Capacity)
 		free = free.Add(workers[i].Free)
 	}
@@ -274,6 +284,17 @@
 	return min(a, b), max(a, b)
 }
 
+// forgottenShare is the share of all room in use, removed workers counted, below which
+// a job that waits for seconds counts as forgotten.
+const forgottenShare = 0.5
+
+// mostlyForgotten tells whether so little of all room is in use that nothing may wait
+// long, although what is left of the pool may be busy.
+func mostlyForgotten(workers []Worker) bool {
+	_, most := used(workers, true)
+	return most < forgottenShare
+}
+
 func share(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -29,12 +29,14 @@
 	KeepIdle Mechanism = "keep-idle"
 	// WatchCentres closes a data centre to new work while it does not answer.
 	WatchCentres Mechanism = "watch-centres"
-	// Evacuate stops runs that their worker will not stay for.
-	Evacuate Mechanism = "evacuate"
+	// MindCold treats workers that have just started as slow ones.
+	MindCold Mechanism = "mind-cold"
+	// LeaveEarly stops runs that their worker will not stay for.
+	LeaveEarly Mechanism = "leave-early"
 )
 
 // Mechanisms lists all.
-var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, Evacuate, KeepIdle, WatchCentres}
+var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, LeaveEarly, KeepIdle, WatchCentres, MindCold}
 
 // Latest are the mechanisms that the last round of changes to the policy added:
 // without them it decides as it did before.
--- a/workload/service/directory.go
+++ b/workload/service/directory.go
@@ -27,6 +27,8 @@
 	Guaranteed map[domain.AccountID]int64
 	// BodyBytes bounds a submission; 0 is no bound.
 	BodyBytes int64
+	// Problems are the parts that could not be understood and were left out.
+	Problems []*EntryError
 }
 
 // Find returns the queue with the longest prefix of the path on the host.
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -17,9 +17,9 @@
 	wait func() time.Duration
 	// pause returns the rest after a read that brought something.
 	pause func() time.Duration
-	// period is the least time from one read to the next, whatever they bring; 0 is
-	// none.
-	period time.Duration
+	// period returns the least time from one read to the next, whatever they bring; nil
+	// is none.
+	period func() time.Duration
 	// snapshot takes the newest record of each key; entries then follow one by
 	// one through record.
 	snapshot func(entries []Entry)
@@ -78,7 +78,7 @@
 		switch {
 		case err == nil:
 			fresh = false
-			sleep(ctx, max(rest, f.period-time.Since(began)))
+			sleep(ctx, max(rest, f.least()-time.Since(began)))
 		case errors.Is(err, ErrForgotten):
 			fresh = true
 		case errors.Is(err, ErrMalformed):
@@ -94,6 +94,13 @@
 	}
 }
 
+func (f *follower) least() time.Duration {
+	if f.period == nil {
+		return 0
+	}
+	return f.period()
+}
+
 // readNewest reads the newest record of each key and hands them over once all
 // are there.
 func (f *follower) readNewest(ctx context.Context) error {
--- a/workload/service/members.go
+++ b/workload/service/members.go
@@ -58,7 +58,7 @@
 	}
 	m.follow = s.follow(Members, m.takeAll, m.take, func() time.Duration { return 0 })
 	m.follow.wait = func() time.Duration { return memberWait }
-	m.follow.period = memberPeriod
+	m.follow.period = func() time.Duration { return memberPeriod }
 	return m
 }
 
--- a/workload/service/parts_test.go
+++ b/workload/service/parts_test.go
@@ -135,7 +135,7 @@
 	s := New(Settings{Instance: "a"}, &partly{}, nil, nil, nil, nil)
 	const leastStale = 2 * time.Second
 	for _, f := range append(slices.Clone(s.accepts.topics), s.states, s.plans, s.declared) {
-		if max(f.wait()+f.pause(), f.period) > leastStale/2 {
+		if max(f.wait()+f.pause(), f.least()) > leastStale/2 {
 			t.Errorf("%s is read each %v", f.topic, f.wait())
 		}
 	}
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -54,8 +54,10 @@
 	listed  bool
 	version int64
 	list    map[string]control.Listing
-	fresh   bool
-	lister  *follower
+	// bad holds what is wrong with entries of the list, for each that was noted.
+	bad    map[string]string
+	fresh  bool
+	lister *follower
 	// dropped are to be written among the states.
 	dropped []control.Record
 	// hostsLost tells that the service of hosts did not answer last.
@@ -87,7 +89,7 @@
 	p := &planner{
 		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, Expect: -1},
 		wake: make(chan struct{}, 1), due: make(chan struct{}, 1), stated: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
-		written: now, list: map[string]control.Listing{},
+		written: now, list: map[string]control.Listing{}, bad: map[string]string{},
 	}
 	s.events.Info(events.PlannerBegins, events.Fields{"token": token})
 	s.planning.Store(true)
@@ -140,6 +142,7 @@
 		p.s.metrics.Observe(telemetry.Round, p.decided)
 		p.tempo.rounds.add(p.decided)
 	}
+	p.measure(p.core.Evacuated(time.Now()))
 	records := p.core.Changes()
 	p.tell()
 	p.mu.Unlock()
@@ -199,6 +202,14 @@
 	p.s.waves.each(func(declared control.Wave, record []byte) {
 		p.core.AdoptWave(declared, record, time.Now().UnixMilli())
 	})
+	p.takePlaces()
+}
+
+// takePlaces brings the core up to date with where work may begin. It is done before
+// each decision, and again before what was decided goes out.
+func (p *planner) takePlaces() {
+	now := time.Now()
+	p.core.Evacuate(p.s.evacuated.list(), now)
 	if !p.fresh {
 		return
 	}
@@ -208,7 +219,7 @@
 	for _, l := range p.list {
 		list = append(list, l)
 	}
-	p.core.List(list, time.Now())
+	p.core.List(list, now)
 }
 
 func (p *planner) listAll(entries []Entry) {
@@ -227,16 +238,47 @@
 	p.fresh = true
 	if len(e.Value) == 0 {
 		delete(p.list, e.Key)
+		delete(p.bad, e.Key)
 		return
 	}
 	listing, err := p.s.decoder.Listing(e.Key, e.Value)
 	if err != nil {
-		p.s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "cause": err.Error()})
+		p.listBad(e, err)
 		return
 	}
+	delete(p.bad, e.Key)
 	p.list[e.Key] = listing
 }
 
+// mostBad bounds the entries that are noted as bad.
+const mostBad = 1000
+
+// listBad takes an entry that can't be understood. A worker that was known before gets
+// nothing new, and what runs there is held on at the address that it had; one that was
+// not known is not used.
+func (p *planner) listBad(e Entry, err error) {
+	if known, ok := p.list[e.Key]; ok {
+		known.Unreadable = true
+		p.list[e.Key] = known
+	}
+	if p.bad[e.Key] == err.Error() || len(p.bad) >= mostBad {
+		return
+	}
+	p.bad[e.Key] = err.Error()
+	p.s.noteUnreadable(e, err)
+}
+
+// Quantities of the planner's that go up and down.
+const (
+	quantityEvacuated   = "evacuated_centres"
+	quantityRunsToLeave = "evacuated_runs"
+)
+
+func (p *planner) measure(left control.Evacuated) {
+	p.s.metrics.Set(quantityEvacuated, float64(left.Centres))
+	p.s.metrics.Set(quantityRunsToLeave, float64(left.Runs))
+}
+
 // tell writes the core's notes as events.
 func (p *planner) tell() {
 	for _, n := range p.core.Notes() {
@@ -345,6 +387,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.takePlaces()
 	starts := p.core.Persisted(now)
 	if !p.entitled(now) {
 		return
@@ -397,6 +440,7 @@
 		return
 	}
 	if p.informed(now) {
+		p.takePlaces()
 		for _, o := range p.core.Due(now) {
 			p.work.Go(func() { p.start(ctx, o) })
 		}
@@ -411,9 +455,10 @@
 	}
 }
 
-// informed tells whether what was read is recent enough to start something.
+// informed tells whether what was read is recent enough to start something: what was
+// read too long ago may have been cancelled, drained or evacuated since.
 func (p *planner) informed(now time.Time) bool {
-	return p.s.recent(p.s.accepts.youngest(now), p.s.accepts.oldest(now), p.lister.age(now), now.Sub(p.written))
+	return p.s.recent(p.s.accepts.youngest(now), p.s.accepts.oldest(now), p.lister.age(now), p.s.declared.age(now), now.Sub(p.written))
 }
 
 func (p *planner) nudge() {
--- a/workload/service/pool_test.go
+++ b/workload/service/pool_test.go
@@ -29,6 +29,37 @@
 	// reads and bytes count what was asked, by topic.
 	reads map[Topic]int
 	bytes map[Topic]int
+	// slow is what each call takes beyond answerTime, deaf are topics whose reads
+	// have no answer.
+	slow time.Duration
+	deaf map[Topic]bool
+}
+
+func (l *shared) setSlow(d time.Duration) {
+	l.mu.Lock()
+	l.slow = d
+	l.mu.Unlock()
+}
+
+func (l *shared) setDeaf(topic Topic, deaf bool) {
+	l.mu.Lock()
+	l.deaf = map[Topic]bool{topic: deaf}
+	l.mu.Unlock()
+}
+
+// takes is what a call takes now.
+func (l *shared) takes() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return answerTime + l.slow
+}
+
+// forget drops all records of a topic but the newest of each key.
+func (l *shared) forget(topic Topic) {
+	l.mu.Lock()
+	t := l.topic(topic)
+	t.first = int64(len(t.records))
+	l.mu.Unlock()
 }
 
 type sharedTopic struct {
@@ -36,6 +67,8 @@
 	changed chan struct{}
 	epoch   int64
 	seq     int64
+	// first is the offset of the first record that is kept one by one.
+	first int64
 }
 
 func newShared(rate float64) *shared {
@@ -55,7 +88,7 @@
 const answerTime = 4 * time.Millisecond
 
 func (l *shared) Append(ctx context.Context, topic Topic, records []control.Record, w *Writer) (int64, error) {
-	sleep(ctx, answerTime)
+	sleep(ctx, l.takes())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.topic(topic)
@@ -92,12 +125,21 @@
 	l.busy = l.busy.Add(time.Duration(float64(size) / l.rate * float64(time.Second)))
 	until := l.busy
 	l.mu.Unlock()
-	sleep(ctx, time.Until(until)+answerTime)
+	sleep(ctx, time.Until(until)+l.takes())
 }
 
 func (l *shared) Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error) {
 	l.mu.Lock()
 	t := l.topic(topic)
+	if l.deaf[topic] {
+		l.mu.Unlock()
+		sleep(ctx, wait+deafFor)
+		return Page{}, ErrUnknown
+	}
+	if from < t.first {
+		l.mu.Unlock()
+		return Page{}, ErrForgotten
+	}
 	changed, empty := t.changed, int64(len(t.records)) <= from
 	l.mu.Unlock()
 	if empty && wait > 0 {
@@ -118,6 +160,9 @@
 	return page, ctx.Err()
 }
 
+// deafFor is how long an answer is waited for beyond what the read asked to wait.
+const deafFor = 500 * time.Millisecond
+
 func (l *shared) Newest(ctx context.Context, topic Topic, _ string) (NewestPage, error) {
 	l.mu.Lock()
 	t := l.topic(topic)
@@ -144,12 +189,21 @@
 	// that began, done those that ended as done.
 	lives, begun, done map[workload.TaskID]int
 	twice              []string
+	// starts are what began, in order.
+	starts []startSeen
+}
+
+// startSeen is a task that began on a worker.
+type startSeen struct {
+	at     time.Time
+	worker string
 }
 
 func (w *poolWorkers) see(e workertest.Event) {
 	switch {
 	case e.How == "":
 		w.begun[e.Task]++
+		w.starts = append(w.starts, startSeen{time.Now(), e.Worker})
 		if w.lives[e.Task]++; w.lives[e.Task] > 1 || w.done[e.Task] > 0 {
 			w.twice = append(w.twice, e.Task.String())
 		}
@@ -205,7 +259,12 @@
 func (poolDecoder) Directory(string, []byte) (*Directory, bool, error) {
 	return &Directory{Version: 1, Queues: []Queue{{Name: "q", Terms: poolTerms}}}, true, nil
 }
-func (poolDecoder) Wave(string, []byte) (control.Wave, bool) { return control.Wave{}, false }
+func (poolDecoder) Wave(string, []byte) (control.Wave, bool, error) {
+	return control.Wave{}, false, nil
+}
+func (poolDecoder) Evacuation(key string) (string, bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
 func (poolDecoder) WaveReport(control.WaveReport) control.Record {
 	return control.Record{}
 }
@@ -228,12 +287,16 @@
 	*Service
 	name string
 	stop func()
+	// killed tells that the test has ended it.
+	killed bool
 }
 
 const (
 	poolTasks = 26
 	poolRun   = 900 * time.Millisecond
 	poolRate  = 80e6
+	// poolStretch is how much older what one topic tells may be than all else.
+	poolStretch = 8 * time.Second
 	// poolSpec is the length of a job's spec, in bytes.
 	poolSpec = 600
 )
@@ -287,7 +350,7 @@
 		ReclaimWithin: 3 * time.Second, FarFactor: 3, Wait: 1500 * time.Millisecond,
 	}
 	s := New(Settings{
-		Instance: name, Address: name, Bounds: bounds, Patience: 1600 * time.Millisecond, Stale: 4 * time.Second, Stretch: 8 * time.Second,
+		Instance: name, Address: name, Bounds: bounds, Patience: 1600 * time.Millisecond, Stale: 4 * time.Second, Stretch: poolStretch,
 		Power: power, DataCentre: fmt.Sprint(i % 5), Standbys: 5,
 	}, p.log, poolDecoder{}, p.workers, nil, nil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -296,7 +359,7 @@
 		s.Run(ctx)
 		close(ended)
 	}()
-	p.instances = append(p.instances, &poolInstance{s, name, func() { cancel(); <-ended }})
+	p.instances = append(p.instances, &poolInstance{Service: s, name: name, stop: func() { cancel(); <-ended }})
 }
 
 func (p *pool) stopAll() {
@@ -317,6 +380,22 @@
 	p.jobs = append(p.jobs, job)
 }
 
+// submitAnyhow hands a job in whatever becomes of it.
+func (p *pool) submitAnyhow(n int, at *poolInstance) {
+	job := &workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", n)), Queue: "q", Spec: "s", Steps: []workload.Step{poolStep()}, AcceptedMS: time.Now().UnixMilli(), Terms: poolTerms}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_ = at.Submit(ctx, job)
+}
+
+// killPlanner ends the instance that plans, as a kill would.
+func (p *pool) killPlanner() {
+	for _, one := range p.planners() {
+		one.killed = true
+		go one.stop()
+	}
+}
+
 // state asks an instance for a job.
 func (p *pool) state(at *poolInstance, id workload.JobID) (workload.State, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/workload/service/ports.go
+++ b/workload/service/ports.go
@@ -124,9 +124,13 @@
 	// Directory reads a declared configuration; ok is false for other keys.
 	Directory(key string, value []byte) (directory *Directory, ok bool, err error)
 	// Wave reads a declared wave of maintenance; ok is false for other keys.
-	Wave(key string, value []byte) (wave control.Wave, ok bool)
+	Wave(key string, value []byte) (wave control.Wave, ok bool, err error)
+	// Evacuation reads the key of a request that a data centre gets nothing new; ok is
+	// false for other keys. The request lasts until its key is dropped.
+	Evacuation(key string) (centre string, ok bool)
 	// WaveReport writes a wave's state as operators read it.
 	WaveReport(report control.WaveReport) control.Record
-	// Listing reads a worker's entry.
+	// Listing reads a worker's entry. Errors of this and the other readers are of type
+	// *EntryError.
 	Listing(key string, value []byte) (control.Listing, error)
 }
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -66,6 +66,7 @@
 	declared   *follower
 	directory  atomic.Pointer[Directory]
 	waves      *waves
+	evacuated  *evacuated
 	back       *pulse
 	planning   atomic.Bool
 	leaving    atomic.Bool
@@ -74,7 +75,7 @@
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), back: newPulse()}
+	s := &Service{settings: settings, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), evacuated: newEvacuated(), back: newPulse()}
 	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
 	if settings.Address != "" {
 		// Until it knows its place it comes behind the others.
@@ -82,18 +83,28 @@
 	}
 	s.standby = newStandby(standbysOf(settings), settings.Patience, time.Now())
 	s.states = s.follow(States, s.stateAll, s.state, s.noRest)
-	s.states.period = statesPeriod
+	s.states.period = func() time.Duration { return statesPeriod }
 	s.accepts = newAcceptances(settings.AcceptHomes, metered, func(topic Topic) *follower {
 		return s.follow(topic, s.foldAll, s.fold, s.restOfReader)
 	})
 	s.plans = s.follow(Plans, s.planAll, s.plan, s.restOfPlans)
 	s.declared = s.follow(Declarations, s.declareAll, s.declare, s.noRest)
-	s.declared.period = statesPeriod
+	s.declared.period = s.declaredPeriod
 	return s
 }
 
 func (s *Service) noRest() time.Duration { return 0 }
 
+// declaredPeriod is the least time between two reads of the declarations. A planner
+// reads on at once: what an operator has evacuated gets nothing new after some tens of
+// milliseconds then, where it would take up to a second.
+func (s *Service) declaredPeriod() time.Duration {
+	if s.planning.Load() {
+		return 0
+	}
+	return statesPeriod
+}
+
 // standbysOf is how many instances stand by.
 func standbysOf(settings Settings) int {
 	if settings.Standbys <= 0 {
@@ -167,7 +178,7 @@
 
 func (s *Service) fold(e Entry) {
 	if err := s.book.Fold(e.Offset, e.Key, e.Value); err != nil {
-		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
+		s.noteUnreadable(e, err)
 	}
 }
 
@@ -194,20 +205,38 @@
 	}
 }
 
+// declareAll takes the newest of all declarations. Evacuations first: an instance with
+// a configuration may plan, and must know by then where nothing may begin. Those that
+// are not among the newest were taken back.
 func (s *Service) declareAll(entries []Entry) {
+	var centres []string
+	for _, e := range entries {
+		if centre, ok := s.decoder.Evacuation(e.Key); ok && len(e.Value) > 0 {
+			centres = append(centres, centre)
+		}
+	}
+	s.evacuated.replace(centres)
 	for _, e := range entries {
 		s.declare(e)
 	}
 }
 
 func (s *Service) declare(e Entry) {
-	if wave, ok := s.decoder.Wave(e.Key, e.Value); ok {
+	if centre, ok := s.decoder.Evacuation(e.Key); ok {
+		s.evacuated.set(centre, len(e.Value) > 0)
+		return
+	}
+	if wave, ok, err := s.decoder.Wave(e.Key, e.Value); ok {
+		if err != nil {
+			s.noteUnreadable(e, err)
+			return
+		}
 		s.waves.declare(wave)
 		return
 	}
 	next, ok, err := s.decoder.Directory(e.Key, e.Value)
 	if err != nil {
-		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
+		s.noteUnreadable(e, err)
 		return
 	}
 	current := s.directory.Load()
@@ -216,6 +245,21 @@
 	}
 	s.directory.Store(next)
 	s.events.Info(events.ConfigurationInForce, events.Fields{"version": next.Version, "queues": len(next.Queues)})
+	for _, problem := range next.Problems[:min(len(next.Problems), mostProblems)] {
+		s.noteUnreadable(e, problem)
+	}
+}
+
+// mostProblems bounds the lines about one configuration.
+const mostProblems = 20
+
+// noteUnreadable says that an entry, or a part of one, is not used.
+func (s *Service) noteUnreadable(e Entry, err error) {
+	reason := FaultSyntax
+	if problem := (*EntryError)(nil); errors.As(err, &problem) {
+		reason = problem.Fault
+	}
+	s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "reason": string(reason), "cause": err.Error()})
 }
 
 // Run works until ctx ends.
--- a/workload/service/states.go
+++ b/workload/service/states.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cobalttide/cobalttide/events"
 	"github.com/cobalttide/cobalttide/workload"
 	"github.com/cobalttide/cobalttide/workload/control"
 )
@@ -60,7 +59,7 @@
 	}
 	h := head{}
 	if err := json.Unmarshal(e.Value, &h); err != nil {
-		s.events.Info(events.RecordUnreadable, events.Fields{"key": e.Key, "offset": e.Offset, "cause": err.Error()})
+		s.noteUnreadable(e, err)
 		return
 	}
 	s.standby.heard(time.Now())
