--- a/api/cobalttide/v1/cobalttidev1connect/operator.connect.go
+++ b/api/cobalttide/v1/cobalttidev1connect/operator.connect.go
@@ -45,6 +45,9 @@
 	OperatorServiceHistoryProcedure = "/cobalttide.v1.OperatorService/History"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/cobalttide.v1.OperatorService/Drain"
+	// OperatorServiceEvacuateProcedure is the fully-qualified name of the OperatorService's Evacuate
+	// RPC.
+	OperatorServiceEvacuateProcedure = "/cobalttide.v1.OperatorService/Evacuate"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
 	OperatorServiceStatusProcedure = "/cobalttide.v1.OperatorService/Status"
 )
@@ -62,6 +65,8 @@
 	History(context.Context, *v1.HistoryRequest) (*v1.HistoryResponse, error)
 	// Drain empties a worker, or puts it back in use.
 	Drain(context.Context, *v1.DrainRequest) (*v1.DrainResponse, error)
+	// Evacuate lets a data centre get nothing new, or takes it back. What runs there ends.
+	Evacuate(context.Context, *v1.EvacuateRequest) (*v1.EvacuateResponse, error)
 	// Status describes the instance, its peers and its data centre.
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 }
@@ -107,6 +112,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[v1.EvacuateRequest, v1.EvacuateResponse](
+			httpClient,
+			baseURL+OperatorServiceEvacuateProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[v1.StatusRequest, v1.StatusResponse](
 			httpClient,
 			baseURL+OperatorServiceStatusProcedure,
@@ -123,6 +134,7 @@
 	apply            *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
 	history          *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
 	drain            *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	evacuate         *connect.Client[v1.EvacuateRequest, v1.EvacuateResponse]
 	status           *connect.Client[v1.StatusRequest, v1.StatusResponse]
 }
 
@@ -171,6 +183,15 @@
 	return nil, err
 }
 
+// Evacuate calls cobalttide.v1.OperatorService.Evacuate.
+func (c *operatorServiceClient) Evacuate(ctx context.Context, req *v1.EvacuateRequest) (*v1.EvacuateResponse, error) {
+	response, err := c.evacuate.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Status calls cobalttide.v1.OperatorService.Status.
 func (c *operatorServiceClient) Status(ctx context.Context, req *v1.StatusRequest) (*v1.StatusResponse, error) {
 	response, err := c.status.CallUnary(ctx, connect.NewRequest(req))
@@ -193,6 +214,8 @@
 	History(context.Context, *v1.HistoryRequest) (*v1.HistoryResponse, error)
 	// Drain empties a worker, or puts it back in use.
 	Drain(context.Context, *v1.DrainRequest) (*v1.DrainResponse, error)
+	// Evacuate lets a data centre get nothing new, or takes it back. What runs there ends.
+	Evacuate(context.Context, *v1.EvacuateRequest) (*v1.EvacuateResponse, error)
 	// Status describes the instance, its peers and its data centre.
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 }
@@ -234,6 +257,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceEvacuateHandler := connect.NewUnaryHandlerSimple(
+		OperatorServiceEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceStatusHandler := connect.NewUnaryHandlerSimple(
 		OperatorServiceStatusProcedure,
 		svc.Status,
@@ -252,6 +281,8 @@
 			operatorServiceHistoryHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorServiceEvacuateProcedure:
+			operatorServiceEvacuateHandler.ServeHTTP(w, r)
 		case OperatorServiceStatusProcedure:
 			operatorServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -283,6 +314,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cobalttide.v1.OperatorService.Drain is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Evacuate(context.Context, *v1.EvacuateRequest) (*v1.EvacuateResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cobalttide.v1.OperatorService.Evacuate is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cobalttide.v1.OperatorService.Status is not implemented"))
 }
--- a/command/command.go
+++ b/command/command.go
@@ -57,6 +57,7 @@
 		"rollback":   {"apply an earlier version again", "cobaltctl rollback -to 3", rollback},
 		"status":     {"describe an instance, its peers and its data centre", "cobaltctl status", status},
 		"drain":      {"empty a worker, or put it back with -undo", "cobaltctl drain tyseley-hall-r0-w3", drain},
+		"evacuate":   {"let a data centre get nothing new, or take it back with -undo", "cobaltctl evacuate tyseley-hall", evacuate},
 		"token":      {"make a token and the hash to declare", "cobaltctl token", token},
 		"submit":     {"submit a gang job", `cobaltctl submit -id f1 -class restock-forecast -tasks 4 -accelerators 8 -adjacency same-rack -estimate 10s -payload '{"run":"5s"}'`, submit},
 		"request":    {"send a request to a backend server", `cobaltctl request -id q1 -class trade-counter-quote -body '{"take":"20ms"}'`, request},
--- a/command/configuration.go
+++ b/command/configuration.go
@@ -241,6 +241,9 @@
 		{"log age", (time.Duration(s.LogAgeMs) * time.Millisecond).String()},
 		{"jobs active", strconv.Itoa(int(s.JobsActive))}, {"records pending", strconv.Itoa(int(s.RecordsPending))},
 	}
+	if s.EvacuatedMs > 0 {
+		rows = append(rows, []string{"evacuated for", (time.Duration(s.EvacuatedMs) * time.Millisecond).String()})
+	}
 	for _, p := range s.Peers {
 		rows = append(rows, []string{"peer", p.Instance, p.DataCentre, p.State})
 	}
@@ -268,6 +271,24 @@
 	return f.print(env, map[string]bool{"ok": true}, [][]string{{"done"}})
 }
 
+func evacuate(ctx context.Context, env Env, args []string) error {
+	f := newFlags(env, "evacuate")
+	undo := f.Bool("undo", false, "take the data centre back")
+	operands, err := f.parse(args, "DATA-CENTRE")
+	if err != nil {
+		return err
+	}
+	client, err := f.operators()
+	if err != nil {
+		return err
+	}
+	_, err = client.Evacuate(ctx, &cobalttidev1.EvacuateRequest{DataCentre: operands[0], Undo: *undo})
+	if err := refused(err); err != nil {
+		return err
+	}
+	return f.print(env, map[string]bool{"ok": true}, [][]string{{"done"}})
+}
+
 func token(_ context.Context, env Env, args []string) error {
 	f := newFlags(env, "token")
 	if _, err := f.parse(args); err != nil {
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -22,12 +22,35 @@
 	Repeat bool `json:"repeat,omitempty"`
 }
 
-// drainSet holds the workers that operators are emptying.
+// drainSet holds the workers that operators are emptying, and since when the whole
+// data centre gets nothing new.
 type drainSet struct {
-	mu      sync.Mutex
-	workers map[domain.WorkerID]bool
+	mu        sync.Mutex
+	workers   map[domain.WorkerID]bool
+	evacuated time.Time
 }
 
+// evacuate takes an order on the whole data centre; one that stands keeps its time.
+func (d *drainSet) evacuate(order evacuateOrder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case order.Undo:
+		d.evacuated = time.Time{}
+	case d.evacuated.IsZero():
+		d.evacuated = time.Now()
+	}
+}
+
+// evacuatedSince returns the zero time while the data centre is in use.
+func (d *drainSet) evacuatedSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.evacuated
+}
+
+func (d *drainSet) isEvacuated() bool { return !d.evacuatedSince().IsZero() }
+
 func (d *drainSet) set(order drainOrder) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -58,7 +81,7 @@
 		DataCentre: in.Settings.DataCentre, Instance: in.ID, Options: plannerOptions,
 		Workers: in.platform, Publisher: in, Jobs: in.jobs,
 		Configuration: in.configuration.Current, Fleet: in.fleet,
-		Draining: in.draining.current, LogDown: in.logAway,
+		Draining: in.draining.current, Evacuated: in.draining.isEvacuated, LogDown: in.logAway,
 		Mine: in.plans, OnChange: in.planningChanged,
 	}
 	in.planner.Init()
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -309,13 +309,35 @@
 			"check the name, or ask an instance of the worker's data centre"))
 	}
 	s.in.draining.set(order)
+	s.tellPeers(ctx, methodDrain, order)
+	return &cobalttidev1.DrainResponse{}, nil
+}
+
+// tellPeers gives an order to the other instances of the data centre; the planner is
+// among those that answer.
+func (s *operatorService) tellPeers(ctx context.Context, method string, order any) {
 	for _, m := range s.in.members.present(s.in.Settings.DataCentre) {
 		var ok bool
 		if m.ID != s.in.ID {
-			_ = s.in.callPeer(ctx, m.Address, methodDrain, order, &ok) // the planner is among those that answer
+			_ = s.in.callPeer(ctx, m.Address, method, order, &ok)
 		}
 	}
-	return &cobalttidev1.DrainResponse{}, nil
+}
+
+// Evacuate implements the operators' interface. Like Drain it is told to all peers and
+// not recorded.
+func (s *operatorService) Evacuate(ctx context.Context, r *cobalttidev1.EvacuateRequest) (*cobalttidev1.EvacuateResponse, error) {
+	if err := s.authorize(ctx); err != nil {
+		return nil, err
+	}
+	if own := s.in.Settings.DataCentre; r.DataCentre != string(own) {
+		return nil, s.refused(domain.Refuse(domain.ReasonWrongDataCentre, "data_centre", "is not that of this instance, "+string(own),
+			"ask an instance of the data centre"))
+	}
+	order := evacuateOrder{Undo: r.Undo}
+	s.in.draining.evacuate(order)
+	s.tellPeers(ctx, methodEvacuate, order)
+	return &cobalttidev1.EvacuateResponse{}, nil
 }
 
 // Status implements the operators' interface.
@@ -331,6 +353,9 @@
 		ConfigurationVersion: uint64(in.configuration.Current().Version), LogAgeMs: in.logAgeMs(),
 		JobsActive: uint32(len(active)), RecordsPending: uint32(in.journal.Pending()),
 	}
+	if since := in.draining.evacuatedSince(); !since.IsZero() {
+		out.EvacuatedMs = max(1, time.Since(since).Milliseconds())
+	}
 	for _, m := range in.members.all() {
 		out.Peers = append(out.Peers, peerOf(m))
 	}
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -26,6 +26,7 @@
 	methodCancel        = "job.cancel"
 	methodHeld          = "job.held"
 	methodDrain         = "worker.drain"
+	methodEvacuate      = "centre.evacuate"
 )
 
 // callTimeout bounds a call to a peer.
@@ -45,6 +46,7 @@
 		methodCancel:        handler.New(refusing(in.serveCancel)),
 		methodHeld:          handler.New(in.serveHeld),
 		methodDrain:         handler.New(in.serveDrain),
+		methodEvacuate:      handler.New(in.serveEvacuate),
 	}
 }
 
@@ -147,6 +149,16 @@
 	Undo   bool            `json:"undo"`
 }
 
+// evacuateOrder lets a data centre get nothing new, or takes it back.
+type evacuateOrder struct {
+	Undo bool `json:"undo"`
+}
+
+func (in *Instance) serveEvacuate(_ context.Context, order evacuateOrder) (bool, error) {
+	in.draining.evacuate(order)
+	return true, nil
+}
+
 func (in *Instance) serveDrain(_ context.Context, order drainOrder) (bool, error) {
 	in.draining.set(order)
 	return true, nil
--- a/planner/core.go
+++ b/planner/core.go
@@ -85,6 +85,9 @@
 	LogDown bool
 	// Draining are workers that operators are emptying.
 	Draining map[domain.WorkerID]bool
+	// Evacuated tells that operators want nothing new in the data centre. What runs
+	// goes on.
+	Evacuated bool
 }
 
 // Call is one command to carry out.
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -72,13 +72,13 @@
 	}
 }
 
-// unschedulable are workers that are silent, drained or in quarantine.
+// unschedulable are workers that are silent, drained, evacuated or in quarantine.
 func (c *Core) unschedulable(in Inputs) map[domain.WorkerID]bool {
 	out := c.book.Aside(c.order, in.Now)
 	for _, spec := range c.order {
 		w := c.workers[spec.ID]
 		silent := !w.claimed || in.Now.Sub(w.acked) > c.options.Authority
-		if silent || in.Draining[spec.ID] || !c.trusted(w) {
+		if silent || in.Evacuated || in.Draining[spec.ID] || !c.trusted(w) {
 			out[spec.ID] = true
 		}
 	}
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -33,6 +33,8 @@
 	Fleet         func() []domain.Worker
 	Draining      func() map[domain.WorkerID]bool
 	LogDown       func() bool
+	// Evacuated tells whether operators want nothing new in the data centre.
+	Evacuated func() bool
 	// Mine tells whether this instance holds the role.
 	Mine func() bool
 	// OnChange is told when the role is taken up or given up.
@@ -171,7 +173,7 @@
 	}
 	return Inputs{
 		Now: now, Workers: r.Fleet(), Accounts: configured.Declarations.Accounts, Classes: configured.Declarations.Classes,
-		Jobs: r.jobs, Version: r.inputs, Binding: r.Jobs.Binding(), Draining: r.Draining(), LogDown: r.LogDown(),
+		Jobs: r.jobs, Version: r.inputs, Binding: r.Jobs.Binding(), Draining: r.Draining(), LogDown: r.LogDown(), Evacuated: r.Evacuated(),
 	}
 }
 
--- a/standin/server.go
+++ b/standin/server.go
@@ -70,6 +70,15 @@
 	return p
 }
 
+// Workers returns all workers.
+func (p *Platform) Workers() []*Worker {
+	out := make([]*Worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		out = append(out, w)
+	}
+	return out
+}
+
 // Worker returns a worker by id, or nil.
 func (p *Platform) Worker(id domain.WorkerID) *Worker { return p.workers[id] }
 
