--- a/events/names.go
+++ b/events/names.go
@@ -27,6 +27,8 @@
 	JobRepeated  Name = "job-repeated"
 	JobRefused   Name = "job-refused"
 	JobCancelled Name = "job-cancelled"
+	// JobShown: a caller was told here for the first time that a job is over.
+	JobShown Name = "job-shown"
 	// ClaimTaken, ClaimFailed, PlannerBegins, PlannerEnds: the planner's role.
 	ClaimTaken    Name = "claim-taken"
 	ClaimFailed   Name = "claim-failed"
--- a/events/report/report.go
+++ b/events/report/report.go
@@ -39,8 +39,11 @@
 type Queue struct {
 	Name string
 	// Accepted jobs; of these in time, late, worthless, failed and cancelled. The
-	// rest had no end in the logs.
+	// rest had no end in the logs. A job's time is its caller's: from its first try, at
+	// whatever instance, until any instance told that it is completed.
 	Accepted, InTime, Late, Worthless, Failed, Cancelled int
+	// Path is how long the parts of a completed job's way took.
+	Path Path
 	// Where the time of jobs that were not in time went, mean milliseconds: until
 	// the planner saw them, waiting before the first start by reason, in runs that
 	// came to nothing, in the runs that completed them.
@@ -49,6 +52,27 @@
 	ByReason map[string]float64
 }
 
+// Path is how long the parts of a job's way took, all completed jobs of a queue.
+type Path struct {
+	// Accepting is from the caller's first try to the acceptance, Starting from there to
+	// the first start, Running from there to the end as the planner knows it, Telling from
+	// there until a caller was told.
+	Accepting, Starting, Running, Telling Times
+}
+
+// Times are durations of which some figures are of interest.
+type Times []time.Duration
+
+// Of returns the duration that a share of all don't exceed, in milliseconds; 0 if there
+// are none.
+func (t Times) Of(share float64) float64 {
+	if len(t) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(t))
+	return ms(sorted[min(len(sorted)-1, int(share*float64(len(sorted))))])
+}
+
 // Gap is a stretch without a planner.
 type Gap struct {
 	At  time.Duration
@@ -63,7 +87,9 @@
 // job is what the logs tell of one.
 type job struct {
 	queue             string
-	accepted          time.Time
+	arrived, accepted time.Time
+	shown             time.Time
+	objective         time.Duration
 	seen, first, last time.Time
 	reason            string
 	since             time.Time
@@ -76,7 +102,7 @@
 
 // Make makes a report of the lines of logs, which are in the order of their times.
 func Make(lines []events.Line) *Report {
-	b := &builder{r: newReport(), jobs: map[string]*job{}}
+	b := &builder{r: newReport(), jobs: map[string]*job{}, tried: map[string]time.Time{}}
 	for _, l := range lines {
 		b.take(l)
 	}
@@ -88,7 +114,9 @@
 }
 
 type builder struct {
-	r     *Report
+	r *Report
+	// tried is when each job that was not accepted yet was first refused.
+	tried map[string]time.Time
 	jobs  map[string]*job
 	order []*job
 	plans int
@@ -128,7 +156,11 @@
 func (b *builder) takeJob(id string, l events.Line, why string) {
 	if l.Event == events.JobAccepted {
 		if b.jobs[id] == nil {
-			j := &job{queue: text(l, "queue"), accepted: l.At, waits: map[string]time.Duration{}}
+			took := time.Duration(number(text(l, "took_ms"))) * time.Millisecond
+			j := &job{queue: text(l, "queue"), accepted: l.At, arrived: l.At.Add(-took), waits: map[string]time.Duration{}}
+			if first, tried := b.tried[id]; tried && first.Before(j.arrived) {
+				j.arrived = first
+			}
 			b.jobs[id] = j
 			b.order = append(b.order, j)
 		}
@@ -136,6 +168,9 @@
 	}
 	j := b.jobs[id]
 	if j == nil {
+		if _, tried := b.tried[id]; l.Event == events.JobRefused && !tried {
+			b.tried[id] = l.At
+		}
 		return
 	}
 	switch l.Event {
@@ -152,6 +187,11 @@
 	case "job-completed":
 		j.outcome, j.completed = why, l.At
 		j.worked = time.Duration(number(field(text(l, "detail"), "worked_ms"))) * time.Millisecond
+		j.objective = time.Duration(number(field(text(l, "detail"), "objective_ms"))) * time.Millisecond
+	case events.JobShown:
+		if j.shown.IsZero() {
+			j.shown = l.At
+		}
 	case "job-failed":
 		j.failed = true
 	case events.JobCancelled:
@@ -206,8 +246,45 @@
 	}
 }
 
+// lateFactor is how many times its objective a job may take and still be worth a part.
+const lateFactor = 3
+
+// sight replaces the planner's view of the outcome by the caller's, where both the
+// objective and the time at which a caller was told are known.
+func (j *job) sight() {
+	if j.completed.IsZero() || j.objective == 0 {
+		return
+	}
+	if j.shown.Before(j.completed) {
+		// Nobody asked after its end, or the lines that would tell were left out.
+		j.shown = j.completed
+	}
+	switch took := j.shown.Sub(j.arrived); {
+	case took <= j.objective:
+		j.outcome = "in-time"
+	case took <= lateFactor*j.objective:
+		j.outcome = "late"
+	default:
+		j.outcome = "worthless"
+	}
+}
+
+func (p *Path) add(j *job) {
+	if j.first.IsZero() || j.completed.IsZero() || j.first.Before(j.accepted) {
+		return
+	}
+	p.Accepting = append(p.Accepting, j.accepted.Sub(j.arrived))
+	p.Starting = append(p.Starting, j.first.Sub(j.accepted))
+	p.Running = append(p.Running, j.completed.Sub(j.first))
+	if j.shown.After(j.completed) {
+		p.Telling = append(p.Telling, j.shown.Sub(j.completed))
+	}
+}
+
 func (q *Queue) add(j *job) {
 	q.Accepted++
+	j.sight()
+	q.Path.add(j)
 	switch {
 	case j.cancelled:
 		q.Cancelled++
--- a/events/report/report_test.go
+++ b/events/report/report_test.go
@@ -24,9 +24,15 @@
 {"instance":"a","job":"x","level":"info","msg":"run-ended","why":"stopped","time":"2026-12-02T10:00:04.500Z"}
 {"instance":"a","job":"x","level":"info","msg":"unit-started","time":"2026-12-02T10:00:05.000Z"}
 {"instance":"a","job":"x","level":"info","msg":"job-completed","why":"late","detail":"queue=q took_ms=5000 worked_ms=2000 objective_ms=3000","time":"2026-12-02T10:00:07.000Z"}
+{"instance":"c","job":"x","level":"info","msg":"job-shown","state":"completed","time":"2026-12-02T10:00:07.200Z"}
 {"instance":"b","job":"y","queue":"q","level":"info","msg":"job-accepted","time":"2026-12-02T10:00:03.000Z"}
 {"instance":"a","job":"y","level":"info","msg":"job-completed","why":"in-time","time":"2026-12-02T10:00:04.000Z"}
 {"instance":"b","job":"z","level":"info","msg":"job-refused","reason":"log-unavailable","outcome":"not-run","time":"2026-12-02T10:00:05.000Z"}
+{"instance":"c","job":"w","queue":"r","level":"info","msg":"job-refused","reason":"log-unavailable","outcome":"unknown","time":"2026-12-02T10:00:02.000Z"}
+{"instance":"b","job":"w","queue":"r","took_ms":100,"level":"info","msg":"job-accepted","time":"2026-12-02T10:00:03.500Z"}
+{"instance":"a","job":"w","level":"info","msg":"unit-started","time":"2026-12-02T10:00:03.600Z"}
+{"instance":"a","job":"w","level":"info","msg":"job-completed","why":"in-time","detail":"queue=r took_ms=2500 worked_ms=2400 objective_ms=3000","time":"2026-12-02T10:00:06.000Z"}
+{"instance":"b","job":"w","level":"info","msg":"job-shown","state":"completed","time":"2026-12-02T10:00:06.200Z"}
 {"instance":"a","level":"info","msg":"planner-ends","time":"2026-12-02T10:00:08.000Z"}
 {"instance":"b","level":"info","msg":"planner-begins","token":9,"time":"2026-12-02T10:00:09.500Z"}
 `
@@ -48,6 +54,16 @@
 	goldie.New(t).Assert(t, "report", out.Bytes())
 }
 
+// A job counts as its caller saw it: tried in vain before it was accepted, and told
+// after its end.
+func TestAJobIsInTimeIfItsCallerWasToldInTime(t *testing.T) {
+	for _, q := range made(t).Queues {
+		if q.Name == "r" && (q.InTime != 0 || q.Late != 1 || q.Path.Accepting.Of(0.5) != 1500 || q.Path.Telling.Of(0.5) != 200) {
+			t.Fatalf("%+v", q)
+		}
+	}
+}
+
 func TestAReportIsPlotted(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "late.svg")
 	if err := made(t).Plot(file); err != nil {
--- a/events/report/write.go
+++ b/events/report/write.go
@@ -22,6 +22,14 @@
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%s\n", q.Name, q.Accepted, q.InTime, q.Late, q.Worthless,
 			q.Failed, q.Cancelled, q.Unseen, q.Waited, q.Again, q.Worked, largest(q.ByReason))
 	}
+	fmt.Fprintln(w, "\nway of a job, middle/95 of 100 in ms:\taccepting\tstarting\trunning\ttelling")
+	for _, q := range r.Queues {
+		fmt.Fprintf(w, "%s", q.Name)
+		for _, part := range []Times{q.Path.Accepting, q.Path.Starting, q.Path.Running, q.Path.Telling} {
+			fmt.Fprintf(w, "\t%.0f/%.0f", part.Of(0.5), part.Of(0.95))
+		}
+		fmt.Fprintln(w)
+	}
 	fmt.Fprintln(w, "\nwaits by reason, s:\t", largest(r.Waits))
 	fmt.Fprintln(w, "refused:\t", largest(r.Refused))
 	fmt.Fprintln(w, "ends of runs:\t", largest(r.Ended))
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -70,12 +70,15 @@
 	back       *pulse
 	planning   atomic.Bool
 	leaving    atomic.Bool
+	// shown are jobs of whose end callers were told here.
+	shownLock sync.Mutex
+	shown     map[workload.JobID]bool
 }
 
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), evacuated: newEvacuated(), back: newPulse()}
+	s := &Service{settings: settings, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), evacuated: newEvacuated(), shown: map[workload.JobID]bool{}, back: newPulse()}
 	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
 	if settings.Address != "" {
 		// Until it knows its place it comes behind the others.
@@ -398,6 +401,32 @@
 // that nobody handed it in. A final state stands for good, so that it is told
 // however long ago it was read.
 func (s *Service) State(ctx context.Context, id workload.JobID) (workload.State, error) {
+	state, err := s.stateOf(ctx, id)
+	if err == nil && state.Final() {
+		s.noteShown(id, state)
+	}
+	return state, err
+}
+
+// mostShown bounds the jobs that are remembered as shown; then it begins anew.
+const mostShown = 10_000
+
+// noteShown says when callers are first told of an end: until then it has not happened
+// for them.
+func (s *Service) noteShown(id workload.JobID, state workload.State) {
+	s.shownLock.Lock()
+	known := s.shown[id]
+	if len(s.shown) >= mostShown {
+		clear(s.shown)
+	}
+	s.shown[id] = true
+	s.shownLock.Unlock()
+	if !known {
+		s.events.Info(events.JobShown, events.Fields{"job": id, "state": string(state)})
+	}
+}
+
+func (s *Service) stateOf(ctx context.Context, id workload.JobID) (workload.State, error) {
 	if e, known := s.book.Get(id); known && e.State.Final() {
 		return e.Shown(), nil
 	}
