--- a/bench/bounds_test.go
+++ b/bench/bounds_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/cobalttide/cobalttide/bench/policy"
 	"github.com/cobalttide/cobalttide/bench/route"
-	"github.com/cobalttide/cobalttide/routing"
+	"github.com/cobalttide/cobalttide/requests/routing"
 	"github.com/cobalttide/cobalttide/scheduler"
 )
 
--- a/bench/route/route.go
+++ b/bench/route/route.go
@@ -11,7 +11,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/internal/virtual"
-	"github.com/cobalttide/cobalttide/routing"
+	"github.com/cobalttide/cobalttide/requests/routing"
 )
 
 // Scenario is a load and what fails meanwhile.
--- a/bench/route_test.go
+++ b/bench/route_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cobalttide/cobalttide/bench/route"
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/routing"
+	"github.com/cobalttide/cobalttide/requests/routing"
 )
 
 func BenchmarkRoute(b *testing.B) {
--- a/bench/state_test.go
+++ b/bench/state_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
-	"github.com/cobalttide/cobalttide/attempt"
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/membership"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/requests/attempt"
 	"github.com/cobalttide/cobalttide/state"
 )
 
--- a/instance/http.go
+++ b/instance/http.go
@@ -17,9 +17,9 @@
 	"github.com/cobalttide/cobalttide/admission"
 	"github.com/cobalttide/cobalttide/api/cobalttide/v1/cobalttidev1connect"
 	"github.com/cobalttide/cobalttide/auth"
-	"github.com/cobalttide/cobalttide/dispatch"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/requests/dispatch"
 )
 
 // The headers of the callers' interface.
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cobalttide/cobalttide/dispatch"
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/requests/dispatch"
 )
 
 // Request sends a call through the request pipeline. Close the answer's body.
--- a/dispatch/admit.go
+++ b/requests/dispatch/admit.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 
-	"github.com/cobalttide/cobalttide/limit"
+	"github.com/cobalttide/cobalttide/requests/limit"
 )
 
 // Admit bounds the requests at once and shares them between accounts. A place
--- a/dispatch/deduplicate.go
+++ b/requests/dispatch/deduplicate.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/kit/endpoint"
 
-	"github.com/cobalttide/cobalttide/attempt"
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/requests/attempt"
 )
 
 // Deduplicate lets a request of a class that is not idempotent through at most
--- a/dispatch/once_test.go
+++ b/requests/dispatch/once_test.go
@@ -13,11 +13,11 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"github.com/cobalttide/cobalttide/attempt"
-	"github.com/cobalttide/cobalttide/dispatch"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/internal/seeded"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/requests/attempt"
+	"github.com/cobalttide/cobalttide/requests/dispatch"
 	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/state"
 )
--- a/dispatch/rate.go
+++ b/requests/dispatch/rate.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 
-	"github.com/cobalttide/cobalttide/limit"
+	"github.com/cobalttide/cobalttide/requests/limit"
 )
 
 // Rate bounds each account's requests a second.
--- a/dispatch/route.go
+++ b/requests/dispatch/route.go
@@ -16,8 +16,8 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/port"
-	"github.com/cobalttide/cobalttide/retry"
-	"github.com/cobalttide/cobalttide/routing"
+	"github.com/cobalttide/cobalttide/requests/retry"
+	"github.com/cobalttide/cobalttide/requests/routing"
 )
 
 // RouteOptions bound routing and retries.
