--- a/workload/book.go
+++ b/workload/book.go
@@ -180,6 +180,9 @@
 	if err := json.Unmarshal(value, job); err != nil {
 		return err
 	}
+	if err := job.checkRecord(id); err != nil {
+		return err
+	}
 	b.change(id, func(e *Entry) { e.Job, e.Accepted, e.Queue = job, true, job.Queue })
 	if job.Reduced {
 		return nil
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -197,6 +197,10 @@
 	if progress.State.Final() && len(progress.Open) == 0 {
 		return
 	}
+	if err := progress.Check(e.Job); err != nil {
+		c.note(Note{Event: EventProgressUnreadable, Job: id, Why: err.Error()})
+		return
+	}
 	j := &job{Job: e.Job, progress: progress, order: len(c.jobs), since: map[decide.UnitKey]time.Time{}, avoid: map[string]bool{}, rates: map[decide.UnitKey]map[int]rating{}, held: map[decide.UnitKey]decide.Reason{}}
 	j.inherited = progress.Begun
 	c.arrivals.note()
--- a/workload/job.go
+++ b/workload/job.go
@@ -232,6 +232,19 @@
 	return j.checkSteps()
 }
 
+// checkRecord refuses an acceptance that no instance has written and of which something
+// could start: one whose step depends on a step that is not there would end every planner
+// that reads it, and the tasks of one under another job's key would be nobody's.
+func (j *Job) checkRecord(id JobID) error {
+	if len(j.Steps) > 0 && j.ID != id {
+		return invalid("id", fmt.Sprintf("the record of job %s is of job %s", id, j.ID), "write it under the job's own key")
+	}
+	if len(j.Steps) > MaxSteps || j.Repetitions < 0 || j.Repetitions > MaxRepetitions {
+		return invalid("steps", fmt.Sprintf("there are %d steps, %d times", len(j.Steps), j.Repetitions), "write a job within bounds")
+	}
+	return j.checkSteps()
+}
+
 func (j *Job) checkSteps() error {
 	total := 0
 	for i, s := range j.Steps {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -72,6 +72,37 @@
 // NewProgress is that of a job which was just accepted.
 func NewProgress() *Progress { return &Progress{State: Queued} }
 
+// Check refuses progress that is not the job's: another number of steps or tasks than
+// it has, or occurrences that it never had.
+func (p *Progress) Check(j *Job) error {
+	if p.Next < 0 || p.Next > j.Occurrences() {
+		return fmt.Errorf("the job has %d occurrences, its progress %d", j.Occurrences(), p.Next)
+	}
+	for _, o := range p.Open {
+		if err := o.check(j); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *Occurrence) check(j *Job) error {
+	if o == nil || o.K < 0 || o.K >= j.Occurrences() || len(o.Steps) != len(j.Steps) {
+		return fmt.Errorf("an occurrence is not one of the job's %d with %d steps", j.Occurrences(), len(j.Steps))
+	}
+	for i, tasks := range o.Steps {
+		if len(tasks) != j.Steps[i].Count {
+			return fmt.Errorf("step %d has %d tasks, its progress %d", i, j.Steps[i].Count, len(tasks))
+		}
+		for _, t := range tasks {
+			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Fails < 0 {
+				return fmt.Errorf("step %d has a task in phase %d with run %d and %d failures", i, t.Phase, t.Run, t.Fails)
+			}
+		}
+	}
+	return nil
+}
+
 // Create opens the next occurrence.
 func (p *Progress) Create(j *Job) *Occurrence {
 	o := &Occurrence{K: p.Next, Steps: make([][]Task, len(j.Steps))}
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -210,7 +210,8 @@
 	began := time.Now()
 	for {
 		page, err := f.page(ctx, 0)
-		if errors.Is(err, ErrForgotten) {
+		if errors.Is(err, ErrForgotten) || errors.Is(err, ErrMalformed) {
+			// A place that is not in the topic was never read: somebody else named it.
 			return f.lookAtNewest(ctx, began)
 		}
 		if err != nil {
--- a/workload/service/members.go
+++ b/workload/service/members.go
@@ -115,7 +115,7 @@
 
 func (m *members) note(e Entry) {
 	other := member{}
-	if json.Unmarshal(e.Value, &other) != nil {
+	if json.Unmarshal(e.Value, &other) != nil || other.Address == "" {
 		return
 	}
 	m.mu.Lock()
