--- a/workload/control/evacuation_test.go
+++ b/workload/control/evacuation_test.go
@@ -246,7 +246,6 @@
 	// lag is how late declarations are read, write how long a write takes.
 	lag, write time.Duration
 	mutant     evacuationMutant
-	refused    int
 }
 
 type view struct {
