A lost run's line tells how long it had been at work and what was lost with it

Cause: the log of the crashing tasks tells that runs are lost with their worker, not which of the runs on it may be to blame. Ruled out: metrics alone (worker-gone and run-lost are counted by reason already; a count does not tell runs apart). Change: run-lost has lasted_ms (from its order to its worker's silence) and beside (runs lost with it). Only a note changes; no decision does.

--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -34,7 +34,7 @@
 	EventProgressUnwritable = "progress-unwritable"
 	// EventRunEnded: a worker listed the end of a run; why is how it ended.
 	EventRunEnded = "run-ended"
-	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it.
+	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it, detail how long it had been at work at the most, and how many others were lost with it.
 	EventRunLost = "run-lost"
 	// EventRunNeverBegan: a run that an earlier planner ordered is not on its worker, which has seen this planner's token.
 	EventRunNeverBegan = "run-never-began"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -30,7 +30,7 @@
 	case Fenced:
 		c.depose(w)
 	case Gone:
-		c.lose(w, "another-life")
+		c.lose(w, "another-life", now)
 	default:
 		c.mute(w, sent.Add(order.Wait), now)
 		c.silence(w, now)
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -79,7 +80,7 @@
 			c.note(Note{Event: EventWorkerUnlisted, Worker: id})
 		}
 		if successor := addresses[w.Address]; successor != "" && w.Address != "" {
-			c.lose(w, "address-taken-over")
+			c.lose(w, "address-taken-over", now)
 		}
 		if !w.listed && len(w.tasks) == 0 {
 			delete(c.workers, id)
@@ -156,25 +157,40 @@
 }
 
 // lose settles everything on a life that is gone for good.
-func (c *Core) lose(w *worker, why string) {
+func (c *Core) lose(w *worker, why string, now time.Time) {
 	if w.gone {
 		return
 	}
 	w.gone = true
 	w.met = false
 	c.note(Note{Event: EventWorkerGone, Worker: w.ID, Why: why})
-	c.release(w, why)
+	c.release(w, why, now)
 }
 
 // release takes all tasks of a worker as ended without an outcome.
-func (c *Core) release(w *worker, why string) {
-	for _, l := range w.sortedTasks() {
-		c.note(Note{Event: EventRunLost, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: why})
+func (c *Core) release(w *worker, why string, now time.Time) {
+	lost := w.sortedTasks()
+	for _, l := range lost {
+		detail := fmt.Sprintf("lasted_ms=%d beside=%d", l.lasted(now).Milliseconds(), len(lost)-1)
+		c.note(Note{Event: EventRunLost, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: why, Detail: detail})
 		c.ended(l, EndLapsed, "")
 	}
 	w.strange = map[workload.TaskID]int64{}
 }
 
+// lasted is how long a run was at work at the most when its worker fell silent; 0 for one
+// of which this planner does not know when it began.
+func (l *live) lasted(now time.Time) time.Duration {
+	if l.orderedAt.IsZero() {
+		return 0
+	}
+	until := now
+	if w := l.worker; !w.met && !w.silent.IsZero() {
+		until = w.silent
+	}
+	return max(0, until.Sub(l.orderedAt))
+}
+
 // silence notes a call without an answer.
 func (c *Core) silence(w *worker, now time.Time) {
 	if w.met {
