A task that crashes its workers is given up, and suspects are kept apart

Cause: a run that is lost with its worker put its task back in line, counted nowhere and not in the record of progress; whatever was lost together was placed together again. Ruled out: a count in memory alone (fails the test under planner after planner); the count alone (tried: the test then gave an innocent job up, since what is lost beside a task that crashes workers was beside it again and reached the bound with it). Change: crashes are counted in the task's record, with how long after its start they came; a task is given up at two that point at it alone, at four in any case; it is cleared by work for twice as long. Suspects of different jobs are kept apart, what is new comes beside none, and they are kept off places where workers have crashed lately, while most are sound. A mechanism (suspects-apart) that can be switched off. Class: an end without an outcome that is retried without a bound, without a record. Before: TestATaskThatCrashesItsWorkersIsGivenUp failed with three tasks started three times more after three crashes, from 18.3 s on. Tests of workload and events pass.

--- a/events/log.go
+++ b/events/log.go
@@ -144,7 +144,7 @@
 // reasoned events carry a code out of a closed set in the field that is named.
 var reasoned = map[Name]string{
 	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why",
-	RecordUnreadable: "reason", "run-lost": "why", "unit-waits": "why", "job-completed": "why", "worker-gone": "why", "duty-answered": "why",
+	RecordUnreadable: "reason", "run-lost": "why", "unit-waits": "why", "job-completed": "why", "job-failed": "why", "worker-gone": "why", "duty-answered": "why",
 }
 
 func reasonOf(event Name, fields Fields) string {
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -51,10 +51,12 @@
 	wishes []*decide.Unit
 	// waves are what operators asked for, hosts the platform's list as it was
 	// asked for at hostsAt; vacating workers get nothing new.
-	waves      map[int64]*wave
-	hosts      map[string]HostListing
-	hostsAt    time.Time
-	vacating   map[string]bool
+	waves    map[int64]*wave
+	hosts    map[string]HostListing
+	hostsAt  time.Time
+	vacating map[string]bool
+	// shaky is when a worker last crashed at each address.
+	shaky      map[string]time.Time
 	ordered    []DutyOrder
 	dutiesFrom time.Time
 	// began is when this planner began.
@@ -155,6 +157,7 @@
 		advice:         map[decide.UnitKey]*advice{},
 		waves:          map[int64]*wave{},
 		vacating:       map[string]bool{},
+		shaky:          map[string]time.Time{},
 		dutiesFrom:     now.Add(bounds.DutyLease),
 		began:          now,
 		dirty:          map[workload.JobID]bool{},
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -23,7 +23,7 @@
 	EventWaveTaken = "wave-taken"
 	// EventJobCompleted: all tasks have ended as done; why is how it stands to its objective, detail its queue and times.
 	EventJobCompleted = "job-completed"
-	// EventJobFailed: a task or gang has used its attempts; task and worker of the last failure.
+	// EventJobFailed: a task or gang has used its attempts, or crashes its workers; task and worker of the last failure, why which, detail how many workers crashed under it and how soon.
 	EventJobFailed = "job-failed"
 	// EventLoad: what the pool looks like while something waits, once a second; detail has the share in use, whether nothing is held
 	// back for long (idle), racks kept clear, workers that get nothing new, the share of the first priority that can't wait for a stop, and units that wait.
@@ -34,7 +34,7 @@
 	EventProgressUnwritable = "progress-unwritable"
 	// EventRunEnded: a worker listed the end of a run; why is how it ended.
 	EventRunEnded = "run-ended"
-	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it, detail how long it had been at work at the most, and how many others were lost with it.
+	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it, detail how many others were lost with it, how long it had been at work at the most, and how many workers have crashed under its task.
 	EventRunLost = "run-lost"
 	// EventRunNeverBegan: a run that an earlier planner ordered is not on its worker, which has seen this planner's token.
 	EventRunNeverBegan = "run-never-began"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -30,7 +30,7 @@
 	case Fenced:
 		c.depose(w)
 	case Gone:
-		c.lose(w, "another-life", now)
+		c.lose(w, whyAnotherLife, now)
 	default:
 		c.mute(w, sent.Add(order.Wait), now)
 		c.silence(w, now)
@@ -118,6 +118,7 @@
 		l.saved = row.Saved
 	}
 	l.rate()
+	c.clearOf(l)
 	l.figure = row.Figure
 	if l.step.Perpetual {
 		l.percent = row.Percent
@@ -282,9 +283,7 @@
 		return
 	}
 	c.note(Note{Event: EventJobFailed, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Why: "attempts-used"})
-	l.job.progress.State = workload.Failed
-	c.stopAll(l.job)
-	c.settle(l.job)
+	c.failJob(l.job)
 }
 
 // advance closes occurrences that are done, and the job after its last.
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -48,7 +48,7 @@
 	case Fenced:
 		c.depose(w)
 	case Gone:
-		c.lose(w, "another-life", now)
+		c.lose(w, whyAnotherLife, now)
 	case Superseded:
 		c.superseded(l, now)
 	case Unanswered, Unreached:
@@ -133,7 +133,7 @@
 		c.depose(w)
 		return
 	case Gone:
-		c.lose(w, "another-life", now)
+		c.lose(w, whyAnotherLife, now)
 		return
 	}
 	l := c.live[order.Task]
@@ -179,7 +179,7 @@
 		if len(w.tasks) == 0 || !c.lapsed(w, now) {
 			continue
 		}
-		c.release(w, "lease-over", now)
+		c.release(w, whyLeaseOver, now)
 		w.clockMS = 0
 		w.deadlineMS = 0
 	}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -93,6 +93,7 @@
 		closure := c.closure(w, now)
 		one.Closed = closure != open
 		one.Removed = closure == evacuated
+		c.beginsThere(&one, w, now)
 		for _, l := range w.tasks {
 			need := l.step.Counted()
 			one.Free = one.Free.Sub(need)
@@ -178,8 +179,13 @@
 		}
 		for _, o := range j.progress.Open {
 			for step := range j.Steps {
-				if u, ok := c.waiting(j, o, step, guaranteed[j.ID], now, wallMS); ok {
-					s.Waiting = append(s.Waiting, u)
+				u, ok := c.waiting(j, o, step, guaranteed[j.ID], now, wallMS)
+				if !ok {
+					continue
+				}
+				for _, part := range c.split(u, o.Steps[step]) {
+					c.soundPlaces(&part, now)
+					s.Waiting = append(s.Waiting, part)
 					units = append(units, unit{j, o, step})
 				}
 			}
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -80,7 +79,7 @@
 			c.note(Note{Event: EventWorkerUnlisted, Worker: id})
 		}
 		if successor := addresses[w.Address]; successor != "" && w.Address != "" {
-			c.lose(w, "address-taken-over", now)
+			c.lose(w, whyTakenOver, now)
 		}
 		if !w.listed && len(w.tasks) == 0 {
 			delete(c.workers, id)
@@ -167,30 +166,6 @@
 	c.release(w, why, now)
 }
 
-// release takes all tasks of a worker as ended without an outcome.
-func (c *Core) release(w *worker, why string, now time.Time) {
-	lost := w.sortedTasks()
-	for _, l := range lost {
-		detail := fmt.Sprintf("lasted_ms=%d beside=%d", l.lasted(now).Milliseconds(), len(lost)-1)
-		c.note(Note{Event: EventRunLost, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: why, Detail: detail})
-		c.ended(l, EndLapsed, "")
-	}
-	w.strange = map[workload.TaskID]int64{}
-}
-
-// lasted is how long a run was at work at the most when its worker fell silent; 0 for one
-// of which this planner does not know when it began.
-func (l *live) lasted(now time.Time) time.Duration {
-	if l.orderedAt.IsZero() {
-		return 0
-	}
-	until := now
-	if w := l.worker; !w.met && !w.silent.IsZero() {
-		until = w.silent
-	}
-	return max(0, until.Sub(l.orderedAt))
-}
-
 // silence notes a call without an answer.
 func (c *Core) silence(w *worker, now time.Time) {
 	if w.met {
--- a/workload/decide/bounds.go
+++ b/workload/decide/bounds.go
@@ -59,7 +59,7 @@
 // plain tells whether nothing keeps single workers off the unit, so that what it
 // does not find no other unit of its shape does.
 func (u *Unit) plain() bool {
-	return u.Allowed == nil && len(u.Avoid) == 0 && u.Step.Spread == 0
+	return u.Allowed == nil && len(u.Avoid) == 0 && u.Step.Spread == 0 && !u.Suspect
 }
 
 // bounds returns those of free room, or of room that is being freed.
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -35,6 +35,11 @@
 	Speed float64
 	// Closed workers get nothing new: draining, silent or distrusted.
 	Closed bool
+	// Watched is the job whose suspect has just begun there; nothing of others comes beside
+	// it. "" is none.
+	Watched workload.JobID
+	// Unsettled tells that something there has just begun.
+	Unsettled bool
 	// Removed workers are closed until operators say otherwise: their room is not part
 	// of the pool, where that of other closed workers is expected back.
 	Removed bool
@@ -60,6 +65,8 @@
 	Beside map[string]int
 	// Avoid are workers on which the unit's tasks have failed.
 	Avoid map[string]bool
+	// Suspect tells that a worker has crashed under the unit's tasks.
+	Suspect bool
 	// Priority is the queue's; lower goes first.
 	Priority int
 	// Guaranteed units are within their account's guarantee.
@@ -225,6 +232,9 @@
 	index  int
 	free   workload.Resources
 	coming workload.Resources
+	// watched and unsettled are the worker's, with what this plan begins there.
+	watched   workload.JobID
+	unsettled bool
 	// kept tells that its rack is for the first priority, and for work that can be
 	// taken back without loss.
 	kept bool
@@ -240,7 +250,7 @@
 			p.plan.Load.Closed++
 			continue
 		}
-		one := &slot{Worker: w, index: len(p.workers), free: w.Free, coming: w.Coming}
+		one := &slot{Worker: w, index: len(p.workers), free: w.Free, coming: w.Coming, watched: w.Watched, unsettled: w.Unsettled}
 		p.workers = append(p.workers, one)
 		if len(p.racks[w.Rack]) == 0 && w.Rack != "" {
 			// Workers whose rack is not known are not in one.
@@ -354,6 +364,7 @@
 
 func (p *planner) start(unit, index int, w *slot, far bool) {
 	p.plan.Starts = append(p.plan.Starts, Assignment{Unit: unit, Index: index, Worker: w.ID, Far: far})
+	w.begins(&p.s.Waiting[unit])
 }
 
 func (p *planner) hold(unit int, reason Reason) {
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -33,10 +33,13 @@
 	MindCold Mechanism = "mind-cold"
 	// LeaveEarly stops runs that their worker will not stay for.
 	LeaveEarly Mechanism = "leave-early"
+	// SuspectsApart keeps tasks under which a worker has crashed apart from one another
+	// and from what has just begun.
+	SuspectsApart Mechanism = "suspects-apart"
 )
 
 // Mechanisms lists all.
-var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, LeaveEarly, KeepIdle, WatchCentres, MindCold}
+var Mechanisms = []Mechanism{ClearRacks, WorkerSpeeds, StopBeyondGuarantee, WaitNear, LearnEstimates, Distrust, LeaveEarly, KeepIdle, WatchCentres, MindCold, SuspectsApart}
 
 // Latest are the mechanisms that the last round of changes to the policy added:
 // without them it decides as it did before.
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -8,7 +8,7 @@
 
 // accepts tells whether the unit's constraints allow the worker at all.
 func (u *Unit) accepts(w *slot) bool {
-	if w.Service != u.Service {
+	if w.Service != u.Service || !w.mayShare(u) {
 		return false
 	}
 	if u.Step.Label != "" && !w.Labels[u.Step.Label] {
@@ -340,7 +340,11 @@
 			found = append(found, member{w, k})
 		}
 	}
-	sort.SliceStable(found, func(a, b int) bool { return tighter(found[a].w, found[b].w) })
+	before := tighter
+	if u.Suspect {
+		before = calmer
+	}
+	sort.SliceStable(found, func(a, b int) bool { return before(found[a].w, found[b].w) })
 	return found
 }
 
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -46,6 +46,11 @@
 	// FailedRun is the latest run of a gang that was counted as a failure; it is
 	// kept at the gang's first task.
 	FailedRun int64 `json:"x,omitempty"`
+	// Crashes counts the workers that crashed under the task since it was last at work for
+	// long; CrashMS is how long after its start the last of them did at the most, in
+	// milliseconds.
+	Crashes int   `json:"c,omitempty"`
+	CrashMS int64 `json:"m,omitempty"`
 	// Saved is the latest checkpoint.
 	Saved string `json:"s,omitempty"`
 }
@@ -95,8 +100,8 @@
 			return fmt.Errorf("step %d has %d tasks, its progress %d", i, j.Steps[i].Count, len(tasks))
 		}
 		for _, t := range tasks {
-			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Fails < 0 {
-				return fmt.Errorf("step %d has a task in phase %d with run %d and %d failures", i, t.Phase, t.Run, t.Fails)
+			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Fails < 0 || t.Crashes < 0 || t.CrashMS < 0 {
+				return fmt.Errorf("step %d has a task in phase %d with run %d, %d failures and %d crashes", i, t.Phase, t.Run, t.Fails, t.Crashes)
 			}
 		}
 	}
