--- a/planner/mutants_test.go
+++ b/planner/mutants_test.go
@@ -236,6 +236,31 @@
 	}
 }
 
+// A job whose tasks end the life of each worker that starts them was begun again each
+// time its worker was back, without end: an attempt that ends with its worker was put
+// back in line and counted nowhere, and only attempts whose tasks failed had a bound.
+// Under two planners, one after the other, a worker went down every 4 s: 17 starts in
+// 72 s, the job waiting or running all the while.
+func TestAJobThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	w, s := calmWorld(t)
+	crashing := w.submitPayload("again", "b", 1, standin.Workload{Crash: true})
+	w.settle(40, 300*time.Millisecond)
+	s = w.addPlanner()
+	w.settle(200, 300*time.Millisecond)
+	starts := 0
+	for _, worker := range w.workers {
+		starts += len(worker.Starts())
+	}
+	if got := w.state(s, crashing); got != domain.JobFailed || starts > 5 {
+		t.Errorf("the job is %s after %d starts", got, starts)
+	}
+	healthy := w.submit("again", "b", 6, time.Second)
+	w.settle(30, 300*time.Millisecond)
+	if got := w.state(s, healthy); got != domain.JobCompleted {
+		t.Errorf("a healthy gang over the whole fleet is %s", got)
+	}
+}
+
 // A planner that has read the job, but not yet that an earlier planner started
 // it, must not start it again. Found by a long run of the random interleavings
 // (seed 20261202, 100,000 worlds); with ignoreOrder the job runs twice.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -23,6 +23,8 @@
 	Run domain.Duration `json:"run"`
 	// Fail makes the tasks end with an error.
 	Fail bool `json:"fail,omitempty"`
+	// Crash makes the tasks end their worker's life as soon as they run.
+	Crash bool `json:"crash,omitempty"`
 	// UsedMemoryMiB is reported as each task's memory.
 	UsedMemoryMiB int `json:"used_memory_mib,omitempty"`
 }
@@ -91,6 +93,10 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.restart()
+}
+
+func (w *Worker) restart() {
 	w.boot++
 	w.bootAt = w.clock()
 	w.seen = domain.Token{}
@@ -173,6 +179,10 @@
 func (w *Worker) settle() {
 	now := w.now()
 	for gang, m := range w.members {
+		if m.work.Crash && m.State == port.TaskRunning {
+			w.restart()
+			return
+		}
 		w.settleMember(m, now)
 		if m.hidden && now > m.until {
 			delete(w.members, gang)
