Ages, leases and authority count suspended time

Cause: all of workload counted ages by the runtime's reading, which stands still while an instance is suspended: a planner that woke took its authority, and each instance what it had read, for fresh. Ruled out: the time of day (it is set by others); an offset that a ticker corrects (wrong until the tick, which is when orders go out).

--- a/events/log.go
+++ b/events/log.go
@@ -89,7 +89,7 @@
 var essential = map[Name]bool{
 	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true,
 	"job-completed": true, "job-failed": true, PlannerBegins: true, PlannerEnds: true, PlannerTempo: true,
-	DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
+	Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
 }
 
 // reserve is the part of the queue that only essential events may use.
--- a/events/names.go
+++ b/events/names.go
@@ -14,6 +14,9 @@
 	// SettingsRefused: it has changed and is wrong; the settings before hold on.
 	SettingsReloaded Name = "settings-reloaded"
 	SettingsRefused  Name = "settings-refused"
+	// Suspended: this instance stood still for a while that the runtime's clock does not
+	// count; for_ms is how long, planning whether it held the planner's role.
+	Suspended Name = "suspended"
 	// DependencyLost and DependencyRegained: a topic of the log can't be read,
 	// or can be read again.
 	DependencyLost     Name = "dependency-lost"
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -32,6 +32,8 @@
 	LogAppend Latency = "log_append"
 	// Round: one planning round.
 	Round Latency = "round"
+	// Suspension: a time for which the instance was suspended.
+	Suspension Latency = "suspension"
 )
 
 // LogOperation is what is asked of the log.
--- a/workload/service/firstread.go
+++ b/workload/service/firstread.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/internal/clock"
 )
 
 // firstRead is the read of the newest record of each key, page by page. A page
@@ -24,9 +26,9 @@
 
 // read goes on to the last page. Nothing of it may be acted on before: the
 // records of one job may be on several pages.
-func (r *firstRead) read(ctx context.Context, log Log, topic Topic) error {
+func (r *firstRead) read(ctx context.Context, log Log, topic Topic, ages clock.Clock) error {
 	for {
-		asked := time.Now()
+		asked := ages.Now()
 		page, err := log.Newest(ctx, topic, r.after)
 		if err != nil {
 			return err
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/internal/clock"
 )
 
 // follower reads one topic: first the newest record of each key, then what
@@ -35,6 +37,7 @@
 	// topic meanwhile, which back tells.
 	retry time.Duration
 	back  *pulse
+	clock clock.Clock
 	// newest is the first read as far as it has come; only run uses it.
 	newest firstRead
 
@@ -104,7 +107,7 @@
 // readNewest reads the newest record of each key and hands them over once all
 // are there.
 func (f *follower) readNewest(ctx context.Context) error {
-	if err := f.newest.read(ctx, f.log, f.topic); err != nil {
+	if err := f.newest.read(ctx, f.log, f.topic, f.clock); err != nil {
 		return err
 	}
 	got := f.newest
@@ -120,15 +123,16 @@
 // readOn reads the next page and returns how long to rest after it: not at all
 // before the topic's end.
 func (f *follower) readOn(ctx context.Context, wait time.Duration) (time.Duration, error) {
-	began := time.Now()
+	began := f.clock.Now()
 	page, err := f.page(ctx, wait)
 	if err != nil {
 		return 0, err
 	}
-	// An empty answer after a wait proves the end only at the time it was given;
-	// one that brought records may have been made at any time since began.
+	// An empty answer after a wait proves the end only at the time it was given, which was
+	// at the end of the wait: this instance may have been suspended while the answer lay
+	// there. One that brought records may have been made at any time since began.
 	if len(page.Entries) == 0 {
-		began = time.Now().Add(-followSlack)
+		began = earlier(f.clock.Now().Add(-followSlack), began.Add(wait))
 	}
 	f.advance(page.Next, began, page.Next >= page.End)
 	if len(page.Entries) == 0 || page.Next < page.End {
@@ -137,6 +141,13 @@
 	return f.pause(), nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // page reads one page from where the topic has been read to, and hands its
 // records over.
 func (f *follower) page(ctx context.Context, wait time.Duration) (Page, error) {
@@ -201,13 +212,13 @@
 // look reads the topic to its end at once, besides the reads of run. Callers
 // that come while one looks share the next look.
 func (f *follower) look(ctx context.Context) error {
-	asked := time.Now()
+	asked := f.clock.Now()
 	f.looking.Lock()
 	defer f.looking.Unlock()
 	if f.looked.After(asked) {
 		return nil
 	}
-	began := time.Now()
+	began := f.clock.Now()
 	for {
 		page, err := f.page(ctx, 0)
 		if errors.Is(err, ErrForgotten) || errors.Is(err, ErrMalformed) {
@@ -228,7 +239,7 @@
 // lookAtNewest looks at a topic whose records are no longer kept one by one.
 func (f *follower) lookAtNewest(ctx context.Context, began time.Time) error {
 	got := firstRead{}
-	if err := got.read(ctx, f.log, f.topic); err != nil {
+	if err := got.read(ctx, f.log, f.topic, f.clock); err != nil {
 		return err
 	}
 	f.snapshot(got.entries)
--- a/workload/service/forget.go
+++ b/workload/service/forget.go
@@ -31,10 +31,10 @@
 // state stands for good. It is done beside the rounds, which must not wait for
 // the topic of acceptances.
 func (p *planner) reduce(ctx context.Context) {
-	if time.Since(p.reduced) < reduceEvery || !p.reducing.CompareAndSwap(false, true) {
+	if p.s.clock.Since(p.reduced) < reduceEvery || !p.reducing.CompareAndSwap(false, true) {
 		return
 	}
-	p.reduced = time.Now()
+	p.reduced = p.s.clock.Now()
 	p.work.Go(func() {
 		defer p.reducing.Store(false)
 		p.reduceNow(ctx)
@@ -60,10 +60,10 @@
 // instances' memory do not grow for ever.
 func (p *planner) forget(ctx context.Context) {
 	keep := p.s.settings.Keep
-	if keep <= 0 || time.Since(p.forgot) < forgetEvery {
+	if keep <= 0 || p.s.clock.Since(p.forgot) < forgetEvery {
 		return
 	}
-	p.forgot = time.Now()
+	p.forgot = p.s.clock.Now()
 	accepted, progress := p.s.book.Expired(time.Now().UnixMilli(), keep, forgetGap, forgetMost)
 	var first, rest []control.Record
 	for _, id := range accepted {
--- a/workload/service/orders.go
+++ b/workload/service/orders.go
@@ -21,6 +21,10 @@
 )
 
 func (p *planner) start(ctx context.Context, o control.StartOrder) {
+	if !p.mayStillOrder() {
+		// It is sent again once this planner has written, as one whose sender was frozen.
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, p.answers.Patience())
 	sent := time.Now()
 	answer := p.s.workers.Start(call, o)
@@ -28,7 +32,7 @@
 	p.answers.Observe(time.Since(sent))
 	p.s.metrics.Observe(telemetry.StartAnswer, time.Since(sent))
 	p.mu.Lock()
-	p.core.Started(o, answer, time.Now())
+	p.core.Started(o, answer, p.s.clock.Now())
 	p.mu.Unlock()
 	if answer.Verdict != control.Accepted {
 		p.nudge()
@@ -36,11 +40,14 @@
 }
 
 func (p *planner) stop(ctx context.Context, o control.StopOrder) {
-	call, cancel := context.WithTimeout(ctx, stopTimeout)
-	answer := p.s.workers.Stop(call, o)
-	cancel()
+	answer := control.Answer{Verdict: control.Unreached}
+	if p.mayStillOrder() {
+		call, cancel := context.WithTimeout(ctx, stopTimeout)
+		answer = p.s.workers.Stop(call, o)
+		cancel()
+	}
 	p.mu.Lock()
-	p.core.Stopped(o, answer, time.Now())
+	p.core.Stopped(o, answer, p.s.clock.Now())
 	p.mu.Unlock()
 	p.nudge()
 }
@@ -50,7 +57,7 @@
 	answer := p.s.workers.Pace(call, o)
 	cancel()
 	p.mu.Lock()
-	p.core.Paced(o, answer, time.Now())
+	p.core.Paced(o, answer, p.s.clock.Now())
 	p.mu.Unlock()
 }
 
@@ -60,12 +67,12 @@
 
 func (p *planner) advise(ctx context.Context, o control.AdviceOrder) {
 	call, cancel := context.WithTimeout(ctx, o.Takes+adviceMargin)
-	sent := time.Now()
+	sent := p.s.clock.Now()
 	answer := p.s.workers.Advise(call, o)
 	cancel()
-	p.s.metrics.Observe(telemetry.AdviceAnswer, time.Since(sent))
+	p.s.metrics.Observe(telemetry.AdviceAnswer, p.s.clock.Since(sent))
 	p.mu.Lock()
-	p.core.Advised(o, answer, sent, time.Now())
+	p.core.Advised(o, answer, sent, p.s.clock.Now())
 	p.mu.Unlock()
 	p.nudge()
 }
@@ -74,10 +81,13 @@
 // there is something to hold and no pause between.
 func (p *planner) hold(ctx context.Context, o control.HoldOrder) {
 	for again := true; again; {
-		sent := time.Now()
-		call, cancel := context.WithTimeout(ctx, o.Wait+holdMargin)
-		answer := p.s.workers.Hold(call, o)
-		cancel()
+		sent := p.s.clock.Now()
+		answer := control.HoldAnswer{Verdict: control.Unreached}
+		if p.mayStillOrder() {
+			call, cancel := context.WithTimeout(ctx, o.Wait+holdMargin)
+			answer = p.s.workers.Hold(call, o)
+			cancel()
+		}
 		o, again = p.held(o, answer, sent)
 		if len(answer.Ended) > 0 || answer.Verdict != control.Accepted {
 			p.nudge()
@@ -89,7 +99,7 @@
 func (p *planner) held(o control.HoldOrder, answer control.HoldAnswer, sent time.Time) (control.HoldOrder, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.s.clock.Now()
 	p.core.Held(o, answer, sent, now)
 	if !p.acting(now) {
 		return control.HoldOrder{}, false
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -85,13 +85,14 @@
 func (s *Service) playPlanner(ctx context.Context, token int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	now := time.Now()
+	now := s.clock.Now()
 	p := &planner{
 		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, Expect: -1},
 		wake: make(chan struct{}, 1), due: make(chan struct{}, 1), stated: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
 		written: now, list: map[string]control.Listing{}, bad: map[string]string{},
 	}
 	s.events.Info(events.PlannerBegins, events.Fields{"token": token})
+	s.wrote.Store(&now)
 	s.planning.Store(true)
 	s.book.Fresh()
 	s.book.All(p.core.Adopt)
@@ -135,19 +136,20 @@
 	p.mu.Lock()
 	p.takeNews()
 	// What was read too long ago may have been cancelled, drained or declared anew.
-	if began := time.Now(); p.listed && p.informed(began) {
-		p.core.Round(began, began.UnixMilli())
+	if now := p.s.clock.Now(); p.listed && p.informed(now) {
+		began := time.Now()
+		p.core.Round(now, began.UnixMilli())
 		p.decidedAt = time.Now()
 		p.decided = p.decidedAt.Sub(began)
 		p.s.metrics.Observe(telemetry.Round, p.decided)
 		p.tempo.rounds.add(p.decided)
 	}
-	p.measure(p.core.Evacuated(time.Now()))
+	p.measure(p.core.Evacuated(p.s.clock.Now()))
 	records := p.core.Changes()
 	p.tell()
 	p.mu.Unlock()
 	signal(p.due)
-	if len(records) > 0 || time.Since(p.written) > p.s.settings.Patience/4 {
+	if len(records) > 0 || p.s.clock.Since(p.written) > p.s.settings.Patience/4 {
 		began := time.Now()
 		if err := p.write(ctx, records); err != nil {
 			return err.Error()
@@ -208,7 +210,7 @@
 // takePlaces brings the core up to date with where work may begin. It is done before
 // each decision, and again before what was decided goes out.
 func (p *planner) takePlaces() {
-	now := time.Now()
+	now := p.s.clock.Now()
 	p.core.Evacuate(p.s.evacuated.list(), now)
 	if !p.fresh {
 		return
@@ -343,7 +345,7 @@
 func (p *planner) appendTo(ctx context.Context, topic Topic, writer *Writer, records []control.Record) (int64, error) {
 	began := time.Now()
 	for {
-		sent := time.Now()
+		sent := p.s.clock.Now()
 		attempt, cancel := context.WithTimeout(ctx, appendTry)
 		one := *writer
 		first, err := p.s.log.Append(attempt, topic, records, &one)
@@ -374,6 +376,7 @@
 	p.mu.Lock()
 	p.written = sent
 	p.mu.Unlock()
+	p.s.wrote.Store(&sent)
 }
 
 // entitled tells whether orders may be given: the last write is recent enough
@@ -386,7 +389,7 @@
 func (p *planner) release(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.s.clock.Now()
 	p.takePlaces()
 	starts := p.core.Persisted(now)
 	if !p.entitled(now) {
@@ -421,7 +424,7 @@
 func (p *planner) sendStops(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.acting(time.Now()) {
+	if !p.acting(p.s.clock.Now()) {
 		return
 	}
 	for _, o := range p.core.Stops() {
@@ -435,7 +438,7 @@
 func (p *planner) sendDue(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.s.clock.Now()
 	if !p.acting(now) {
 		return
 	}
--- a/workload/service/pool_test.go
+++ b/workload/service/pool_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	// have no answer.
 	slow time.Duration
 	deaf map[Topic]bool
+	// appended is told of each append under an epoch, with when it was sent; nil is nobody.
+	appended func(epoch int64, sent time.Time)
 }
 
 func (l *shared) setSlow(d time.Duration) {
@@ -88,9 +91,13 @@
 const answerTime = 4 * time.Millisecond
 
 func (l *shared) Append(ctx context.Context, topic Topic, records []control.Record, w *Writer) (int64, error) {
+	began := time.Now()
 	sleep(ctx, l.takes())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if w != nil && l.appended != nil {
+		defer func() { l.appended(w.Epoch, began) }()
+	}
 	t := l.topic(topic)
 	end := int64(len(t.records))
 	if w != nil {
@@ -196,6 +203,8 @@
 	twice              []string
 	// starts are what began, in order.
 	starts []startSeen
+	// ordered is told of each order's token; nil is nobody.
+	ordered func(token int64)
 }
 
 // startSeen is a task that began on a worker.
@@ -220,6 +229,13 @@
 	}
 }
 
+// sent notes that an order has left.
+func (w *poolWorkers) sent(token int64) {
+	if w.ordered != nil {
+		w.ordered(token)
+	}
+}
+
 func (w *poolWorkers) on(id string, f func(*workertest.Worker)) {
 	time.Sleep(time.Millisecond)
 	w.mu.Lock()
@@ -228,16 +244,19 @@
 }
 
 func (w *poolWorkers) Start(_ context.Context, o control.StartOrder) (out control.Answer) {
+	w.sent(o.Token)
 	w.on(o.Worker, func(one *workertest.Worker) { out = one.Start(o, time.Now()) })
 	return out
 }
 
 func (w *poolWorkers) Stop(_ context.Context, o control.StopOrder) (out control.Answer) {
+	w.sent(o.Token)
 	w.on(o.Worker, func(one *workertest.Worker) { out = one.Stop(o, time.Now()) })
 	return out
 }
 
 func (w *poolWorkers) Hold(ctx context.Context, o control.HoldOrder) (out control.HoldAnswer) {
+	w.sent(o.Token)
 	for until := time.Now().Add(o.Wait); ; sleep(ctx, 50*time.Millisecond) {
 		fresh := false
 		w.on(o.Worker, func(one *workertest.Worker) {
@@ -292,6 +311,9 @@
 	*Service
 	name string
 	stop func()
+	// ahead is for how long the instance was suspended so far, in nanoseconds: its clock of
+	// ages has run on by that, its timers have not.
+	ahead *atomic.Int64
 	// killed tells that the test has ended it.
 	killed bool
 }
@@ -354,7 +376,9 @@
 		Lease: 6 * time.Second, Authority: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 5 * time.Second,
 		ReclaimWithin: 3 * time.Second, FarFactor: 3, Wait: 1500 * time.Millisecond,
 	}
+	ahead := &atomic.Int64{}
 	s := New(Settings{
+		Clock:    func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) },
 		Instance: name, Address: name, Bounds: bounds, Patience: 1600 * time.Millisecond, Stale: 4 * time.Second, Stretch: poolStretch,
 		Power: power, DataCentre: fmt.Sprint(i % 5), Standbys: 5,
 	}, p.log, poolDecoder{}, p.workers, nil, nil)
@@ -364,7 +388,7 @@
 		s.Run(ctx)
 		close(ended)
 	}()
-	p.instances = append(p.instances, &poolInstance{Service: s, name: name, stop: func() { cancel(); <-ended }})
+	p.instances = append(p.instances, &poolInstance{Service: s, name: name, ahead: ahead, stop: func() { cancel(); <-ended }})
 }
 
 func (p *pool) stopAll() {
--- a/workload/service/reading.go
+++ b/workload/service/reading.go
@@ -16,7 +16,7 @@
 	if s.directory.Load() == nil {
 		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").After(time.Second)
 	}
-	now := time.Now()
+	now := s.clock.Now()
 	age := s.declared.age(now)
 	youngest := min(s.accepts.youngest(now), s.statesAge(now))
 	if age < s.settings.Stale || s.recent(age, youngest) {
@@ -30,7 +30,7 @@
 	if err := s.Configured(); err != nil {
 		return err
 	}
-	now := time.Now()
+	now := s.clock.Now()
 	if s.recent(s.statesAge(now), s.declared.age(now)) {
 		return nil
 	}
@@ -47,7 +47,7 @@
 // second sooner than by the age at which nothing is answered any more; they wait
 // for three.
 func (s *Service) reaches() bool {
-	now := time.Now()
+	now := s.clock.Now()
 	return min(s.states.age(now), s.accepts.youngest(now), s.plans.age(now), s.declared.age(now)) < reachedWithin
 }
 
@@ -66,10 +66,12 @@
 	return youngest < s.settings.Stale && oldest < s.settings.Stale+s.settings.Stretch
 }
 
-// statesAge is the age of what callers are told; a planner knows it first.
+// statesAge is the age of what callers are told. A planner knows it first, for as long as
+// its writes show that it is one: one that wakes after a suspension or a freeze may have
+// been succeeded.
 func (s *Service) statesAge(now time.Time) time.Duration {
-	if s.planning.Load() {
-		return 0
+	if wrote := s.wrote.Load(); s.planning.Load() && wrote != nil {
+		return now.Sub(*wrote)
 	}
 	return s.states.age(now)
 }
@@ -85,7 +87,7 @@
 	if s.accepts.look(ctx, id) == nil {
 		return nil
 	}
-	if s.accepts.ageOf(id, time.Now()) >= s.settings.Stale {
+	if s.accepts.ageOf(id, s.clock.Now()) >= s.settings.Stale {
 		return cutOff()
 	}
 	return s.Current()
--- a/workload/service/recovery_test.go
+++ b/workload/service/recovery_test.go
@@ -144,10 +144,10 @@
 		d.lose = func(n int) bool { return n == 3 }
 		first := firstRead{}
 		ctx := context.Background()
-		if err := first.read(ctx, d, Jobs); !errors.Is(err, ErrUnknown) {
+		if err := first.read(ctx, d, Jobs, nil); !errors.Is(err, ErrUnknown) {
 			t.Fatalf("the third page was lost: %v", err)
 		}
-		if err := first.read(ctx, d, Jobs); err != nil {
+		if err := first.read(ctx, d, Jobs, nil); err != nil {
 			t.Fatal(err)
 		}
 		const pages, again = someJobs / 500, 1
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/events"
+	"github.com/cobalttide/cobalttide/internal/clock"
 	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/workload"
 	"github.com/cobalttide/cobalttide/workload/control"
@@ -44,13 +45,19 @@
 	Standbys int
 	// Hosts is the platform's service for maintenance; nil where there is none.
 	Hosts Hosts
+	// Clock counts ages; nil is the runtime's, which stands still in a suspension.
+	Clock clock.Clock
+	// Woken is called after a suspension of this instance; nil is nothing.
+	Woken func()
 	// Peers takes the addresses of the other instances when they change.
 	Peers func([]string)
 }
 
 // Service is one instance's part. Create it with New, then call Run.
 type Service struct {
-	settings   Settings
+	settings Settings
+	// clock counts the ages of all that is known here.
+	clock      clock.Clock
 	log        Log
 	meter      *meter
 	decoder    Decoder
@@ -69,7 +76,9 @@
 	evacuated  *evacuated
 	back       *pulse
 	planning   atomic.Bool
-	leaving    atomic.Bool
+	// wrote is when the planner here sent its last write that succeeded.
+	wrote   atomic.Pointer[time.Time]
+	leaving atomic.Bool
 	// shown are jobs of whose end callers were told here.
 	shownLock sync.Mutex
 	shown     map[workload.JobID]bool
@@ -78,13 +87,13 @@
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), evacuated: newEvacuated(), shown: map[workload.JobID]bool{}, back: newPulse()}
-	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience)
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), evacuated: newEvacuated(), shown: map[workload.JobID]bool{}, back: newPulse()}
+	s.succession = newSuccession(settings.Instance, time.Now().UnixNano(), settings.Patience, settings.Clock)
 	if settings.Address != "" {
 		// Until it knows its place it comes behind the others.
 		s.succession.setTurn(turnsInPatience)
 	}
-	s.standby = newStandby(standbysOf(settings), settings.Patience, time.Now())
+	s.standby = newStandby(standbysOf(settings), settings.Patience, s.clock.Now())
 	s.states = s.follow(States, s.stateAll, s.state, s.noRest)
 	s.states.period = func() time.Duration { return statesPeriod }
 	s.accepts = newAcceptances(settings.AcceptHomes, metered, func(topic Topic) *follower {
@@ -137,7 +146,7 @@
 		// It finds out whether the log is back.
 		retry = followRetry
 	}
-	return &follower{topic: topic, log: s.log, wait: s.readWait, pause: pause, retry: retry, back: s.back, snapshot: snapshot, record: record, changed: s.connection}
+	return &follower{topic: topic, log: s.log, wait: s.readWait, pause: pause, retry: retry, back: s.back, clock: s.clock, snapshot: snapshot, record: record, changed: s.connection}
 }
 
 func (s *Service) readWait() time.Duration {
@@ -166,7 +175,7 @@
 	if ok {
 		s.events.Info(events.DependencyRegained, events.Fields{"dependency": "log", "topic": string(topic)})
 		if topic == Plans {
-			s.succession.regained(s.silentSince(time.Now()))
+			s.succession.regained(s.silentSince(s.clock.Now()))
 		}
 		return
 	}
@@ -189,11 +198,11 @@
 	for _, e := range entries {
 		s.plan(e)
 	}
-	s.succession.regained(s.silentSince(time.Now()))
+	s.succession.regained(s.silentSince(s.clock.Now()))
 }
 
 func (s *Service) plan(e Entry) {
-	s.succession.observe(e, time.Now())
+	s.succession.observe(e, s.clock.Now())
 	s.keepPlan(e)
 }
 
@@ -268,7 +277,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, work := range []func(context.Context){newMembers(s).run, s.states.run, s.declared.run, s.accepts.run, s.standBy, s.elect} {
+	for _, work := range []func(context.Context){newMembers(s).run, s.states.run, s.declared.run, s.accepts.run, s.standBy, s.elect, s.watchSuspensions} {
 		group.Go(func() { work(ctx) })
 	}
 	group.Go(func() { s.meter.tell(ctx, s.events) })
@@ -291,7 +300,7 @@
 }
 
 func (s *Service) mayClaim() bool {
-	return s.plans.connected() && s.plans.upToDate() && s.accepts.upToDate() && s.directory.Load() != nil && s.succession.due(time.Now()) && s.book.Complete()
+	return s.plans.connected() && s.plans.upToDate() && s.accepts.upToDate() && s.directory.Load() != nil && s.succession.due(s.clock.Now()) && s.book.Complete()
 }
 
 func (s *Service) claim(ctx context.Context) {
@@ -300,7 +309,7 @@
 	token, err := s.succession.take(attempt, s.log, s.plans.place())
 	if err != nil {
 		s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
-		s.succession.failed(time.Now())
+		s.succession.failed(s.clock.Now())
 		return
 	}
 	s.events.Info(events.ClaimTaken, events.Fields{"token": token})
@@ -332,12 +341,12 @@
 		return s.refuse(job.ID, err)
 	}
 	record := control.Record{Key: workload.AcceptedKey(job.ID), Value: value}
-	began := time.Now()
+	began := s.clock.Now()
 	err = s.commit(ctx, job.ID, record)
 	if err == nil {
 		s.fold(Entry{Key: record.Key, Value: value})
-		s.metrics.Observe(telemetry.Acceptance, time.Since(began))
-		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "features": job.Features(), "shape": shape(job), "version": s.version(), "took_ms": time.Since(began).Milliseconds()})
+		s.metrics.Observe(telemetry.Acceptance, s.clock.Since(began))
+		s.events.Info(events.JobAccepted, events.Fields{"job": job.ID, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps), "features": job.Features(), "shape": shape(job), "version": s.version(), "took_ms": s.clock.Since(began).Milliseconds()})
 		return nil
 	}
 	if _, known := s.book.Get(job.ID); known {
@@ -364,7 +373,7 @@
 
 func (s *Service) refuse(id workload.JobID, err error) error {
 	refusal := domain.AsRefusal(err)
-	s.events.Info(events.JobRefused, events.Fields{"job": id, "reason": refusal.Reason, "outcome": refusal.Outcome, "cause": refusal.Message, "version": s.version(), "log_age_ms": s.statesAge(time.Now()).Milliseconds()})
+	s.events.Info(events.JobRefused, events.Fields{"job": id, "reason": refusal.Reason, "outcome": refusal.Outcome, "cause": refusal.Message, "version": s.version(), "log_age_ms": s.statesAge(s.clock.Now()).Milliseconds()})
 	return refusal
 }
 
--- a/workload/service/standby.go
+++ b/workload/service/standby.go
@@ -122,7 +122,7 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := s.clock.Now()
 		if !s.reaches() {
 			// Silence counts only while it could be broken.
 			s.standby.heard(now)
@@ -143,7 +143,7 @@
 // readPlans begins to follow what the planner and those who accept write, and
 // returns what ends it.
 func (s *Service) readPlans(ctx context.Context) func() {
-	s.events.Info(events.StandbyBegins, events.Fields{"silent_ms": time.Since(s.standby.lastHeard()).Milliseconds()})
+	s.events.Info(events.StandbyBegins, events.Fields{"silent_ms": s.clock.Since(s.standby.lastHeard()).Milliseconds()})
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for _, f := range s.plannersOwn() {
--- a/workload/service/states.go
+++ b/workload/service/states.go
@@ -62,7 +62,7 @@
 		s.noteUnreadable(e, err)
 		return
 	}
-	s.standby.heard(time.Now())
+	s.standby.heard(s.clock.Now())
 	s.accepts.cover(h.Accepted)
 }
 
@@ -70,7 +70,7 @@
 // a job is shown as soon as it is stated. Where that fails the answer is what was
 // read before.
 func (s *Service) refresh(ctx context.Context) {
-	if s.planning.Load() || !s.states.connected() || s.states.age(time.Now()) < shownWithin {
+	if s.planning.Load() || !s.states.connected() || s.states.age(s.clock.Now()) < shownWithin {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookTime)
@@ -116,7 +116,7 @@
 		places := p.s.accepts.places()
 		statements, all := p.s.book.Unstated(statesMost)
 		dropped := p.takeDropped()
-		if len(statements)+len(dropped) == 0 && time.Since(said) < p.s.settings.Patience/4 {
+		if len(statements)+len(dropped) == 0 && p.s.clock.Since(said) < p.s.settings.Patience/4 {
 			continue
 		}
 		if all {
@@ -126,7 +126,7 @@
 		if _, err := p.appendTo(ctx, States, &writer, records); err != nil {
 			return
 		}
-		said = time.Now()
+		said = p.s.clock.Now()
 		for _, r := range records[:len(records)-1] {
 			p.s.fold(Entry{Key: r.Key, Value: r.Value})
 		}
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cobalttide/cobalttide/internal/clock"
 	"github.com/cobalttide/cobalttide/workload/control"
 )
 
@@ -32,6 +33,7 @@
 	mu       sync.Mutex
 	self     claim
 	patience time.Duration
+	clock    clock.Clock
 	current  claim
 	offset   int64
 	known    bool
@@ -63,8 +65,8 @@
 
 const seqSpace = 1 << 40
 
-func newSuccession(holder string, life int64, patience time.Duration) *succession {
-	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, quiet: time.Now(), offset: -1, spent: -1}
+func newSuccession(holder string, life int64, patience time.Duration, ages clock.Clock) *succession {
+	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, clock: ages, quiet: ages.Now(), offset: -1, spent: -1}
 }
 
 // observe takes a record of the planner's topic.
@@ -160,7 +162,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.observe(Entry{Offset: end, Key: claimKey, Value: s.self.record().Value}, time.Now())
+	s.observe(Entry{Offset: end, Key: claimKey, Value: s.self.record().Value}, s.clock.Now())
 	return token, nil
 }
 
--- a/workload/service/succession_test.go
+++ b/workload/service/succession_test.go
@@ -66,7 +66,7 @@
 	log := &memory{}
 	won := 0
 	for life := range int64(5) {
-		s := newSuccession("edge", life+1, patience)
+		s := newSuccession("edge", life+1, patience, nil)
 		if _, err := s.take(context.Background(), log, 0); err == nil {
 			won++
 		}
@@ -78,7 +78,7 @@
 
 func TestAClaimThatWasGivenUpIsNotTakenUpAgain(t *testing.T) {
 	log := &memory{}
-	s := newSuccession("edge", 1, patience)
+	s := newSuccession("edge", 1, patience, nil)
 	token, err := s.take(context.Background(), log, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -98,7 +98,7 @@
 
 func TestTheRoleIsClaimedAfterSilenceAndAtOnceWhereItWasLeft(t *testing.T) {
 	log := &memory{}
-	first, second := newSuccession("a", 1, patience), newSuccession("b", 2, patience)
+	first, second := newSuccession("a", 1, patience, nil), newSuccession("b", 2, patience, nil)
 	if _, err := first.take(context.Background(), log, 0); err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +121,7 @@
 
 func TestAnInstanceSucceedsItsOwnEarlierLifeAtOnce(t *testing.T) {
 	log := &memory{}
-	first, again := newSuccession("a", 1, patience), newSuccession("a", 2, patience)
+	first, again := newSuccession("a", 1, patience, nil), newSuccession("a", 2, patience, nil)
 	if _, err := first.take(context.Background(), log, 0); err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 }
 
 func TestSilenceCountsOnlyWhileItCouldBeBroken(t *testing.T) {
-	s := newSuccession("a", 1, patience)
+	s := newSuccession("a", 1, patience, nil)
 	later := time.Now().Add(10 * patience)
 	s.regained(later)
 	if s.due(later.Add(patience / 2)) {
@@ -152,7 +152,7 @@
 	if place != 2 {
 		t.Fatalf("place %d, want 2", place)
 	}
-	strong, weak := newSuccession("a", 1, patience), newSuccession("b", 2, patience)
+	strong, weak := newSuccession("a", 1, patience, nil), newSuccession("b", 2, patience, nil)
 	weak.setTurn(place)
 	when := time.Now().Add(patience + patience/turnsInPatience)
 	if !strong.due(when) || weak.due(when) {
--- a/workload/service/waves.go
+++ b/workload/service/waves.go
@@ -79,7 +79,7 @@
 }
 
 func (p *planner) readHosts(ctx context.Context) {
-	asked := time.Now()
+	asked := p.s.clock.Now()
 	p.mu.Lock()
 	wants := p.core.WantsHosts(asked)
 	p.mu.Unlock()
@@ -117,7 +117,7 @@
 func (p *planner) giveDuties(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.s.clock.Now()
 	if !p.acting(now) {
 		return
 	}
@@ -131,7 +131,7 @@
 	verdict := p.s.settings.Hosts.Maintain(call, p.s.settings.Instance, o)
 	cancel()
 	p.mu.Lock()
-	p.core.DutyDone(o, verdict, time.Now())
+	p.core.DutyDone(o, verdict, p.s.clock.Now())
 	p.mu.Unlock()
 	signal(p.wake)
 }
