Nothing starts in a room that has shrunk below what is there

Cause: a start that waits for its record, or is repeated until it has an answer, was sent whatever had become of its worker's room meanwhile. Ruled out: decisions (they see the newest entry, and nothing fits into less than nothing of a resource that is needed). Change: one more closure (room-shrunk) by the mechanism of drains and evacuations: such a worker gets nothing new, and what was decided for it and has not begun is taken back where batches are withdrawn and orders repeated. What runs there goes on. The change of a room is told (worker-resized). Tests of control, decide, replay, events pass.

--- a/workload/control/closures.go
+++ b/workload/control/closures.go
@@ -25,6 +25,8 @@
 	silent closure = "silent"
 	// strangers: it runs what it should not.
 	strangers closure = "strange-runs"
+	// short: its room has shrunk below what is there.
+	short closure = "room-shrunk"
 	// distrusted: it failed or refused one task after the other.
 	distrusted closure = "distrusted"
 )
@@ -43,6 +45,8 @@
 		return silent
 	case len(w.strange) > 0:
 		return strangers
+	case w.free().Short():
+		return short
 	case w.trust.closed(now):
 		return distrusted
 	}
@@ -78,9 +82,14 @@
 }
 
 // takeBack gives up a run that has not begun, where its worker may begin nothing any
-// more. It returns whether it did.
+// more, or has no room for it any more: a worker that does not guard its room would be
+// brought over it by an order that waited for its record, or is repeated. It returns whether
+// it did.
 func (c *Core) takeBack(l *live) bool {
 	cause := c.removed(l.worker)
+	if cause == open && l.worker.listed && l.worker.free().Short() {
+		cause = short
+	}
 	if cause == open {
 		return false
 	}
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -70,6 +70,8 @@
 	EventWorkerGone = "worker-gone"
 	// EventWorkerListed: the platform's list has a new worker; detail is its rack.
 	EventWorkerListed = "worker-listed"
+	// EventWorkerResized: a worker's room has changed; detail is what it has, and whether it runs more than that.
+	EventWorkerResized = "worker-resized"
 	// EventWorkerSilent: a worker did not answer; its lease is not raised from here.
 	EventWorkerSilent = "worker-silent"
 	// EventWorkerUnreadable: a worker's newest entry in the list can't be understood; it gets nothing new, and what runs there is held on.
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -100,6 +101,7 @@
 	if l.Unreadable && !w.Unreadable {
 		c.note(Note{Event: EventWorkerUnreadable, Worker: l.ID})
 	}
+	resized := w.Capacity != l.Capacity && w.Address != ""
 	w.leaving(l, now)
 	w.warming(l, now)
 	w.Listing = l
@@ -107,6 +109,9 @@
 	for _, label := range l.Labels {
 		w.labels[label] = true
 	}
+	if resized {
+		c.note(Note{Event: EventWorkerResized, Worker: l.ID, Detail: fmt.Sprintf("cpu=%d mem_mib=%d accelerators=%d over=%t", l.Capacity.MilliCPU, l.Capacity.MemoryMiB, l.Capacity.Accelerators, w.free().Short())})
+	}
 	c.readClock(w, l.ClockMS, now)
 }
 
--- a/workload/job.go
+++ b/workload/job.go
@@ -61,6 +61,11 @@
 	return r.MilliCPU <= o.MilliCPU && r.MemoryMiB <= o.MemoryMiB && r.Accelerators <= o.Accelerators
 }
 
+// Short tells whether any component is below zero.
+func (r Resources) Short() bool {
+	return r.MilliCPU < 0 || r.MemoryMiB < 0 || r.Accelerators < 0
+}
+
 // Count returns how many times unit fits into r, at most limit.
 func (r Resources) Count(unit Resources, limit int) int {
 	n := boundBy(limit, r.MilliCPU, unit.MilliCPU)
