Admission, quota, guarantees and placement move beside the scheduler that uses them

Cause: 36 top-level folders, in which a newcomer can't see what belongs together: these four are read by the first interface's decisions alone, one of them a file of its own folder. Ruled out: merging them into one package (names would need prefixes, and admission is used without the rest). Change: four folders move under scheduler, import paths follow; no line of code changes besides.

--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -7,10 +7,10 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/estimate"
-	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/internal/virtual"
-	"github.com/cobalttide/cobalttide/placement"
 	"github.com/cobalttide/cobalttide/scheduler"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // Policy is one way to schedule.
--- a/demo/watcher.go
+++ b/demo/watcher.go
@@ -7,8 +7,8 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/gang"
-	"github.com/cobalttide/cobalttide/placement"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // watcher looks at the workers themselves, which no instance can deceive, and
--- a/instance/fuzz_test.go
+++ b/instance/fuzz_test.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"testing"
 
-	"github.com/cobalttide/cobalttide/admission"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/membership"
+	"github.com/cobalttide/cobalttide/scheduler/admission"
 )
 
 // Whatever a caller sends, it is a job that passes or a refusal with a field and
--- a/instance/http.go
+++ b/instance/http.go
@@ -14,12 +14,12 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/cobalttide/cobalttide/admission"
 	"github.com/cobalttide/cobalttide/api/cobalttide/v1/cobalttidev1connect"
 	"github.com/cobalttide/cobalttide/auth"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/requests/dispatch"
+	"github.com/cobalttide/cobalttide/scheduler/admission"
 )
 
 // The headers of the callers' interface.
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/cobalttide/cobalttide/admission"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/planner"
 	"github.com/cobalttide/cobalttide/scheduler"
+	"github.com/cobalttide/cobalttide/scheduler/admission"
 	"github.com/cobalttide/cobalttide/state"
 )
 
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -16,10 +16,10 @@
 	"github.com/cobalttide/cobalttide/auth"
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/membership"
-	"github.com/cobalttide/cobalttide/placement"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 	"github.com/cobalttide/cobalttide/state"
 )
 
--- a/planner/core.go
+++ b/planner/core.go
@@ -25,10 +25,10 @@
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/estimate"
 	"github.com/cobalttide/cobalttide/gang"
-	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/quarantine"
 	"github.com/cobalttide/cobalttide/scheduler"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
 	"github.com/cobalttide/cobalttide/state"
 )
 
--- a/admission/admission.go
+++ b/scheduler/admission/admission.go
@@ -12,8 +12,8 @@
 
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // Snapshot is what a check depends on besides the job.
--- a/scheduler/filter_beside.go
+++ b/scheduler/filter_beside.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // beside places a job that is smaller than what its account is guaranteed on
--- a/scheduler/filter_borrow.go
+++ b/scheduler/filter_borrow.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // mode tells apart the searches whose failure is remembered within one plan.
--- a/scheduler/filter_consolidate.go
+++ b/scheduler/filter_consolidate.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // consolidate moves borrowers off a large job's reserved block when that saves
--- a/scheduler/filter_guaranteed.go
+++ b/scheduler/filter_guaranteed.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // claimed settles a job's claim to its account's cells, unless it can do without
--- a/scheduler/filter_quota.go
+++ b/scheduler/filter_quota.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/placement"
-	"github.com/cobalttide/cobalttide/quota"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
+	"github.com/cobalttide/cobalttide/scheduler/quota"
 )
 
 // feasible parks a job that the schedulable fleet could not hold even empty.
--- a/guarantee/bind.go
+++ b/scheduler/guarantee/bind.go
@@ -15,7 +15,7 @@
 	"slices"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // Cell is one guaranteed block and the workers that back it.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
-	"github.com/cobalttide/cobalttide/placement"
-	"github.com/cobalttide/cobalttide/quota"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
+	"github.com/cobalttide/cobalttide/scheduler/quota"
 )
 
 // verdict is what a filter says of a waiting job.
--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -9,9 +9,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/internal/seeded"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m) }
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
-	"github.com/cobalttide/cobalttide/placement"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
+	"github.com/cobalttide/cobalttide/scheduler/placement"
 )
 
 // Policy is what can be set of the decisions.
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
 )
 
 // Status is what is known of one job.
--- a/state/records.go
+++ b/state/records.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cobalttide/cobalttide/domain"
-	"github.com/cobalttide/cobalttide/guarantee"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/scheduler/guarantee"
 )
 
 // The record kinds of a data centre's job stream. A daemon passes over kinds
