--- a/planner/mutants_test.go
+++ b/planner/mutants_test.go
@@ -242,10 +242,10 @@
 // Under two planners, one after the other, a worker went down every 4 s: 17 starts in
 // 72 s, the job waiting or running all the while.
 func TestAJobThatCrashesItsWorkersIsGivenUp(t *testing.T) {
-	w, s := calmWorld(t)
+	w, _ := calmWorld(t)
 	crashing := w.submitPayload("again", "b", 1, standin.Workload{Crash: true})
 	w.settle(40, 300*time.Millisecond)
-	s = w.addPlanner()
+	s := w.addPlanner()
 	w.settle(200, 300*time.Millisecond)
 	starts := 0
 	for _, worker := range w.workers {
