Workers that a task has crashed begin nothing, and their unheard ends are void

Ruled out: the planner (each run it began anew was lost with a life that was over), the clock of ages, rooms. Change: the model's dead workers answer nothing, and tell of ends as done that are lost with them; the check of runs takes such an end off, but of a gang only where no other member's worker lives.

--- a/workload/replay/measure.go
+++ b/workload/replay/measure.go
@@ -169,7 +169,7 @@
 	delete(m.begins, name)
 	step := t.job.Steps[e.Task.Step]
 	switch e.How {
-	case control.EndDone:
+	case control.EndDone, workertest.EndVoid:
 		return
 	case control.EndFailed:
 		m.fail(t, e, step)
--- /dev/null
+++ b/workload/workertest/crash_test.go
@@ -0,0 +1,83 @@
+package workertest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// crashFleet has two workers; tasks of job "c" crash theirs after 10 ms, others take 50 ms.
+func crashFleet(gang bool) (*Fleet, *[]Event, time.Time) {
+	now := time.Unix(1000, 0)
+	seen := &[]Event{}
+	f := &Fleet{
+		Limits: Limits{HoldMax: time.Minute, StopTimeout: time.Second, GangTimeout: time.Second},
+		Step: func(id workload.TaskID) (workload.Step, bool) {
+			return workload.Step{Count: 2, Gang: gang && id.Job != "c", Need: workload.Resources{Accelerators: 1}}, true
+		},
+		Work: func(id workload.TaskID, _ int64, _ string) Work {
+			return Work{Takes: 50 * time.Millisecond, Crashes: id.Job == "c", CrashAfter: 10 * time.Millisecond}
+		},
+		Seen: func(e Event) { *seen = append(*seen, e) },
+	}
+	for _, id := range []string{"w1", "w2"} {
+		f.Add(id, workload.Resources{Accelerators: 8}, 1, now)
+	}
+	return f, seen, now
+}
+
+func begin(f *Fleet, worker string, id workload.TaskID, now time.Time) control.Verdict {
+	w := f.Workers[worker]
+	return w.Start(control.StartOrder{Task: id, Run: 1, DeadlineMS: w.ClockMS(now) + 30_000}, now).Verdict
+}
+
+// A start that comes when its worker's life is over by what was due before it begins nothing.
+// Taken by the dead worker, such a run never ended, and its task's next run stood beside it
+// (soak: run-lost lasted_ms=26, then a start elsewhere, four of fifty seeds).
+func TestNothingBeginsOnAWorkerThatATaskHasCrashed(t *testing.T) {
+	f, _, now := crashFleet(false)
+	begin(f, "w1", workload.TaskID{Job: "c"}, now)
+	if v := begin(f, "w1", workload.TaskID{Job: "a"}, now.Add(20*time.Millisecond)); v != control.Unanswered || f.Workers["w1"].Running() != 0 {
+		t.Fatalf("the start is %s, %d runs are there", v, f.Workers["w1"].Running())
+	}
+}
+
+// An end that its worker had listed to nobody when a task crashed it is void: the planner can
+// only begin the task again (soak: a run of 598 ms is lost with its worker, another-life, and
+// begun again, five of fifty seeds). Of a gang it is not, while another member's worker lives.
+func TestEndsThatNobodyTookNoteOfAreLostWithTheirWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		gang, acked bool
+		void        int
+	}{
+		"listed to nobody": {void: 1},
+		"taken note of":    {acked: true},
+		"of a gang whose other member's worker lives": {gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, seen, now := crashFleet(c.gang)
+			begin(f, "w1", workload.TaskID{Job: "a"}, now)
+			if c.gang {
+				begin(f, "w2", workload.TaskID{Job: "a", Index: 1}, now)
+			}
+			now = now.Add(100 * time.Millisecond)
+			f.Advance(now)
+			if c.acked {
+				f.Workers["w1"].Hold(control.HoldOrder{Cursor: 1}, now)
+			}
+			begin(f, "w1", workload.TaskID{Job: "c"}, now)
+			f.Advance(now.Add(20 * time.Millisecond))
+			void := 0
+			for _, e := range *seen {
+				if e.How == EndVoid {
+					void++
+				}
+			}
+			if void != c.void || !f.Workers["w1"].Dead {
+				t.Errorf("%d ends are void, want %d: %v", void, c.void, *seen)
+			}
+		})
+	}
+}
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -120,11 +120,40 @@
 func (f *Fleet) Kill(id string, now time.Time) {
 	w := f.Workers[id]
 	w.Dead = true
+	f.voidEnds(w, now)
 	for _, r := range w.sorted() {
 		w.forget(r, control.EndLapsed, now)
 	}
 }
 
+// EndVoid is the end of a run that ended as done on a worker whose life is over, and that
+// nobody took note of: nobody can any more.
+const EndVoid control.End = "void"
+
+// voidEnds tells of the ends as done that are lost with a worker. One member's end stands for
+// its gang, so that it is not lost while another one's worker lives.
+func (f *Fleet) voidEnds(w *Worker, now time.Time) {
+	for _, row := range w.ended {
+		step, known := f.Step(row.Task)
+		if row.How != control.EndDone || row.Number <= w.acked || !known || (step.Gang && f.endedElsewhere(row)) {
+			continue
+		}
+		w.see(Event{At: now, Worker: w.ID, Task: row.Task, Run: row.Run, How: EndVoid})
+	}
+}
+
+// endedElsewhere tells whether another member of a gang's run has ended on a worker that lives.
+func (f *Fleet) endedElsewhere(row control.EndedRow) bool {
+	for _, w := range f.Workers {
+		for id, run := range w.barred {
+			if !w.Dead && sameStep(id, row.Task) && run >= row.Run {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ClockMS is the worker's own clock.
 func (w *Worker) ClockMS(now time.Time) int64 {
 	return int64(float64(now.Sub(w.born).Milliseconds()) * w.Rate)
@@ -176,6 +205,10 @@
 }
 
 func (w *Worker) start(o control.StartOrder, now time.Time) control.Verdict {
+	if w.Dead {
+		// What was due until now has ended its life.
+		return control.Unanswered
+	}
 	if !w.admit(o.Token) {
 		return control.Fenced
 	}
