A test sets what it watches under the locks of what it watches

Ruled out: the code under test (both sides of the race are the test's). Change: the hooks are set and read under the pool's locks. After: six runs with -race passed, and all of workload/service with -race.

--- a/workload/service/pool_test.go
+++ b/workload/service/pool_test.go
@@ -231,8 +231,11 @@
 
 // sent notes that an order has left.
 func (w *poolWorkers) sent(token int64) {
-	if w.ordered != nil {
-		w.ordered(token)
+	w.mu.Lock()
+	ordered := w.ordered
+	w.mu.Unlock()
+	if ordered != nil {
+		ordered(token)
 	}
 }
 
--- a/workload/service/waking_test.go
+++ b/workload/service/waking_test.go
@@ -20,6 +20,10 @@
 
 func watchSuspended(p *pool) *suspensions {
 	s := &suspensions{at: map[int64]time.Time{}, confirmed: map[int64]bool{}}
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	p.workers.mu.Lock()
+	defer p.workers.mu.Unlock()
 	p.log.appended = func(epoch int64, sent time.Time) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
