Tests that fail: workers that start again under their ids

Cause: not mended yet. Change: the workers' model begins another life under an id; worlds with one to eight such restarts, 0.3 s to 1.8 s away.

--- /dev/null
+++ b/workload/control/restarts_test.go
@@ -0,0 +1,144 @@
+package control_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/workertest"
+)
+
+// A third of the workers crashed and started again half a second later, each under the id that
+// it had. The planner met the second life as if it were the first: it had taken in eight ends
+// of the first, the second numbers its own from 1, so the first eight were passed over as
+// known, and the hold that followed told the worker to forget them. Their runs were then
+// missing from the worker, were taken for vanished, and began again, up to three times each.
+//
+// What settled it, one planner's log of one worker, without the names; a run is at work there
+// from 6.054 to 7.276 and ends as done:
+//
+//	4.032 run-ended run=2 why=done     (the eighth that it lists)
+//	5.026 worker-silent                (crashed at 5.000, back at 5.510)
+//	5.763 worker-answers
+//	7.851 run-vanished run=3           and no run-ended for it
+//	7.851 unit-started 11:4@...        the same worker, where it vanishes again at 9.882
+//
+// Every run that vanished later than a second after the crash was on a worker that had
+// started again: 7 of 7.
+func TestEndsOfAWorkerThatStartedAgainAreHeard(t *testing.T) {
+	s := newScene()
+	s.add(jobA, nil, workload.Step{Count: 24, Need: need(2), EstimateMS: 400})
+	s.pass(3 * time.Second)
+	for _, id := range sortedIDs(s.fleet.Workers) {
+		s.restart(id, 500*time.Millisecond)
+	}
+	s.pass(1500 * time.Millisecond)
+	s.add(jobB, nil, workload.Step{Count: 24, Need: need(2), EstimateMS: 400})
+	s.pass(5 * time.Second)
+	s.check(t)
+	if n := len(s.starts(jobB)); s.state(jobB) != workload.Completed || n != 24 {
+		t.Fatalf("%d starts of 24 tasks, and the job is %s", n, s.state(jobB))
+	}
+}
+
+// Two steps of some twenty tasks could run, most of the workers' room was free, and nothing of
+// them ran from some time on until the end of the day, although the planner lived. A run whose
+// start had no answer is not started again once its worker has shown it. If that worker then
+// starts again under its id, it shows neither the run nor its end, and nothing settled that:
+// a run counted as vanished only where its start was answered, and no lease ends on a worker
+// that answers. What depends on it waits for ever.
+//
+// The day's record has the two steps and no event of theirs; its first play here broke nothing.
+// What settled it is this test, and its log: run-unsettled once, then nothing.
+func TestARunWhoseStartHadNoAnswerIsSettledWhenItsWorkerStartsAgain(t *testing.T) {
+	s := newScene()
+	s.unanswered = map[workload.JobID]bool{jobA: true}
+	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work {
+		return workertest.Work{Takes: 3 * time.Second}
+	}
+	s.add(jobA, nil, workload.Step{Count: 1, Need: need(2), EstimateMS: 3000}, workload.Step{Count: 2, Need: need(2), EstimateMS: 3000, DependsOn: []int{0}})
+	s.pass(1500 * time.Millisecond)
+	begun := s.starts(jobA)
+	if len(begun) != 1 {
+		t.Fatalf("%d starts before the restart", len(begun))
+	}
+	s.unanswered = nil
+	s.restart(begun[0].Worker, 500*time.Millisecond)
+	s.pass(30 * time.Second)
+	s.check(t)
+	if s.state(jobA) != workload.Completed {
+		t.Fatalf("%s after %d starts", s.state(jobA), len(s.starts(jobA)))
+	}
+}
+
+// restart crashes a worker, and begins another life under its id after some time.
+func (w *world) restart(id string, away time.Duration) {
+	if w.fleet.Workers[id].Dead {
+		return
+	}
+	w.fleet.Kill(id, w.now)
+	w.restarts[id] = w.now.Add(entryStays)
+	w.later(away, func() {
+		born := w.fleet.Restart(id, w.now).Born
+		// Its first entry is there a heartbeat later at the most.
+		w.later(time.Duration(w.rng.Intn(1500))*time.Millisecond, func() { w.shownBorn[id] = born })
+	})
+}
+
+func sortedIDs(workers map[string]*workertest.Worker) []string {
+	out := make([]string, 0, len(workers))
+	for id := range workers {
+		out = append(out, id)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// mostRestarts is the most restarts that come in the course of a world.
+const mostRestarts = 8
+
+// newRestartWorld is a world whose workers start again under their ids, from 0.3 s to 1.8 s
+// after they have crashed.
+func newRestartWorld(seed int64, faulty bool) *world {
+	w := newWorld(seed, faulty)
+	for range 1 + w.rng.Intn(mostRestarts) {
+		w.later(time.Duration(w.rng.Intn(int(worldLasts))), func() {
+			w.restart(w.anyWorker(), time.Duration(300+w.rng.Intn(1500))*time.Millisecond)
+		})
+	}
+	return w
+}
+
+// worldLasts is about how long a world has faults.
+const worldLasts = steps * 35 * time.Millisecond
+
+// brokenWorlds plays worlds, and returns what broke in those that did.
+func brokenWorlds(worlds int, make func(seed int64) *world) []string {
+	var broken []string
+	for seed := range worlds {
+		w := make(int64(seed))
+		w.playAll(nil)
+		if len(w.problems) > 0 {
+			broken = append(broken, fmt.Sprintf("seed %d: %s", seed, w.problems[0]))
+		}
+	}
+	return broken
+}
+
+// Random worlds in which workers start again under their ids, with no other trouble and beside
+// all others. With lives known by their ids alone 295 and 212 of 300 broke.
+func TestLivesUnderOneNameBreakNothing(t *testing.T) {
+	for name, faulty := range map[string]bool{"calm but for the restarts": false, "beside other troubles": true} {
+		t.Run(name, func(t *testing.T) {
+			broken := brokenWorlds(restartWorlds, func(seed int64) *world { return newRestartWorld(seed, faulty) })
+			if len(broken) > 0 {
+				t.Fatalf("%d of %d worlds broke: %v", len(broken), restartWorlds, broken[:min(len(broken), 5)])
+			}
+		})
+	}
+}
+
+// restartWorlds is how many worlds of each sort are played.
+const restartWorlds = 300
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -62,6 +62,12 @@
 	// late are the starts that are carried out seconds after they were given up, by worker
 	// and task.
 	late map[string]bool
+	// restarts is until when the entry of a worker that starts again stays in the list
+	// without it, shownBorn the birth that its entry shows.
+	restarts  map[string]time.Time
+	shownBorn map[string]int64
+	// unanswered are the jobs whose starts get no answer.
+	unanswered map[workload.JobID]bool
 }
 
 type seat struct {
@@ -92,11 +98,13 @@
 		cancels: map[workload.JobID]time.Time{}, cut: map[string]time.Time{},
 		running: map[workload.TaskID]map[string]int64{}, ended: map[workload.TaskID]int64{},
 		notedEnd: map[workload.TaskID]bool{}, fails: map[workload.TaskID]int{}, again: map[runOf]bool{}, late: map[string]bool{},
+		restarts: map[string]time.Time{}, shownBorn: map[string]int64{},
 	}
 	w.fleet = &workertest.Fleet{Limits: worldLimits, Step: w.step, Work: w.work, Seen: w.see, Crashed: w.crashed}
 	for i := range 6 {
 		rate := 1 - 0.02*w.rng.Float64()
-		w.fleet.Add(fmt.Sprintf("w%d", i), workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, rate, w.now)
+		id := fmt.Sprintf("w%d", i)
+		w.shownBorn[id] = w.fleet.Add(id, workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, rate, w.now).Born
 	}
 	return w
 }
@@ -222,11 +230,15 @@
 	sort.Strings(ids)
 	for i, id := range ids {
 		worker := w.fleet.Workers[id]
-		if worker.Dead && !w.lives.lingers(id, w.now) {
+		if worker.Dead && !w.lives.lingers(id, w.now) && !w.now.Before(w.restarts[id]) {
 			continue
 		}
+		born := worker.Born
+		if shown, restarts := w.shownBorn[id]; restarts {
+			born = shown
+		}
 		address, rack := w.lives.place(id, fmt.Sprintf("r%d", i/3))
-		out = append(out, control.Listing{ID: id, Address: address, Rack: rack, Capacity: w.rooms.shown(id, worker.Capacity, w.now), ClockMS: worker.ClockMS(w.now) - 300, Draining: w.leaving[id] > 0, RemainingMS: w.leaving[id]})
+		out = append(out, control.Listing{ID: id, Address: address, Rack: rack, Capacity: w.rooms.shown(id, worker.Capacity, w.now), ClockMS: worker.ClockMS(w.now) - 300, Draining: w.leaving[id] > 0, RemainingMS: w.leaving[id], Born: born})
 	}
 	return out
 }
@@ -370,6 +382,9 @@
 	w.send(o.Worker, s, func(target *workertest.Worker) func() {
 		w.late[o.Worker+o.Task.String()] = w.now.Sub(sent) > time.Second
 		a := target.Start(o, w.now)
+		if w.unanswered[o.Task.Job] {
+			a.Verdict = control.Unanswered
+		}
 		return func() { s.core.Started(o, a, w.now) }
 	}, func(v control.Verdict) {
 		s.core.Started(o, control.Answer{Verdict: w.mutant.silence(v, control.Full)}, w.now)
@@ -414,7 +429,7 @@
 // noteEnds marks ends that the cursor has passed as taken note of for good.
 func (w *world) noteEnds(target *workertest.Worker, rows []control.EndedRow, cursor int64) {
 	for _, row := range rows {
-		if row.Number > cursor || row.How != control.EndDone || row.Number <= target.Void() {
+		if row.Number > max(cursor, target.Acked()) || row.How != control.EndDone || row.Number <= target.Void() {
 			continue
 		}
 		w.noteDone(row.Task)
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -75,8 +75,12 @@
 	Unguarded bool
 	Dead      bool
 
-	fleet      *Fleet
-	born       time.Time
+	// Born is when it says that it was born, in Unix milliseconds; 0 says nothing.
+	Born int64
+
+	fleet *Fleet
+	// began is when its clock showed 0.
+	began      time.Time
 	token      int64
 	deadlineMS int64
 	runs       map[workload.TaskID]*run
@@ -103,10 +107,13 @@
 	slowed int
 }
 
+// age is how long a worker has been up when it is added.
+const age = time.Hour
+
 // Add puts an empty worker into the fleet.
 func (f *Fleet) Add(id string, capacity workload.Resources, rate float64, now time.Time) *Worker {
 	w := &Worker{
-		ID: id, Capacity: capacity, Rate: rate, fleet: f, born: now.Add(-time.Hour),
+		ID: id, Capacity: capacity, Rate: rate, Born: now.Add(-age).UnixMilli(), fleet: f, began: now.Add(-age),
 		runs: map[workload.TaskID]*run{}, barred: map[workload.TaskID]int64{},
 	}
 	if f.Workers == nil {
@@ -126,6 +133,15 @@
 	}
 }
 
+// Restart begins another life under the id of a worker whose life is over: it holds and
+// knows nothing, and its token, its clock and the numbers of its ends begin anew.
+func (f *Fleet) Restart(id string, now time.Time) *Worker {
+	before := f.Workers[id]
+	w := f.Add(id, before.Capacity, before.Rate, now.Add(age))
+	w.Unguarded = before.Unguarded
+	return w
+}
+
 // EndVoid is the end of a run that ended as done on a worker whose life is over, and that
 // nobody took note of: nobody can any more.
 const EndVoid control.End = "void"
@@ -156,7 +172,7 @@
 
 // ClockMS is the worker's own clock.
 func (w *Worker) ClockMS(now time.Time) int64 {
-	return int64(float64(now.Sub(w.born).Milliseconds()) * w.Rate)
+	return int64(float64(now.Sub(w.began).Milliseconds()) * w.Rate)
 }
 
 // Running counts the runs on the worker.
@@ -266,7 +282,7 @@
 // Hold carries a hold out; it does not wait.
 func (w *Worker) Hold(o control.HoldOrder, now time.Time) control.HoldAnswer {
 	w.fleet.Advance(now)
-	answer := control.HoldAnswer{Verdict: control.Accepted, ClockMS: w.ClockMS(now)}
+	answer := control.HoldAnswer{Verdict: control.Accepted, ClockMS: w.ClockMS(now), Born: w.Born}
 	if !w.admit(o.Token) {
 		answer.Verdict = control.Fenced
 		return answer
@@ -368,6 +384,9 @@
 // Ended returns the ends that are listed now.
 func (w *Worker) Ended() []control.EndedRow { return append([]control.EndedRow(nil), w.ended...) }
 
+// Acked is the number of the last end that the worker was told to forget.
+func (w *Worker) Acked() int64 { return w.acked }
+
 // Void is the number of the last end that was listed before the worker's lease
 // last lapsed. Noting such an end no longer counts.
 func (w *Worker) Void() int64 { return w.void }
