--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,7 +23,7 @@
 // claim is the record by which an instance takes the planner's role. The
 // offset at which it stands makes the fencing token.
 type claim struct {
-	// Holder is the instance; Life tells its lives apart.
+	// Holder is the instance; Life tells its lives, and those of others, apart.
 	Holder string `json:"holder"`
 	Life   int64  `json:"life"`
 	// Left tells that the holder has given the role up.
@@ -65,6 +67,11 @@
 
 const seqSpace = 1 << 40
 
+// drawLife returns a number for a life of an instance. It is drawn, since two lives may begin
+// at one time of day, which is set back and forth: with one number the log took the claim of
+// the second for a repetition of the first's, and 58 tasks ran twice under two planners.
+func drawLife() int64 { return 1 + rand.Int64N(math.MaxInt64-1) }
+
 func newSuccession(holder string, life int64, patience time.Duration, ages clock.Clock) *succession {
 	return &succession{self: claim{Holder: holder, Life: life}, patience: patience, clock: ages, quiet: ages.Now(), offset: -1, spent: -1}
 }
