Crashes that come together are one event and count against no task

Cause: each crash of a worker counted against all that ran there, whatever else crashed in the same moment. Change: a crash that an eighth of the listed workers, three at least, have beside it within the time of a hold is excused for jobs that those workers never ran, unless the run had only just begun; once a task, on record, until it is cleared. What counted before the others were known is taken back. A verdict takes crashes off what was beside it by the same allowance.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -62,7 +62,9 @@
 	// suspects tells that some job is suspected.
 	suspects bool
 	// counted are the crashes that lately counted against tasks.
-	counted    []crash
+	counted []crash
+	// listed is how many workers the list has.
+	listed     int
 	ordered    []DutyOrder
 	dutiesFrom time.Time
 	// began is when this planner began.
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -117,7 +118,7 @@
 	if !suspect(t) || t.Run != l.run {
 		return
 	}
-	t.Crashes, t.CrashMS, t.CrashRun = 0, 0, 0
+	t.Crashes, t.CrashMS, t.CrashRun, t.Excused = 0, 0, 0, false
 	c.forgive(l.id)
 	c.change(l.job)
 }
@@ -129,7 +130,7 @@
 		return nil
 	}
 	var convicted []*live
-	counted := crash{at: now}
+	counted := c.crashOf(w, lost, now)
 	for _, l := range lost {
 		t := c.task(l)
 		if t == nil || l.over || t.Run != l.run || l.cameTooLate() {
@@ -139,6 +140,9 @@
 			c.clear(l, t)
 			continue
 		}
+		if !slices.Contains(counted.young, l.id) && c.together(counted, l.id.Job) && c.excuseTask(l.id) {
+			continue
+		}
 		c.count(l, t, now)
 		counted.tasks = append(counted.tasks, l.id)
 		if t.Crashes > crashesMost || (why != whyLeaseOver && c.sure(l, t, lost, now)) {
--- /dev/null
+++ b/workload/control/together_test.go
@@ -0,0 +1,96 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/workertest"
+)
+
+// Four tenths of 350 workers crashed in one moment, three times in 18 s, and no task had crashed
+// any of them. Sixteen jobs in four plays of two such days were given up for crashing workers,
+// with three or four crashes each, 3.7 s to 13.6 s after their starts: each crash counted
+// against all that ran there, and the verdict did not look at how many workers fell silent in
+// the same moment that had never run the task.
+
+// newFullScene has 48 workers in racks of eight, whose runs take so long.
+func newFullScene(takes time.Duration) *scene {
+	s := newScene()
+	for i := 6; i < 48; i++ {
+		id := fmt.Sprintf("w%02d", i)
+		s.shownBorn[id] = s.fleet.Add(id, workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, 1, s.now).Born
+	}
+	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: takes} }
+	return s
+}
+
+// playOutages lets jobs come for a time and a part of the workers crash at once every few
+// seconds; it returns the jobs that crash nothing.
+func (s *scene) playOutages(takes time.Duration, share float64, outages int, crash func(id string)) []workload.JobID {
+	var jobs []workload.JobID
+	for i := range 60 {
+		jobs = append(jobs, s.add(workload.JobID(fmt.Sprintf("a%015x", i)), nil, workload.Step{Count: 4, Need: need(4), EstimateMS: takes.Milliseconds()}))
+		if i%15 == 14 && i/15 < outages {
+			for _, id := range sortedIDs(s.fleet.Workers) {
+				if !s.fleet.Workers[id].Dead && s.rng.Float64() < share {
+					crash(id)
+				}
+			}
+		}
+		s.pass(400 * time.Millisecond)
+	}
+	s.pass(60 * time.Second)
+	return jobs
+}
+
+func TestJobsAreNotGivenUpForWorkersThatCrashTogether(t *testing.T) {
+	for _, takes := range []time.Duration{400 * time.Millisecond, 2500 * time.Millisecond, 9 * time.Second} {
+		for _, sameID := range []bool{true, false} {
+			t.Run(fmt.Sprintf("runs of %v, same id %t", takes, sameID), func(t *testing.T) {
+				s := newFullScene(takes)
+				s.crashing(nil, 800*time.Millisecond)
+				jobs := s.playOutages(takes, 0.4, 4, func(id string) {
+					if sameID {
+						s.restart(id, 800*time.Millisecond)
+						return
+					}
+					s.fleet.Kill(id, s.now)
+					s.crashed(id, workload.TaskID{}, s.now)
+				})
+				s.check(t)
+				for _, id := range jobs {
+					if state := s.state(id); state != workload.Completed {
+						t.Errorf("job %s is %s", id, state)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Tasks that do crash their workers keep their bound beside such outages.
+func TestTasksThatCrashWorkersAreBoundedBesideOutages(t *testing.T) {
+	for _, after := range crashAfters {
+		t.Run(after.String(), func(t *testing.T) {
+			const takes = 2500 * time.Millisecond
+			s := newFullScene(takes)
+			guilty := map[workload.JobID]time.Duration{}
+			for i := range 5 {
+				guilty[crasher(i)] = after
+			}
+			s.crashing(guilty, 800*time.Millisecond)
+			for i := range 5 {
+				s.add(crasher(i), nil, workload.Step{Count: 1, Need: need(1), EstimateMS: takes.Milliseconds()})
+			}
+			s.playOutages(takes, 0.4, 4, func(id string) { s.restart(id, 800*time.Millisecond) })
+			s.check(t)
+			for i := range 5 {
+				if state := s.state(crasher(i)); state != workload.Failed {
+					t.Errorf("a job whose task crashed %d workers is %s", s.lives.crashes[workload.TaskID{Job: crasher(i)}], state)
+				}
+			}
+		})
+	}
+}
--- a/workload/control/verdicts.go
+++ b/workload/control/verdicts.go
@@ -3,26 +3,20 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
 )
 
-// crash is one that was counted, against which tasks.
-type crash struct {
-	at    time.Time
-	tasks []workload.TaskID
-}
-
 // remember keeps a crash for as long as a verdict may explain it.
 func (c *Core) remember(one crash) {
 	kept := c.counted[:0]
 	for _, known := range c.counted {
-		if one.at.Sub(known.at) <= c.shakyFor() {
+		if one.noticed.Sub(known.noticed) <= c.shakyFor() {
 			kept = append(kept, known)
 		}
 	}
 	c.counted = append(kept, one)
+	c.excuse(one)
 }
 
 // explainCrashes takes the crashes that a job which was given up had a part in off the tasks that
@@ -36,7 +30,7 @@
 			continue
 		}
 		for _, id := range one.tasks {
-			if id.Job != by {
+			if id.Job != by && c.excuseTask(id) {
 				c.uncount(id)
 			}
 		}
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -56,6 +56,7 @@
 // List takes the platform's list over. A life that left the list is not taken
 // for dead: it may be cut off and run on.
 func (c *Core) List(list []Listing, now time.Time) {
+	c.listed = len(list)
 	present := map[string]bool{}
 	addresses := map[string]string{}
 	for _, l := range list {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -52,6 +52,8 @@
 	Crashes  int   `json:"c,omitempty"`
 	CrashMS  int64 `json:"m,omitempty"`
 	CrashRun int64 `json:"u,omitempty"`
+	// Excused tells that a crash under it did not count since many workers crashed with it.
+	Excused bool `json:"e,omitempty"`
 	// Saved is the latest checkpoint.
 	Saved string `json:"s,omitempty"`
 }
