Tests that fail: a run that waits for a life that is over

A start that is written while its worker is heard and goes out in its silence carries the raised token; the next life answers under the same one, and the run counts as one that may still begin.

--- /dev/null
+++ b/workload/control/lives_settled_test.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// answerAs answers the next hold of a worker as a life of it, with nothing running there.
+func (s *cutOffScene) answerAs(t *testing.T, worker string, born, clockMS int64) {
+	t.Helper()
+	s.now = s.now.Add(HoldRetry + lookPause)
+	order, ok := s.c.Hold(worker, s.now)
+	if !ok {
+		t.Fatalf("%s is not asked", worker)
+	}
+	s.c.Held(order, HoldAnswer{Verdict: Accepted, ClockMS: clockMS, Born: born}, s.now, s.now)
+}
+
+// A start was decided while its worker was heard, and went out once its record was written,
+// when the worker had fallen silent: it carried the raised token already. The worker's next
+// life answered under that token, so that the run counted as one that might still begin there,
+// and stayed so for as long as the worker answered: its gang waited until the end of the day.
+//
+// What settled it is this test: after the restart 1 run is live, 3 s and 12 holds later too.
+func TestAStartThatWentOutInASilenceIsSettledByTheNextLife(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s := newCutOffScene(gang)
+		s.c.workers["w0"].born = 7
+		s.c.Round(s.now, s.now.UnixMilli())
+		s.c.Changes()
+		s.c.Held(HoldOrder{Worker: "w0", Token: 1}, HoldAnswer{Verdict: Unanswered}, s.now, s.now)
+		for _, o := range s.c.Persisted(s.now) {
+			s.c.Started(o, Answer{Verdict: Unanswered}, s.now)
+		}
+		if len(s.c.live) != 2 {
+			t.Fatalf("%d runs were ordered", len(s.c.live))
+		}
+		for i := range int64(3) {
+			s.answerAs(t, "w0", 8, 10+300*i)
+		}
+		for id, l := range s.c.live {
+			if l.life != s.c.workers["w0"].number {
+				t.Fatalf("gang %t: %v waits for a life that is over", gang, id)
+			}
+		}
+	}
+}
+
+// Where the planner never heard the earlier life fall silent, the next one has to answer a
+// raised token before anything is settled.
+func TestARestartThatNobodyHeardIsSettledUnderARaisedToken(t *testing.T) {
+	s := newCutOffScene(false)
+	s.c.workers["w0"].born = 7
+	if n := len(s.round()); n != 2 {
+		t.Fatalf("%d tasks began", n)
+	}
+	s.answerAs(t, "w0", 8, 10)
+	if len(s.c.live) != 2 {
+		t.Fatalf("%d runs of a life whose orders may be on their way", len(s.c.live))
+	}
+	s.now = s.now.Add(time.Second)
+	s.answerAs(t, "w0", 8, 900)
+	if len(s.c.live) != 0 {
+		t.Fatalf("%d runs are not settled", len(s.c.live))
+	}
+}
--- /dev/null
+++ b/workload/control/outage_days_test.go
@@ -0,0 +1,72 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/workertest"
+)
+
+// newOutageDay has 120 workers in racks of eight, of which four tenths start again under their
+// ids six times in 72 s, and a load of wide gangs, quotes and checks of two steps meanwhile; it
+// goes on for as long after.
+func playOutageDay(t *testing.T, seed int64, horizon time.Duration) *scene {
+	s := &scene{world: newWorld(seed, false)}
+	for i := 6; i < 120; i++ {
+		id := fmt.Sprintf("w%03d", i)
+		s.shownBorn[id] = s.fleet.Add(id, workload.Resources{MilliCPU: 32000, MemoryMiB: 128000, Accelerators: 8}, 1, s.now).Born
+	}
+	s.fleet.Work = func(id workload.TaskID, run int64, _ string) workertest.Work {
+		step, _ := s.step(id)
+		return workertest.Work{Takes: time.Duration(step.EstimateMS) * time.Millisecond, Fails: (int64(id.Index)+run)%50 == 0}
+	}
+	s.claim(nil)
+	outages := []time.Duration{5500 * time.Millisecond, 19 * time.Second, 34 * time.Second, 43 * time.Second, 57 * time.Second, 72 * time.Second}
+	began := s.now
+	for i := 0; s.now.Sub(began) < horizon; i++ {
+		if s.now.Sub(began) < 80*time.Second {
+			s.addOfDay(i)
+		}
+		if len(outages) > 0 && s.now.Sub(began) > outages[0] {
+			outages = outages[1:]
+			for _, id := range sortedIDs(s.fleet.Workers) {
+				if s.rng.Float64() < 0.4 {
+					s.restart(id, time.Duration(400+s.rng.Intn(600))*time.Millisecond)
+				}
+			}
+		}
+		s.pass(400 * time.Millisecond)
+	}
+	return s
+}
+
+func (s *scene) addOfDay(i int) {
+	id := workload.JobID(fmt.Sprintf("%c%015x", 'a'+i%6, i))
+	big := workload.Resources{MilliCPU: 13000, MemoryMiB: 53000, Accelerators: 8}
+	small := workload.Resources{MilliCPU: 2800, MemoryMiB: 11000, Accelerators: 1}
+	priority := func(p int) func(*workload.Job) {
+		return func(j *workload.Job) { j.Terms.Priority, j.Terms.Attempts = p, 4 }
+	}
+	switch {
+	case i%20 == 3:
+		s.add(id, priority(1), workload.Step{Count: 15 + s.rng.Intn(15), Need: big, EstimateMS: 9000, Gang: i%40 == 3, Checkpoint: i%60 == 3})
+	case i%5 == 0:
+		s.add(id, priority(2), workload.Step{Count: 20, Need: small, EstimateMS: 7000}, workload.Step{Count: 10 + s.rng.Intn(20), Need: small, EstimateMS: 7000, DependsOn: []int{0}, Gang: i%10 == 0, SameRack: i%10 == 0})
+	default:
+		s.add(id, priority(0), workload.Step{Count: 1 + s.rng.Intn(6), Need: workload.Resources{MilliCPU: 3700, MemoryMiB: 9000, Accelerators: int64(1 + s.rng.Intn(4))}, EstimateMS: 2500, Gang: i%2 == 0, SameRack: i%4 == 0})
+	}
+}
+
+func TestNothingWaitsForEverAfterOutages(t *testing.T) {
+	for seed := range int64(4) {
+		s := playOutageDay(t, seed, 110*time.Second)
+		if len(s.problems) > 0 {
+			t.Errorf("seed %d: %v", seed, s.problems)
+		}
+		if open := s.open(); len(open) > 0 {
+			t.Errorf("seed %d: jobs have not ended 38 s after the last outage: %v", seed, open)
+		}
+	}
+}
