--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -60,6 +60,10 @@
 	if answer.Born != 0 {
 		w.born = answer.Born
 	}
+	if answer.Problem != "" && answer.Problem != w.problem {
+		c.note(Note{Event: EventWorkerUnreadable, Worker: w.ID, Why: answer.Problem})
+	}
+	w.problem = answer.Problem
 	w.doubt = false
 	c.readClock(w, answer.ClockMS, now)
 	if !w.met {
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -186,7 +186,9 @@
 	Verdict Verdict
 	ClockMS int64
 	// Born is when the life that answered began, as in Listing.
-	Born    int64
+	Born int64
+	// Problem is what is wrong with the birth that it told; "" is nothing.
+	Problem string
 	Running []RunningRow
 	Ended   []EndedRow
 }
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -18,6 +18,8 @@
 	listed     bool
 	unlistedAt time.Time
 	labels     map[string]bool
+	// problem is what is wrong with the birth that it last told.
+	problem string
 	// gone workers never come back but as another life.
 	gone  bool
 	tasks map[workload.TaskID]*live
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -154,7 +154,20 @@
 		if row.How != control.EndDone || row.Number <= w.acked || !known || (step.Gang && f.endedElsewhere(row)) {
 			continue
 		}
-		w.see(Event{At: now, Worker: w.ID, Task: row.Task, Run: row.Run, How: EndVoid})
+		w.seeVoid(row, step, now)
+	}
+}
+
+// seeVoid tells of an end that is lost, and of those of the same gang's run: the last of them
+// that was left stood for all, also for those whose workers were lost before.
+func (w *Worker) seeVoid(row control.EndedRow, step workload.Step, now time.Time) {
+	id := row.Task
+	first, end := id.Index, id.Index+1
+	if step.Gang {
+		first, end = 0, step.Count
+	}
+	for id.Index = first; id.Index < end; id.Index++ {
+		w.see(Event{At: now, Worker: w.ID, Task: id, Run: row.Run, How: EndVoid})
 	}
 }
 
