A run that nothing settles is told of

Change: run-unsettled once such a run is older than any order to start it can be on its way; a run that was shown and is gone under a raised token has vanished, whether its start was answered or not. Conclusion: the next such fault has a line.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -145,7 +145,7 @@
 	// movedAt is when the percentage last rose, seenAt when it was last shown.
 	movedAt time.Time
 	seenAt  time.Time
-	// unsettled tells that its worker showed it once, and shows neither it nor its end now.
+	// unsettled tells that it was told of as one that nothing settles.
 	unsettled bool
 	// figure is the worker's latest figure (RunningRow).
 	figure int
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -46,7 +46,7 @@
 	EventRunStandsStill = "run-stands-still"
 	// EventRunStopping: a stop was decided; why tells for what, detail the core-seconds that it throws away.
 	EventRunStopping = "run-stopping"
-	// EventRunUnsettled: a worker showed a run whose start had no answer, and shows neither it nor its end any more.
+	// EventRunUnsettled: a worker that answers shows neither a run nor its end for longer than any order to start it can be on its way; detail is what is known of it.
 	EventRunUnsettled = "run-unsettled"
 	// EventRunVanished: a worker confirmed a run and no longer lists it; detail is the number of the last end taken in, and the last that it may forget.
 	EventRunVanished = "run-vanished"
@@ -76,7 +76,7 @@
 	EventWorkerListed = "worker-listed"
 	// EventWorkerResized: a worker's room has changed; detail is what it has, and whether it runs more than that.
 	EventWorkerResized = "worker-resized"
-	// EventWorkerRestarted: another life answers under a worker's id; detail has both births, the last end that was taken in of the life before, the cursor of the hold, and the runs that were there.
+	// EventWorkerRestarted: another life answers under a worker's id; detail has both births, the last end that was taken in of the life before, the last that it was told to forget, and the runs that are lost.
 	EventWorkerRestarted = "worker-restarted"
 	// EventWorkerSilent: a worker did not answer; its lease is not raised from here.
 	EventWorkerSilent = "worker-silent"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -187,18 +187,28 @@
 			if l.token < token {
 				c.ended(l, EndLapsed, "")
 			}
-		case l.answered && l.answeredAt.Before(sent):
+		case (l.answered && l.answeredAt.Before(sent)) || (l.confirmed && l.token < token):
 			c.note(Note{Event: EventRunVanished, Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run, Detail: fmt.Sprintf("seen=%d cursor=%d", w.seen, w.cursor)})
 			c.ended(l, EndLapsed, "")
 		case l.barred && l.stopAt.Before(sent):
 			c.ended(l, EndStopped, "")
-		case l.confirmed && !l.answered && !l.unsettled:
-			l.unsettled = true
-			c.note(Note{Event: EventRunUnsettled, Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run, Detail: fmt.Sprintf("tries=%d percent=%d", l.tries, l.percent)})
+		default:
+			c.watchUnsettled(l, sent)
 		}
 	}
 }
 
+// watchUnsettled tells of a run that its worker, which answers, has not shown for longer than any
+// order to start it can be on its way: nothing that is known settles it, so that its task, or its
+// whole gang, would wait for ever.
+func (c *Core) watchUnsettled(l *live, sent time.Time) {
+	if l.sentAt.IsZero() || l.unsettled || sent.Sub(l.sentAt) < c.strayFor() {
+		return
+	}
+	l.unsettled = true
+	c.note(Note{Event: EventRunUnsettled, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Detail: fmt.Sprintf("tries=%d answered=%t confirmed=%t stopping=%t", l.tries, l.answered, l.confirmed, l.stopping)})
+}
+
 func (c *Core) inBatch(l *live) bool {
 	for _, list := range [][]*live{c.batch, c.starts} {
 		for _, other := range list {
--- a/workload/control/outage_days_test.go
+++ b/workload/control/outage_days_test.go
@@ -73,6 +73,9 @@
 		if len(s.problems) > 0 {
 			t.Errorf("seed %d: %v", seed, s.problems)
 		}
+		if len(s.unsettled) > 0 {
+			t.Errorf("seed %d: nothing settles %v", seed, s.unsettled)
+		}
 		if open := s.open(); len(open) > 0 {
 			t.Errorf("seed %d: jobs have not ended 38 s after the last outage: %v", seed, open)
 		}
--- a/workload/control/restarts_test.go
+++ b/workload/control/restarts_test.go
@@ -39,7 +39,7 @@
 // that answers. What depends on it waits for ever.
 //
 // The record of the day has the two steps and no event of theirs. What settled it is this test
-// and its log: run-unsettled once for the run, then nothing for 30 s.
+// and its log: nothing is said of the run for 30 s.
 func TestARunWhoseStartHadNoAnswerIsSettledWhenItsWorkerStartsAgain(t *testing.T) {
 	s := newScene()
 	s.unanswered = map[workload.JobID]bool{jobA: true}
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -68,6 +68,8 @@
 	// without it, shownBorn the birth that its entry shows.
 	restarts  map[string]time.Time
 	shownBorn map[string]int64
+	// unsettled are the runs that a planner told of as ones that nothing settles.
+	unsettled []string
 	// waits tells that holds wait for news.
 	waits bool
 	// writeMost is the longest that the log takes to answer a planner; 0 is at once.
@@ -321,6 +323,9 @@
 		}
 	}
 	for _, n := range s.core.Notes() {
+		if n.Event == control.EventRunUnsettled {
+			w.unsettled = append(w.unsettled, fmt.Sprintf("%s %s run %d %s", n.Task, n.Worker, n.Run, n.Detail))
+		}
 		if w.trace != nil {
 			w.trace("token %d: %s %s %s %s run %d %s", s.token, n.Event, n.Task, n.Worker, n.Why, n.Run, n.Detail)
 		}
