Runs taken over, workers that were gone: the two other places where a life was not known

Cause, by reading the diff: a run that a planner took over had no life, so that its worker's restart counted no crash and took it for never begun; a worker that was gone, since its address was another's, never came back although another life of it is listed. Change: a run belongs to the life that shows it; an entry with another birth begins another life of a worker that was gone; the question of a former life comes before that of who ordered.

--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -69,7 +69,6 @@
 	if !w.met {
 		c.note(Note{Event: EventWorkerAnswers, Worker: w.ID, Detail: fmt.Sprintf("born=%d", answer.Born)})
 	}
-
 	if !w.ever {
 		// An earlier planner may have given it a lease until then.
 		w.deadlineMS = max(w.deadlineMS, answer.ClockMS+c.bounds.Lease.Milliseconds())
@@ -120,6 +119,7 @@
 }
 
 func (c *Core) seenRunning(l *live, row RunningRow, now time.Time) {
+	l.life = l.worker.number
 	if !l.confirmed {
 		l.confirmed = true
 		if l.orderedAt.IsZero() {
@@ -178,15 +178,15 @@
 			continue
 		}
 		switch {
-		case !l.ordered && !c.inBatch(l):
-			c.note(Note{Event: EventRunNeverBegan, Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run})
-			l.unbegun = true
-			c.ended(l, EndLapsed, "")
 		case l.life != 0 && l.life != w.number:
 			// Lost with the life before; it stays in its place until no order can begin it.
 			if l.token < token {
 				c.ended(l, EndLapsed, "")
 			}
+		case !l.ordered && !c.inBatch(l):
+			c.note(Note{Event: EventRunNeverBegan, Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run})
+			l.unbegun = true
+			c.ended(l, EndLapsed, "")
 		case (l.answered && l.answeredAt.Before(sent)) || (l.confirmed && l.token < token):
 			c.note(Note{Event: EventRunVanished, Job: id.Job, Task: id.String(), Worker: w.ID, Run: l.run, Detail: fmt.Sprintf("seen=%d cursor=%d", w.seen, w.cursor)})
 			c.ended(l, EndLapsed, "")
--- a/workload/control/lives.go
+++ b/workload/control/lives.go
@@ -77,10 +77,16 @@
 
 // doubted notes that the list shows another life than the one that has answered. The entry
 // may be older than what is known, so that it only asks for a hold, which tells.
-func (w *worker) doubted(l Listing, now time.Time) {
+func (c *Core) doubted(w *worker, l Listing, now time.Time) {
 	if l.Born == w.Listing.Born {
 		return
 	}
+	if w.gone {
+		// Its address was another's for a while; all that ran there is settled.
+		w.gone = false
+		w.life = newLife(w.number+1, 0)
+		c.raise(w)
+	}
 	// A life that said that it leaves and one that begins: that was no crash.
 	w.left = w.Draining && !l.Draining
 	if w.ever && l.Born != 0 && l.Born != w.born {
--- a/workload/control/lives_settled_test.go
+++ b/workload/control/lives_settled_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
 )
 
 // answerAs answers the next hold of a worker as a life of it, with nothing running there.
@@ -64,3 +66,49 @@
 		t.Fatalf("%d runs are not settled", len(s.c.live))
 	}
 }
+
+// A worker whose address was another's for a while is used again once it is listed with
+// another birth.
+func TestAWorkerThatWasGoneComesBackAsAnotherLife(t *testing.T) {
+	s := newCutOffScene(false)
+	entry := Listing{ID: "w0", Address: "0", Rack: "r", Capacity: workload.Resources{Accelerators: 8}, ClockMS: 1, Born: 7}
+	s.c.List([]Listing{entry}, s.now)
+	s.c.Held(HoldOrder{Worker: "w0", Token: 1, Address: "0"}, HoldAnswer{Verdict: Gone}, s.now, s.now)
+	if n := len(s.round()); n != 0 {
+		t.Fatalf("%d tasks begin on a worker that is gone", n)
+	}
+	entry.Born = 8
+	s.c.List([]Listing{entry}, s.now)
+	s.answerAs(t, "w0", 8, 10)
+	if n := len(s.round()); n != 2 {
+		t.Fatalf("%d tasks begin on its next life", n)
+	}
+}
+
+// A refusal from an address that a worker has left says nothing of it.
+func TestAnAnswerFromAnAddressThatAWorkerHasLeftEndsNoLife(t *testing.T) {
+	s := newCutOffScene(false)
+	s.round()
+	s.c.Held(HoldOrder{Worker: "w0", Token: 1, Address: "elsewhere"}, HoldAnswer{Verdict: Gone}, s.now, s.now)
+	if len(s.c.live) != 2 || s.c.workers["w0"].gone {
+		t.Fatalf("%d runs are left", len(s.c.live))
+	}
+}
+
+// Runs that a planner took over and has seen at work are lost with their worker's life, and its
+// crash counts, as for those that it ordered itself.
+func TestRunsThatWereTakenOverAreLostWithTheirWorkersLife(t *testing.T) {
+	s := newCutOffScene(false)
+	s.c.workers["w0"].born = 7
+	s.round()
+	for _, l := range s.c.live {
+		l.ordered, l.life, l.token = false, 0, 0
+	}
+	s.hold("w0", []RunningRow{{Task: s.first(0), Run: 1, Percent: 1}, {Task: s.first(1), Run: 1, Percent: 1}}, nil)
+	s.answerAs(t, "w0", 8, 10)
+	for i := range 2 {
+		if task := s.c.jobs[s.id].progress.Find(s.first(i)); task.Phase != workload.Waiting || task.Crashes != 1 {
+			t.Fatalf("%+v", task)
+		}
+	}
+}
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -99,7 +99,7 @@
 		c.note(Note{Event: EventWorkerUnreadable, Worker: l.ID})
 	}
 	resized := w.Capacity != l.Capacity && w.Address != ""
-	w.doubted(l, now)
+	c.doubted(w, l, now)
 	w.leaving(l, now)
 	w.warming(l, now)
 	w.Listing = l
