Tests: mutants of lives are caught

Cause: nothing held that births and clocks, raised tokens and cursors sent once are each needed. Change: tests and worlds only. Conclusion: each mechanism is needed.

--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -25,6 +25,29 @@
 	deaf bool
 	// forgetful: crashes are counted in the planner's memory alone.
 	forgetful bool
+	// nameless: lives are known by their ids alone, neither by birth nor by clock.
+	nameless bool
+	// unraised: silences don't raise tokens.
+	unraised bool
+	// cursors: each hold to a worker carries the highest cursor that ever went there.
+	cursors bool
+}
+
+// token is the one that an order carries.
+func (m mutant) token(token int64) int64 {
+	if m.unraised {
+		return control.Claim(token) << 20
+	}
+	return token
+}
+
+// life is what a hold's answer tells of the life that gives it.
+func (m mutant) life(a control.HoldAnswer, now time.Time) control.HoldAnswer {
+	if m.nameless {
+		a.Born = 0
+		a.ClockMS = now.UnixMilli()
+	}
+	return a
 }
 
 func (m mutant) silence(verdict, otherwise control.Verdict) control.Verdict {
@@ -81,3 +104,29 @@
 	}
 	t.Fatalf("not caught in %d worlds", mutantWorlds)
 }
+
+func TestMutantsOfLivesAreCaught(t *testing.T) {
+	for name, m := range map[string]mutant{
+		"lives known by their ids":  {nameless: true},
+		"silences raise no token":   {unraised: true},
+		"cursors of a life before":  {cursors: true},
+		"silence taken for answers": {deaf: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range mutantWorlds {
+				sound, w := newRestartWorld(int64(seed), true), newRestartWorld(int64(seed), true)
+				w.mutant = m
+				w.playAll(nil)
+				if len(w.problems) == 0 {
+					continue
+				}
+				// Some of these worlds break without the mutant.
+				if sound.playAll(nil); len(sound.problems) == 0 {
+					t.Logf("caught at seed %d: %s", seed, w.problems[0])
+					return
+				}
+			}
+			t.Fatalf("not caught in %d worlds", mutantWorlds)
+		})
+	}
+}
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -70,6 +70,8 @@
 	shownBorn map[string]int64
 	// unsettled are the runs that a planner told of as ones that nothing settles.
 	unsettled []string
+	// cursors are the highest that went to each worker, for a mutant.
+	cursors map[string]int64
 	// waits tells that holds wait for news.
 	waits bool
 	// writeMost is the longest that the log takes to answer a planner; 0 is at once.
@@ -110,7 +112,7 @@
 		cancels: map[workload.JobID]time.Time{}, cut: map[string]time.Time{},
 		running: map[workload.TaskID]map[string]int64{}, ended: map[workload.TaskID]int64{},
 		notedEnd: map[workload.TaskID]bool{}, fails: map[workload.TaskID]int{}, again: map[runOf]bool{}, void: map[runOf]bool{}, late: map[string]bool{},
-		restarts: map[string]time.Time{}, shownBorn: map[string]int64{},
+		restarts: map[string]time.Time{}, shownBorn: map[string]int64{}, cursors: map[string]int64{},
 	}
 	w.fleet = &workertest.Fleet{Limits: worldLimits, Step: w.step, Work: w.work, Seen: w.see, Crashed: w.crashed}
 	for i := range 6 {
@@ -398,6 +400,7 @@
 func (w *world) sendStart(s *seat, o control.StartOrder) {
 	sent := w.now
 	s.ordered = o.Token
+	o.Token = w.mutant.token(o.Token)
 	o.DeadlineMS += w.mutant.longer.Milliseconds()
 	w.send(o.Worker, s, func(target *workertest.Worker) func() {
 		w.late[o.Worker+o.Task.String()] = w.now.Sub(sent) > time.Second
@@ -432,9 +435,14 @@
 	if o.DeadlineMS > 0 {
 		o.DeadlineMS += w.mutant.longer.Milliseconds()
 	}
+	o.Token = w.mutant.token(o.Token)
 	if w.mutant.earlyAck {
 		o.Cursor = 1 << 40
 	}
+	if w.mutant.cursors {
+		w.cursors[o.Worker] = max(w.cursors[o.Worker], o.Cursor)
+		o.Cursor = w.cursors[o.Worker]
+	}
 	w.send(o.Worker, s, func(target *workertest.Worker) func() {
 		if w.waits && o.Wait > 0 && len(target.Ended()) == 0 {
 			target.Keep(o, w.now)
@@ -445,7 +453,7 @@
 		if w.trace != nil {
 			w.trace("worker hold %s deadline %d clock %d void %d cursor %d token %d", o.Worker, o.DeadlineMS, target.ClockMS(w.now), target.Void(), o.Cursor, o.Token)
 		}
-		a := target.Hold(o, w.now)
+		a := w.mutant.life(target.Hold(o, w.now), w.now)
 		w.noteEnds(target, before, o.Cursor)
 		return func() { s.core.Held(o, a, sent, w.now) }
 	}, func(v control.Verdict) { s.core.Held(o, control.HoldAnswer{Verdict: v}, sent, w.now) })
