--- a/workload/control/outage_days_test.go
+++ b/workload/control/outage_days_test.go
@@ -69,15 +69,18 @@
 
 func TestNothingWaitsForEverAfterOutages(t *testing.T) {
 	for seed := range int64(4) {
-		s := playOutageDay(t, seed, 110*time.Second)
-		if len(s.problems) > 0 {
-			t.Errorf("seed %d: %v", seed, s.problems)
-		}
-		if len(s.unsettled) > 0 {
-			t.Errorf("seed %d: nothing settles %v", seed, s.unsettled)
-		}
-		if open := s.open(); len(open) > 0 {
-			t.Errorf("seed %d: jobs have not ended 38 s after the last outage: %v", seed, open)
-		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := playOutageDay(t, seed, 110*time.Second)
+			if len(s.problems) > 0 {
+				t.Error(s.problems)
+			}
+			if len(s.unsettled) > 0 {
+				t.Errorf("nothing settles %v", s.unsettled)
+			}
+			if open := s.open(); len(open) > 0 {
+				t.Errorf("jobs have not ended 38 s after the last outage: %v", open)
+			}
+		})
 	}
 }
--- a/workload/control/restarts_test.go
+++ b/workload/control/restarts_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
+	"slices"
 	"sort"
+	"sync"
 	"testing"
 	"time"
 
@@ -106,17 +109,25 @@
 // worldLasts is about how long a world has faults.
 const worldLasts = steps * 35 * time.Millisecond
 
-// brokenWorlds plays worlds, and returns what broke in those that did.
-func brokenWorlds(worlds int, make func(seed int64) *world) []string {
-	var broken []string
+// brokenWorlds plays worlds, as many at once as there are processors, and returns what broke
+// in those that did, by seed.
+func brokenWorlds(worlds int, begin func(seed int64) *world) []string {
+	first := make([]string, worlds)
+	var group sync.WaitGroup
+	turns := make(chan bool, runtime.GOMAXPROCS(0))
 	for seed := range worlds {
-		w := make(int64(seed))
-		w.playAll(nil)
-		if len(w.problems) > 0 {
-			broken = append(broken, fmt.Sprintf("seed %d: %s", seed, w.problems[0]))
-		}
+		turns <- true
+		group.Go(func() {
+			defer func() { <-turns }()
+			w := begin(int64(seed))
+			w.playAll(nil)
+			if len(w.problems) > 0 {
+				first[seed] = fmt.Sprintf("seed %d: %s", seed, w.problems[0])
+			}
+		})
 	}
-	return broken
+	group.Wait()
+	return slices.DeleteFunc(first, func(problem string) bool { return problem == "" })
 }
 
 // Random worlds in which workers start again under their ids, with no other trouble and beside
--- a/workload/control/together_test.go
+++ b/workload/control/together_test.go
@@ -49,6 +49,7 @@
 	for _, takes := range []time.Duration{400 * time.Millisecond, 2500 * time.Millisecond, 9 * time.Second} {
 		for _, sameID := range []bool{true, false} {
 			t.Run(fmt.Sprintf("runs of %v, same id %t", takes, sameID), func(t *testing.T) {
+				t.Parallel()
 				s := newFullScene(takes)
 				s.crashing(nil, 800*time.Millisecond)
 				jobs := s.playOutages(takes, 0.4, 4, func(id string) {
@@ -74,6 +75,7 @@
 func TestTasksThatCrashWorkersAreBoundedBesideOutages(t *testing.T) {
 	for _, after := range crashAfters {
 		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
 			const takes = 2500 * time.Millisecond
 			s := newFullScene(takes)
 			guilty := map[workload.JobID]time.Duration{}
