The time of a run that was taken over is not counted from when it was seen first

Callers saw: a task that crashes its workers started three times more after three crashes (BUDGET), one more worker lost with all that ran there, where planners follow one another.

Cause: a planner that takes a run over counts its time from when it saw it first, so that the record said 183 ms where the run had been at work for 1.52 s. A task is cleared by work for twice as long as it ever was when a worker crashed: the next run cleared it after 0.4 s, and its crash counted as the first. Evidence: lasted_ms and crashes in the log of the world.

Change: only the planner that ordered a run knows how long it was at work; else the expected time stands in. The same fault elsewhere: estimates learnt from such runs (2 s -> 1.81 s after one).

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -59,9 +59,10 @@
 }
 
 // lasted is how long a run was at work at the most when its worker fell silent; ok is
-// false where this planner does not know when it began.
+// false where this planner does not know when it began. Of one that an earlier planner ordered
+// it knows only when it saw it first.
 func (l *live) lasted(now time.Time) (took time.Duration, ok bool) {
-	if l.orderedAt.IsZero() {
+	if l.orderedAt.IsZero() || !l.ordered {
 		return 0, false
 	}
 	until := now
--- a/workload/control/crashes_test.go
+++ b/workload/control/crashes_test.go
@@ -137,3 +137,9 @@
 func TestGangsThatCrashTheirWorkersAreBounded(t *testing.T) {
 	crashWorlds(t, []int64{2666, 5958})
 }
+
+// Guards against a task that crashes its workers being cleared since the time of a run that an
+// earlier planner had ordered was counted from when it was taken over.
+func TestRunsThatWereTakenOverClearNoTaskTooEarly(t *testing.T) {
+	crashWorlds(t, []int64{2462, 2657})
+}
--- a/workload/control/trust.go
+++ b/workload/control/trust.go
@@ -72,7 +72,7 @@
 	switch how {
 	case EndDone:
 		w.trust.succeed()
-		if !c.bounds.Without[decide.LearnEstimates] && l.confirmed && l.saved == "" && !l.far && !l.slow && !l.orderedAt.IsZero() {
+		if !c.bounds.Without[decide.LearnEstimates] && l.confirmed && l.ordered && l.saved == "" && !l.far && !l.slow && !l.orderedAt.IsZero() {
 			c.pace.observe(l.job.Queue, time.Duration(l.step.EstimateMS)*time.Millisecond, now.Sub(l.orderedAt))
 		}
 	case EndFailed:
