--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -31,8 +31,9 @@
 	nameless bool
 	// unraised: silences don't raise tokens.
 	unraised bool
-	// unbound: a start reaches whoever is there when it arrives.
-	unbound bool
+	// unboundStarts: a start reaches whoever is there when it arrives; unboundCursors: so does a
+	// hold that lets ends be forgotten.
+	unboundStarts, unboundCursors bool
 	// cursors: each hold to a worker carries the highest cursor that ever went there.
 	cursors bool
 }
@@ -87,7 +88,7 @@
 }
 
 // crashFields are what a record of progress has of crashes.
-var crashFields = regexp.MustCompile(`,?"[cmu]":[0-9]+`)
+var crashFields = regexp.MustCompile(`,?"[cmuo]":[0-9]+`)
 
 func (m mutant) record(value []byte) []byte {
 	if m.forgetful {
@@ -111,11 +112,13 @@
 
 func TestMutantsOfLivesAreCaught(t *testing.T) {
 	for name, m := range map[string]mutant{
-		"lives known by their ids":  {nameless: true},
-		"silences raise no token":   {unraised: true, unbound: true},
-		"cursors of a life before":  {cursors: true},
-		"silence taken for answers": {deaf: true},
-		"starts reach any life":     {unbound: true},
+		"lives known by their ids":          {nameless: true},
+		"silences raise no token":           {unraised: true, unboundStarts: true, unboundCursors: true},
+		"cursors of a life before":          {cursors: true},
+		"silence taken for answers":         {deaf: true},
+		"starts and cursors reach any life": {unboundStarts: true, unboundCursors: true},
+		"starts reach any life":             {unboundStarts: true},
+		"cursors reach any life":            {unboundCursors: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range mutantWorlds {
--- a/workload/control/world_lines_test.go
+++ b/workload/control/world_lines_test.go
@@ -39,9 +39,6 @@
 // lineTo finds the life that an order to a recipient reaches, if any; one that is dead, or cut
 // off, is found out as such on the way.
 func (w *world) lineTo(s *seat, worker string, to control.Recipient) (life *workertest.Worker, reached bool) {
-	if w.mutant.unbound {
-		return nil, true
-	}
 	if kept, ok := s.lines.kept[worker]; ok && kept.number <= to.Connections {
 		return kept.life, true
 	}
--- a/workload/control/world_orders_test.go
+++ b/workload/control/world_orders_test.go
@@ -87,7 +87,11 @@
 		})
 		return
 	}
-	life, reached := w.lineTo(s, o.Worker, o.To)
+	var life *workertest.Worker
+	reached := true
+	if !w.mutant.unboundStarts {
+		life, reached = w.lineTo(s, o.Worker, o.To)
+	}
 	if !reached {
 		w.later(lineBreaks, func() { w.deliver(s, func() { s.core.Started(o, control.Answer{Verdict: control.Unreached}, w.now) }) })
 		return
@@ -134,7 +138,7 @@
 		o.Cursor = w.cursors[o.Worker]
 	}
 	var life *workertest.Worker
-	if o.Cursor > 0 && !w.mutant.cursors && !w.mutant.earlyAck {
+	if o.Cursor > 0 && !w.mutant.cursors && !w.mutant.earlyAck && !w.mutant.unboundCursors {
 		reached := true
 		if life, reached = w.lineTo(s, o.Worker, o.To); !reached {
 			w.later(lineBreaks, func() {
