Jobs that crash nothing are not given up where the pool is lost again and again

Callers saw jobs end as failed (crashes-workers) although their tasks crash nothing, where a part of all workers crashed at once several times within seconds.

Cause, from the log of a cell: a crash is counted before the workers that crashed with it are noticed (excluded=0 at 2.52 s, 2 at 3.68 s); lost work is started into the same outage again (four of five runs of a task lost within 0.5 s); and a crash of an outage is taken off a task once.

Change: a crash with those of an eighth of all workers, six at least, is no evidence against its tasks, weighed again in each round; a task under two crashes starts again only after 4 s (8 s after three) without an outage, counted from the planner's beginning too; entries of workers known to have crashed don't raise the threshold.

Why it works: a task that crashes nothing meets two outages before it waits, and then runs in a calm pool; one that crashes its workers stands alone there.

Runs that have only just begun are no exception any more.

TestAVerdictClearsWhatWasBeside asks for the crashes that point at a task where it asked for all: a verdict leaves none that does, as before. The record has the number of excluded crashes (o) in place of a flag (e), which older records have and newer planners pass over. The same fault in the first interface is listed as open.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -65,16 +65,16 @@
 	hosts    map[string]HostListing
 	hostsAt  time.Time
 	vacating map[string]bool
-	// shaky is when a worker last crashed at each address.
-	shaky map[string]time.Time
+	// unstable is when a worker last crashed at each address.
+	unstable map[string]time.Time
 	// suspects tells that some job is suspected.
 	suspects bool
-	// counted are the crashes that lately counted against tasks.
-	counted []crash
-	// listed is how many workers the list has.
-	listed     int
-	ordered    []DutyOrder
-	dutiesFrom time.Time
+	crashes  crashHistory
+	// listed is how many workers the list has, alive how many of them are not known to have
+	// crashed.
+	listed, alive int
+	ordered       []DutyOrder
+	dutiesFrom    time.Time
 	// began is when this planner began.
 	began time.Time
 	// loadAt is when the pool's load was last noted.
@@ -190,7 +190,8 @@
 		advice:         map[decide.UnitKey]*advice{},
 		waves:          map[int64]*wave{},
 		vacating:       map[string]bool{},
-		shaky:          map[string]time.Time{},
+		unstable:       map[string]time.Time{},
+		crashes:        newCrashHistory(),
 		dutiesFrom:     now.Add(bounds.DutyLease),
 		began:          now,
 		dirty:          map[workload.JobID]bool{},
--- a/workload/control/crash_evidence_test.go
+++ b/workload/control/crash_evidence_test.go
@@ -106,9 +106,9 @@
 	if task.Crashes != 1 {
 		t.Fatalf("%d crashes are counted", task.Crashes)
 	}
-	s.c.explainCrashes(s.id)
-	if task.Crashes != 0 {
-		t.Errorf("%d crashes are left although another job was given up for them", task.Crashes)
+	s.c.excludeCrashesOf(s.id)
+	if task.Evidence() != 0 {
+		t.Errorf("%d crashes are left although another job was given up for them", task.Evidence())
 	}
 }
 
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -17,24 +17,24 @@
 const (
 	// crashesAlone is from how many crashes on a task runs alone.
 	crashesAlone = 2
-	// crashesMost is how many give a task up at once where nothing else explains them: each
-	// came soon after its start, the last with nothing else beside it that had just begun.
-	// With two, innocent jobs are given up where workers go down and up by turns. Otherwise they leave it one
-	// more run, and it is given up if that ends without clearing it. An innocent task is under so many only
-	// where it meets one sick worker after the other. One that crashes workers stays below
-	// the three starts that may follow the third crash, also where a planner has died before
-	// it had counted one; and a gang's member does, whose next runs end with the crashes of
-	// other members.
+	// crashesMost is how many crashes that point at a task give it up at once where each came
+	// soon after its start, the last with nothing else beside it that had just begun. So many
+	// of any kind leave it one more run, and it is given up if that ends without a reset: a
+	// task may crash its workers in the moments of outages, and a gang's member is stopped by
+	// the crashes of others. An innocent task is under so many only where it meets one sick
+	// worker after the other, or is started into one outage after the other.
 	crashesMost = 3
+	// excludedMost is how many excluded crashes leave a task another run.
+	excludedMost = 1
 	// crashNoticed is what noticing a crash takes: the pause between holds, and a call that
 	// is refused.
 	crashNoticed = 200 * time.Millisecond
 	// soonShare is the part of its expected time that a run has been at work at the most
 	// when a crash counts as soon after its start. One of itself falls there one time in ten.
 	soonShare = 10
-	// shakyLeases is for how many leases an address at which a worker has crashed is no
+	// unstableLeases is for how many leases an address at which a worker has crashed is no
 	// place for a task under which another has.
-	shakyLeases = 4
+	unstableLeases = 4
 )
 
 // What proves that a life of a worker is over.
@@ -83,7 +83,7 @@
 // keep others off its worker.
 func (c *Core) outlived(l *live, now time.Time) bool {
 	took, known := l.lasted(now)
-	return known && l.confirmed && took > c.shakyFor()
+	return known && l.confirmed && took > c.unstableFor()
 }
 
 // soon is how long after its start a crash still points at a run.
@@ -109,49 +109,56 @@
 		l.workMS = clockMS
 	}
 	if t := c.task(l); t != nil && !l.over && l.workMS != 0 && time.Duration(clockMS-l.workMS)*time.Millisecond > c.steady(l, t) {
-		c.clear(l, t)
+		c.reset(l, t)
 	}
 }
 
-// clear forgets the crashes under a task whose run its worker has outlived.
-func (c *Core) clear(l *live, t *workload.Task) {
-	if !suspect(t) || t.Run != l.run {
+// reset forgets the crashes under a task whose run its worker has outlived.
+func (c *Core) reset(l *live, t *workload.Task) {
+	if t.Crashes == 0 || t.Run != l.run {
 		return
 	}
-	t.Crashes, t.CrashMS, t.CrashRun, t.Excused = 0, 0, 0, false
-	c.forgive(l.id)
+	t.ResetCrashes()
+	c.crashes.drop(l.id)
 	c.change(l.job)
 }
 
-// blame counts a worker's crash against the tasks that it has ended, and returns the runs
+// countCrash counts a worker's crash under the tasks that it has ended, and returns the runs
 // whose tasks are given up for it.
-func (c *Core) blame(w *worker, lost []*live, why string, now time.Time) []*live {
+func (c *Core) countCrash(w *worker, lost []*live, why string, now time.Time) []*live {
 	if !c.crashed(w, why) {
 		return nil
 	}
-	var convicted []*live
-	counted := c.crashOf(w, lost, now)
+	one := crash{at: now, noticed: now}
+	if !w.met && !w.silent.IsZero() {
+		one.at = w.silent
+	}
+	var jobs []workload.JobID
+	var givenUp []*live
 	for _, l := range lost {
+		jobs = append(jobs, l.id.Job)
 		t := c.task(l)
 		if t == nil || l.over || t.Run != l.run || l.cameTooLate() {
 			continue
 		}
 		if c.outlived(l, now) {
-			c.clear(l, t)
-			continue
-		}
-		if !slices.Contains(counted.young, l.id) && c.together(counted, l.id.Job) && c.excuseTask(l.id) {
+			c.reset(l, t)
 			continue
 		}
 		c.count(l, t, now)
-		counted.tasks = append(counted.tasks, l.id)
-		if t.Crashes > crashesMost || (why != whyLeaseOver && c.sure(l, t, lost, now)) {
-			convicted = append(convicted, l)
+		if c.inOutage(one.at, l.id.Job) {
+			c.exclude(l.id)
+		} else {
+			one.tasks = append(one.tasks, l.id)
+		}
+		if bounded(t) > crashesMost || (why != whyLeaseOver && c.sure(l, t, lost, now)) {
+			givenUp = append(givenUp, l)
 		}
 	}
-	c.remember(counted)
-	c.shake(w, now)
-	return convicted
+	c.crashes.expire(now.Add(-c.unstableFor()))
+	c.crashes.add(one, slices.Compact(jobs))
+	c.noteUnstable(w, now)
+	return givenUp
 }
 
 func (c *Core) count(l *live, t *workload.Task, now time.Time) {
@@ -162,21 +169,24 @@
 	t.Crashes++
 	t.CrashRun = l.run
 	l.job.crashedAt, l.job.suspected = now, true
-	t.CrashMS = max(t.CrashMS, min(took, c.shakyFor()).Milliseconds(), 1)
+	t.CrashMS = max(t.CrashMS, min(took, c.unstableFor()).Milliseconds(), 1)
 	c.change(l.job)
 }
 
+// bounded is the number of crashes under a task that counts against the bound on its starts.
+func bounded(t *workload.Task) int { return t.Crashes - min(t.Excluded, excludedMost) }
+
 // spent tells whether a task has had the one run that it is left after the most crashes. A
 // run that never began, or that was stopped for others, has shown nothing.
 func (l *live) spent(t *workload.Task) bool {
-	return t.Crashes >= crashesMost && l.run > t.CrashRun && !l.unbegun && !l.ceded
+	return bounded(t) >= crashesMost && l.run > t.CrashRun && !l.unbegun && !l.ceded
 }
 
-// sure tells whether a crash convicts a run at once: all came so soon, and the last, at a place
+// sure tells whether a crash gives a run's task up at once: all came so soon, and the last, at a place
 // that is sound, points at it.
 func (c *Core) sure(l *live, t *workload.Task, lost []*live, now time.Time) bool {
 	soon := time.Duration(t.CrashMS)*time.Millisecond <= c.soon(l)
-	return t.Crashes >= crashesMost && soon && !c.isShaky(l.worker, now) && c.pointsAt(l, lost, now)
+	return t.Evidence() >= crashesMost && soon && !c.isUnstable(l.worker, now) && c.pointsAt(l, lost, now)
 }
 
 // pointsAt tells whether a crash points at a run: it is known to have begun, the crash came
@@ -193,36 +203,36 @@
 	return true
 }
 
-// shake notes that a worker has crashed at its address.
-func (c *Core) shake(w *worker, now time.Time) {
-	for address, at := range c.shaky {
-		if now.Sub(at) > c.shakyFor() {
-			delete(c.shaky, address)
+// noteUnstable notes that a worker has crashed at its address.
+func (c *Core) noteUnstable(w *worker, now time.Time) {
+	for address, at := range c.unstable {
+		if now.Sub(at) > c.unstableFor() {
+			delete(c.unstable, address)
 		}
 	}
 	if w.Address != "" {
-		c.shaky[w.Address] = now
+		c.unstable[w.Address] = now
 	}
 }
 
-func (c *Core) shakyFor() time.Duration { return shakyLeases * c.bounds.Lease }
+func (c *Core) unstableFor() time.Duration { return unstableLeases * c.bounds.Lease }
 
-func (c *Core) isShaky(w *worker, now time.Time) bool {
-	at, ok := c.shaky[w.Address]
-	return ok && now.Sub(at) <= c.shakyFor()
+func (c *Core) isUnstable(w *worker, now time.Time) bool {
+	at, ok := c.unstable[w.Address]
+	return ok && now.Sub(at) <= c.unstableFor()
 }
 
 // release takes all tasks of a worker as ended without an outcome.
 func (c *Core) release(w *worker, why string, now time.Time) {
 	lost := w.sortedTasks()
-	convicted := c.blame(w, lost, why, now)
+	givenUp := c.countCrash(w, lost, why, now)
 	for _, l := range lost {
 		c.noteLost(l, why, len(lost)-1, now)
 	}
 	for _, l := range lost {
 		c.ended(l, EndLapsed, "")
 	}
-	for _, l := range convicted {
+	for _, l := range givenUp {
 		c.giveUp(l)
 	}
 	w.strange = map[workload.TaskID]int64{}
@@ -234,7 +244,7 @@
 		detail += fmt.Sprintf(" lasted_ms=%d", took.Milliseconds())
 	}
 	if t := c.task(l); t != nil && t.Crashes > 0 {
-		detail += fmt.Sprintf(" crashes=%d", t.Crashes)
+		detail += fmt.Sprintf(" crashes=%d excluded=%d", t.Crashes, t.Excluded)
 	}
 	c.note(Note{Event: EventRunLost, Job: l.id.Job, Task: l.id.String(), Worker: l.worker.ID, Run: l.run, Why: why, Detail: detail})
 }
--- a/workload/control/crashes_test.go
+++ b/workload/control/crashes_test.go
@@ -143,3 +143,9 @@
 func TestRunsThatWereTakenOverClearNoTaskTooEarly(t *testing.T) {
 	crashWorlds(t, []int64{2462, 2657})
 }
+
+// Guards against tasks that crash workers of a small pool being started beyond their bound since
+// the crashes of other jobs' tasks are taken for an outage.
+func TestTasksThatCrashASmallPoolTogetherAreBounded(t *testing.T) {
+	crashWorlds(t, []int64{173, 180, 2201, 284, 700, 1815, 2730, 3664})
+}
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -36,7 +36,7 @@
 	EventProgressUnwritable = "progress-unwritable"
 	// EventRunEnded: a worker listed the end of a run; why is how it ended.
 	EventRunEnded = "run-ended"
-	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it, detail how many others were lost with it, how long it had been at work at the most, and how many workers have crashed under its task.
+	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it, detail how many others were lost with it, how long it had been at work at the most, how many workers have crashed under its task, and how many of these are no evidence against it.
 	EventRunLost = "run-lost"
 	// EventRunNeverBegan: a run that an earlier planner ordered is not on its worker, which has seen this planner's token.
 	EventRunNeverBegan = "run-never-began"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -287,7 +287,7 @@
 		c.breakGang(l, how, t.Saved)
 	}
 	if took, known := l.lasted(c.at); how == EndFailed && known && took > c.steady(l, t) {
-		c.clear(l, t)
+		c.reset(l, t)
 	}
 	if how == EndFailed && !l.step.Perpetual {
 		c.fail(l)
--- a/workload/control/lives.go
+++ b/workload/control/lives.go
@@ -130,7 +130,7 @@
 		}
 	}
 	c.note(Note{Event: EventWorkerRestarted, Worker: w.ID, Detail: fmt.Sprintf("born=%d before=%d seen=%d told=%d lost=%d", answer.Born, w.born, w.seen, w.told, len(lost))})
-	convicted := c.blame(w, lost, whyRestarted, now)
+	givenUp := c.countCrash(w, lost, whyRestarted, now)
 	for _, l := range lost {
 		c.noteLost(l, whyRestarted, len(lost)-1, now)
 	}
@@ -142,7 +142,7 @@
 		c.raise(w)
 		w.holdAt = now
 	}
-	for _, l := range convicted {
+	for _, l := range givenUp {
 		c.giveUp(l)
 	}
 }
--- a/workload/control/outages.go
+++ b/workload/control/outages.go
@@ -5,94 +5,196 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
-// Workers that crash in one moment have one cause: a rack, a link or a power feed. No task can
-// have ended the lives of workers that never ran it, so that such crashes say nothing of the
-// tasks that were there, but for those that had only just begun. Without this innocent jobs
-// are given up where many workers crash at once, several times.
+// Workers that crash together have one cause: a rack, a link or a power feed. No task can have
+// ended the lives of workers that never ran it, so such a crash is no evidence against the tasks
+// that were there. Idle workers are noticed later than busy ones, so evidence is weighed again
+// in each round until all of an outage has been noticed.
 
 const (
-	// outageLeast is how many workers that never ran a job's tasks crash in the moment in which
-	// one that does crashes, for the crash not to count, and outageShare the part of all that
-	// they are: several jobs that crash their workers may start in one moment. A smaller part
-	// than an eighth does not meet one task three times but once in 500.
-	outageLeast = 3
-	outageShare = 8
+	// outageShare is the part of all workers that crash together in an outage. Fewer than
+	// outageLeast, all without a job, are no proof of one: several jobs that crash their workers
+	// may start in one moment. Fewer than unsettledLeast don't make a task wait either.
+	outageShare    = 8
+	outageLeast    = 6
+	unsettledLeast = 3
+	// outageWaits is how many waits of a hold apart the crashes of one outage are noticed at the
+	// most.
+	outageWaits = 2
+	// calmWaits is for how many waits of a hold a pool has to be without an outage before it
+	// tells anything of a task: longer than noticing one takes.
+	calmWaits = 4
 )
 
-// crash is a worker's, with what was there.
+// crash is a worker's, with the tasks that it is evidence against.
 type crash struct {
 	// at is when the worker fell silent, noticed when its life was known to be over.
 	at, noticed time.Time
-	jobs        []workload.JobID
-	// tasks are those that it counts against, young those that had only just begun.
-	tasks, young []workload.TaskID
+	tasks       []workload.TaskID
 }
 
-// crashOf describes a worker's crash before anything is counted.
-func (c *Core) crashOf(w *worker, lost []*live, now time.Time) crash {
-	one := crash{at: now, noticed: now}
-	if !w.met && !w.silent.IsZero() {
-		one.at = w.silent
+// crashHistory holds the crashes of the last leases.
+type crashHistory struct {
+	// crashes are in the order in which they were noticed, silences sorted, and of each job
+	// those of the workers that it had runs on.
+	crashes  []crash
+	silences []time.Time
+	ofJob    map[workload.JobID][]crash
+	// changed tells that crashes were added since they were last weighed.
+	changed bool
+}
+
+func newCrashHistory() crashHistory { return crashHistory{ofJob: map[workload.JobID][]crash{}} }
+
+// add notes a crash of a worker that had runs of these jobs.
+func (h *crashHistory) add(one crash, jobs []workload.JobID) {
+	h.crashes = append(h.crashes, one)
+	at, _ := slices.BinarySearchFunc(h.silences, one.at, time.Time.Compare)
+	h.silences = slices.Insert(h.silences, at, one.at)
+	for _, job := range jobs {
+		h.ofJob[job] = append(h.ofJob[job], crash{at: one.at, noticed: one.noticed})
 	}
-	for _, l := range lost {
-		one.jobs = append(one.jobs, l.id.Job)
-		if took, known := l.lasted(now); !known || took <= c.soon(l) {
-			one.young = append(one.young, l.id)
+	h.changed = true
+}
+
+// expire forgets what was noticed before a time.
+func (h *crashHistory) expire(before time.Time) {
+	if len(h.crashes) == 0 || !h.crashes[0].noticed.Before(before) {
+		return
+	}
+	old := func(one crash) bool { return one.noticed.Before(before) }
+	h.crashes = slices.DeleteFunc(h.crashes, old)
+	h.silences = h.silences[:0]
+	for _, one := range h.crashes {
+		h.silences = append(h.silences, one.at)
+	}
+	slices.SortFunc(h.silences, time.Time.Compare)
+	for job, crashes := range h.ofJob {
+		if crashes = slices.DeleteFunc(crashes, old); len(crashes) == 0 {
+			delete(h.ofJob, job)
+			continue
 		}
+		h.ofJob[job] = crashes
 	}
-	return one
 }
 
-// moment is how far apart the silences of workers that were lost together are noticed: each
-// is by a hold that waits.
-func (c *Core) moment() time.Duration { return c.bounds.Wait }
+// around counts the workers without runs of a job that fell silent within a span of a time.
+func (h *crashHistory) around(at time.Time, job workload.JobID, span time.Duration) int {
+	from, _ := slices.BinarySearchFunc(h.silences, at.Add(-span), time.Time.Compare)
+	to, _ := slices.BinarySearchFunc(h.silences, at.Add(span+1), time.Time.Compare)
+	count := to - from
+	for _, own := range h.ofJob[job] {
+		if own.at.Sub(at).Abs() <= span {
+			count--
+		}
+	}
+	return count
+}
 
-// together tells whether a crash is one of many that a job had no part in.
-func (c *Core) together(one crash, job workload.JobID) bool {
-	others := 0
-	for _, other := range c.counted {
-		if one.at.Sub(other.at).Abs() <= c.moment() && !slices.Contains(other.jobs, job) {
-			others++
+// since counts the workers without runs of a job whose crash was noticed after a time.
+func (h *crashHistory) since(after time.Time, job workload.JobID) int {
+	from, _ := slices.BinarySearchFunc(h.crashes, after, func(one crash, at time.Time) int { return one.noticed.Compare(at) })
+	count := len(h.crashes) - from
+	for _, own := range h.ofJob[job] {
+		if !own.noticed.Before(after) {
+			count--
 		}
 	}
-	return others >= max(outageLeast, c.listed/outageShare)
+	return count
 }
 
-// excuse takes crashes that turn out to be one event off the tasks they were counted against,
-// now that another has come to it.
-func (c *Core) excuse(latest crash) {
-	for i := range c.counted {
-		one := &c.counted[i]
-		if latest.at.Sub(one.at).Abs() > c.moment() {
-			continue
+// drop takes a task whose crashes were reset off all that are held.
+func (h *crashHistory) drop(id workload.TaskID) {
+	for i := range h.crashes {
+		h.crashes[i].tasks = slices.DeleteFunc(h.crashes[i].tasks, func(other workload.TaskID) bool { return other == id })
+	}
+}
+
+// countAlive counts the workers that an outage is held against: entries of those that have
+// crashed stay in the list for some heartbeats.
+func (c *Core) countAlive() {
+	c.alive = c.listed
+	if len(c.crashes.crashes) == 0 {
+		return
+	}
+	for _, w := range c.inOrder {
+		if w.listed && w.gone {
+			c.alive--
 		}
-		kept := one.tasks[:0]
-		for _, id := range one.tasks {
-			if slices.Contains(one.young, id) || !c.together(*one, id.Job) || !c.excuseTask(id) {
-				kept = append(kept, id)
-				continue
+	}
+}
+
+// inOutage tells whether a worker fell silent together with many that never ran a job.
+func (c *Core) inOutage(at time.Time, job workload.JobID) bool {
+	return c.crashes.around(at, job, outageWaits*c.bounds.Wait) >= max(outageLeast, c.alive/outageShare)
+}
+
+// weighCrashes excludes the crashes that turned out to be part of an outage.
+func (c *Core) weighCrashes() {
+	c.countAlive()
+	if !c.crashes.changed {
+		return
+	}
+	c.crashes.changed = false
+	for i := range c.crashes.crashes {
+		one := &c.crashes.crashes[i]
+		one.tasks = slices.DeleteFunc(one.tasks, func(id workload.TaskID) bool {
+			if !c.inOutage(one.at, id.Job) {
+				return false
 			}
-			c.uncount(id)
-		}
-		one.tasks = kept
+			c.exclude(id)
+			return true
+		})
 	}
 }
 
-// excuseTask tells whether a crash may be taken off a task, which it is once until the task is
-// cleared: one that crashes its workers may do so beside others that do, and in the moments of
-// outages, and stays within its bound all the same.
-func (c *Core) excuseTask(id workload.TaskID) bool {
+// exclude takes one of the crashes under a task for no evidence against it.
+func (c *Core) exclude(id workload.TaskID) {
 	j := c.jobs[id.Job]
 	if j == nil {
-		return false
+		return
+	}
+	if t := j.progress.Find(id); t != nil && t.Evidence() > 0 {
+		t.Excluded++
+		c.change(j)
 	}
-	t := j.progress.Find(id)
-	if t == nil || t.Excused {
+}
+
+// poolSettled tells whether the pool has been without an outage for long enough to start a task
+// under which several workers have crashed: while many workers crash, another crash tells nothing
+// of the task and costs it one of its last starts. The more workers have crashed under it the
+// longer it takes. A planner that has just begun does not know what crashed before.
+func (c *Core) poolSettled(j *job, step *workload.Step, t *workload.Task, now time.Time) bool {
+	if t.Crashes < crashesAlone {
+		return true
+	}
+	calm := calmWaits * c.bounds.Wait
+	if t.Crashes > crashesAlone && !step.Perpetual {
+		calm *= 2
+	}
+	if now.Sub(c.began) < calm {
 		return false
 	}
-	t.Excused = true
-	c.change(j)
-	return true
+	return c.crashes.since(now.Add(-calm), j.ID) < max(unsettledLeast, c.alive/outageShare)
+}
+
+// awaitSettled leaves the tasks out of a unit that the pool is no place for yet; a gang waits
+// whole. It returns whether anything is left.
+func (c *Core) awaitSettled(u *decide.Unit, j *job, tasks []workload.Task, now time.Time) bool {
+	if !j.suspected {
+		return true
+	}
+	unsettled := func(i int) bool { return !c.poolSettled(j, u.Step, &tasks[i], now) }
+	switch {
+	case !slices.ContainsFunc(u.Indexes, unsettled):
+		return true
+	case u.Step.Gang:
+		u.Indexes = nil
+	default:
+		u.Indexes = slices.DeleteFunc(u.Indexes, unsettled)
+	}
+	c.noteWait(u.Key, j, decide.PoolUnsettled)
+	return len(u.Indexes) > 0
 }
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -15,6 +15,7 @@
 	c.at = now
 	c.wishes = nil
 	c.expire(now)
+	c.weighCrashes()
 	c.knowSuspects()
 	c.create(wallMS)
 	c.overdue(now)
@@ -222,6 +223,9 @@
 	if len(u.Indexes) == 0 {
 		return decide.Unit{}, false
 	}
+	if !c.awaitSettled(&u, j, o.Steps[step], now) {
+		return decide.Unit{}, false
+	}
 	c.describe(&u, j, o, now, wallMS)
 	return u, true
 }
@@ -334,12 +338,15 @@
 		if u := &s.Waiting[h.Unit]; u.Allowed != nil && len(u.Allowed) == 0 {
 			h.Reason = decide.WaitsForAdvice
 		}
-		key := s.Waiting[h.Unit].Key
-		j := units[h.Unit].job
-		if j.held[key] == h.Reason {
-			continue
-		}
-		j.held[key] = h.Reason
-		c.note(Note{Event: EventUnitWaits, Job: key.Job, Task: workload.TaskID{Job: key.Job, K: key.K, Step: key.Step}.StepName(), Why: string(h.Reason)})
+		c.noteWait(s.Waiting[h.Unit].Key, units[h.Unit].job, h.Reason)
+	}
+}
+
+// noteWait notes why a unit waits, when the reason changes.
+func (c *Core) noteWait(key decide.UnitKey, j *job, why decide.Reason) {
+	if j.held[key] == why {
+		return
 	}
+	j.held[key] = why
+	c.note(Note{Event: EventUnitWaits, Job: key.Job, Task: workload.TaskID{Job: key.Job, K: key.K, Step: key.Step}.StepName(), Why: string(why)})
 }
--- a/workload/control/suspects.go
+++ b/workload/control/suspects.go
@@ -13,8 +13,8 @@
 // longer than that took. Suspects of different jobs are kept apart, and what is new comes
 // beside none, so that the next crash tells whose it is.
 
-// suspect tells whether a worker has crashed under a task since it was last cleared.
-func suspect(t *workload.Task) bool { return t.Crashes > 0 }
+// suspect tells whether crashes since a task was last reset point at it.
+func suspect(t *workload.Task) bool { return t.Evidence() > 0 }
 
 // aloneFor is how long a task that two workers have crashed under waits for a worker where
 // nothing else is. A job that waits for three seconds beside free room counts as forgotten.
@@ -31,7 +31,7 @@
 	if t == nil || !suspect(t) || l.over {
 		return false
 	}
-	if t.Crashes < crashesAlone && time.Duration(t.CrashMS)*time.Millisecond > c.soon(l) {
+	if t.Evidence() < crashesAlone && time.Duration(t.CrashMS)*time.Millisecond > c.soon(l) {
 		return false
 	}
 	took, known := l.lasted(now)
@@ -51,7 +51,7 @@
 func (j *job) hasSuspect() bool {
 	for _, o := range j.progress.Open {
 		for _, tasks := range o.Steps {
-			if slices.ContainsFunc(tasks, func(t workload.Task) bool { return suspect(&t) }) {
+			if slices.ContainsFunc(tasks, func(t workload.Task) bool { return t.Crashes > 0 }) {
 				return true
 			}
 		}
@@ -89,7 +89,7 @@
 	suspects, others := u, u
 	suspects.Indexes, others.Indexes = nil, nil
 	for _, i := range u.Indexes {
-		suspects.Alone = suspects.Alone || (tasks[i].Crashes >= crashesAlone && now.Sub(j.crashedAt) < aloneFor)
+		suspects.Alone = suspects.Alone || (tasks[i].Evidence() >= crashesAlone && now.Sub(j.crashedAt) < aloneFor)
 		if suspect(&tasks[i]) {
 			suspects.Indexes = append(suspects.Indexes, i)
 		} else {
@@ -111,22 +111,22 @@
 
 // soundPlaces keeps a suspect off places where workers crash anyway, while most are sound.
 func (c *Core) soundPlaces(u *decide.Unit, now time.Time) {
-	if !u.Suspect || len(c.shaky) == 0 {
+	if !u.Suspect || len(c.unstable) == 0 {
 		return
 	}
 	avoid := maps.Clone(u.Avoid)
-	listed, shaky := 0, 0
+	listed, unstable := 0, 0
 	for id, w := range c.workers {
 		if !w.listed {
 			continue
 		}
 		listed++
-		if c.isShaky(w, now) {
-			shaky++
+		if c.isUnstable(w, now) {
+			unstable++
 			avoid[id] = true
 		}
 	}
-	if 2*shaky <= listed {
+	if 2*unstable <= listed {
 		u.Avoid = avoid
 	}
 }
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -172,6 +172,8 @@
 	NoWorker     Reason = "no-worker"
 	// WaitsForAdvice: it is not known yet which workers the queue's policy allows.
 	WaitsForAdvice Reason = "waits-for-advice"
+	// PoolUnsettled: several workers have crashed under the unit, and many without it just now.
+	PoolUnsettled Reason = "pool-unsettled"
 )
 
 // Held is a unit that waits.
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -52,12 +52,21 @@
 	Crashes  int   `json:"c,omitempty"`
 	CrashMS  int64 `json:"m,omitempty"`
 	CrashRun int64 `json:"u,omitempty"`
-	// Excused tells that a crash under it did not count since many workers crashed with it.
-	Excused bool `json:"e,omitempty"`
+	// Excluded counts those crashes that are no evidence against the task: many workers crashed
+	// with them, or another task was found to have caused them.
+	Excluded int `json:"o,omitempty"`
 	// Saved is the latest checkpoint.
 	Saved string `json:"s,omitempty"`
 }
 
+// Evidence is the number of crashes under the task that point at it.
+func (t *Task) Evidence() int { return t.Crashes - t.Excluded }
+
+// ResetCrashes forgets the crashes under the task.
+func (t *Task) ResetCrashes() {
+	t.Crashes, t.CrashMS, t.CrashRun, t.Excluded = 0, 0, 0, 0
+}
+
 // Occurrence is the progress of one repetition that has begun and not ended.
 type Occurrence struct {
 	K     int      `json:"k,omitempty"`
@@ -103,7 +112,7 @@
 			return fmt.Errorf("step %d has %d tasks, its progress %d", i, j.Steps[i].Count, len(tasks))
 		}
 		for _, t := range tasks {
-			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Fails < 0 || t.Crashes < 0 || t.CrashMS < 0 {
+			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Fails < 0 || t.Crashes < 0 || t.CrashMS < 0 || t.Excluded < 0 || t.Excluded > t.Crashes {
 				return fmt.Errorf("step %d has a task in phase %d with run %d, %d failures and %d crashes", i, t.Phase, t.Run, t.Fails, t.Crashes)
 			}
 		}
