Topics whose history is dropped again and again are read anew with pauses

Seen: nothing that reached callers; listed as open on docs/design/fleet.md, by reading.

Cause: the follower goes back to the newest records at once when its place is gone; its pause is for reads that succeed.

Change: no pause the first time, then 50 ms, doubled up to 400 ms, until a read of what follows succeeds.

--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -60,11 +60,18 @@
 	// back. While it is away every read of every instance is a call for nothing: 13 a
 	// second and instance, in place of 33.
 	restRetry = 4 * followRetry
+	// forgottenRest is the pause before the newest records are read again where the log has
+	// forgotten what came after them; it doubles up to forgottenMost. Each such read is of the
+	// whole topic.
+	forgottenRest = 50 * time.Millisecond
+	forgottenMost = 400 * time.Millisecond
 )
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	fresh, failed := true, false
+	// anew is how often in a row the place was forgotten right after the newest records were read.
+	anew := 0
 	for ctx.Err() == nil {
 		var err error
 		rest := time.Duration(0)
@@ -82,10 +89,15 @@
 		failed = err != nil
 		switch {
 		case err == nil:
+			if !fresh {
+				anew = 0
+			}
 			fresh = false
 			sleep(ctx, max(rest, f.least()-time.Since(began)))
 		case errors.Is(err, ErrForgotten):
 			fresh = true
+			sleep(ctx, restOfAnew(anew))
+			anew++
 		case errors.Is(err, ErrMalformed):
 			// The newest records are another answer: nothing is lost with this one.
 			fresh = true
@@ -99,6 +111,14 @@
 	}
 }
 
+// restOfAnew is the pause before the newest records are read once more; none before the first time.
+func restOfAnew(times int) time.Duration {
+	if times == 0 {
+		return 0
+	}
+	return min(forgottenRest<<min(times-1, 10), forgottenMost)
+}
+
 func (f *follower) least() time.Duration {
 	if f.period == nil {
 		return 0
--- a/workload/service/meter.go
+++ b/workload/service/meter.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cobalttide/cobalttide/events"
 	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/workload"
@@ -29,6 +31,9 @@
 // use is what was asked of one topic.
 type use struct {
 	calls, failed int
+	// forgotten are the reads whose place the log no longer had, whole the reads of the newest
+	// records.
+	forgotten, whole int
 	// read and written are bytes of keys and values.
 	read, written int
 }
@@ -81,6 +86,12 @@
 	if err != nil {
 		u.failed++
 	}
+	if errors.Is(err, ErrForgotten) {
+		u.forgotten++
+	}
+	if operation == telemetry.LogNewest {
+		u.whole++
+	}
 	if operation == telemetry.LogWrite {
 		u.written += bytes
 	} else {
@@ -127,7 +138,7 @@
 	out := events.Fields{}
 	for _, topic := range slices.Sorted(maps.Keys(m.uses)) {
 		u := m.uses[topic]
-		out[string(topic)] = fmt.Sprintf("calls=%d failed=%d read=%d written=%d", u.calls, u.failed, u.read, u.written)
+		out[string(topic)] = fmt.Sprintf("calls=%d failed=%d forgotten=%d whole=%d read=%d written=%d", u.calls, u.failed, u.forgotten, u.whole, u.read, u.written)
 	}
 	return out
 }
