The first interface does not end jobs whose workers restart together with many others

An attempt that ends with a worker's crash counted whatever crashed beside it, and the fourth ended the job.

Change: restarts are remembered for five minutes; an attempt that ended while an eighth of all workers, six at least, without a part in it restarted within two polls is no evidence. All are weighed again at each crash, since others are noticed later. Twice as many attempts in all end the job all the same.

--- a/planner/answers.go
+++ b/planner/answers.go
@@ -44,6 +44,7 @@
 		// planner may have been heard again: the wait begins anew.
 		c.majority = time.Time{}
 		w.rebooted = received
+		c.noteReboot(w.spec.ID, received)
 	}
 	if !w.known || sent.After(w.reading.Sent) {
 		w.reading = gang.ReadingOf(report, sent, received)
--- a/planner/core.go
+++ b/planner/core.go
@@ -45,7 +45,8 @@
 	MaxFailures int
 	// MaxCrashes is how many attempts of a job may end with a worker's crash before it is
 	// ended: a task may be what crashes each worker that starts it. One such crash proves
-	// nothing, and four in a row are another task's or a worker's doing only by chance.
+	// nothing, and four in a row are another task's or a worker's doing only by chance. Crashes
+	// of many workers together don't count up to twice as many.
 	MaxCrashes int
 	// MemoryAllowancePercent is how far a task may exceed its declared memory
 	// before its gang is stopped.
@@ -143,6 +144,7 @@
 	options   Options
 	workers   map[domain.WorkerID]*workerState
 	order     []domain.Worker
+	reboots   []reboot
 	began     time.Time
 	majority  time.Time
 	adopted   bool
@@ -174,6 +176,8 @@
 	ended     bool
 	// notBefore delays the next attempt after one that failed to start.
 	notBefore time.Time
+	// crashed are the attempts that ended with a worker's crash under this planner.
+	crashed []crashedAttempt
 }
 
 // closing is an ended gang whose workers still remember it.
--- a/planner/gangs.go
+++ b/planner/gangs.go
@@ -201,8 +201,7 @@
 	case gang.CauseTaskFailed:
 		return domain.JobFailed, m.Class.Idempotent && c.statusOf(m, in).Failures+1 < c.options.MaxFailures
 	case gang.CauseWorkerCrashed:
-		// Without a bound a job whose tasks crash their workers took one every 4 s, 17 in 72 s.
-		if m.Class.Idempotent && c.statusOf(m, in).Crashes+1 >= c.options.MaxCrashes {
+		if m.Class.Idempotent && c.crashesTooOften(m, c.statusOf(m, in).Crashes, in.Now) {
 			return domain.JobFailed, false
 		}
 	}
