--- a/workload/control/arrivals.go
+++ b/workload/control/arrivals.go
@@ -14,8 +14,7 @@
 }
 
 const (
-	// quietGaps is how many times the usual gap passes before it is quiet: by chance
-	// that happens once in 20,000 gaps.
+	// quietGaps is how many times the usual gap passes before it is quiet.
 	quietGaps = 10
 	// leastQuiet is longer than a caller waits before it comes back after a refusal.
 	leastQuiet = 3 * time.Second
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -182,8 +182,8 @@
 	return bounded(t) >= crashesMost && l.run > t.CrashRun && !l.unbegun && !l.ceded
 }
 
-// sure tells whether a crash gives a run's task up at once: all came so soon, and the last, at a place
-// that is sound, points at it.
+// sure tells whether a crash gives a run's task up at once: all came so soon, and the last points at
+// it, at a place that is sound.
 func (c *Core) sure(l *live, t *workload.Task, lost []*live, now time.Time) bool {
 	soon := time.Duration(t.CrashMS)*time.Millisecond <= c.soon(l)
 	return t.Evidence() >= crashesMost && soon && !c.isUnstable(l.worker, now) && c.pointsAt(l, lost, now)
--- a/workload/control/suspects.go
+++ b/workload/control/suspects.go
@@ -39,7 +39,7 @@
 }
 
 // knowSuspects notes which jobs have suspects. Rounds look at nothing of the kind where there
-// are none: looking at each run's task took a third more of a round over 1,100 workers.
+// are none.
 func (c *Core) knowSuspects() {
 	c.suspects = false
 	for _, j := range c.jobs {
--- a/workload/reduce.go
+++ b/workload/reduce.go
@@ -8,9 +8,7 @@
 // A job's acceptance is most of what is known of it: its spec and its steps. Once
 // the job has ended and nothing of it may be at work any more, nobody needs them:
 // callers ask for its state alone. The planner then replaces the acceptance by a
-// reduced one, so that an instance that comes back reads little of what is over:
-// some 60 bytes in place of 1,500, where 40 instances on 10 Mbit/s take 9.8 s to read
-// 5,000 whole ones (virtual time).
+// reduced one, so that an instance that comes back reads little of what is over.
 
 // reducedMark is how a reduced acceptance begins; Reduce writes it.
 var reducedMark = []byte(`{"reduced":true`)
--- a/workload/service/firstread.go
+++ b/workload/service/firstread.go
@@ -11,9 +11,7 @@
 
 // firstRead is the read of the newest record of each key, page by page. A page
 // that was read is kept over a try that fails: an instance on a thin link reads
-// what is left, and not all of it again. Where one answer in two is lost it comes
-// back within twice what the bytes take; without kept pages it does not (test of
-// troubles on the way back, virtual time).
+// what is left, and not all of it again.
 type firstRead struct {
 	entries []Entry
 	after   string
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -57,8 +57,7 @@
 const (
 	followRetry = 150 * time.Millisecond
 	// restRetry is the pause of the topics that don't find out whether the log is
-	// back. While it is away every read of every instance is a call for nothing: 13 a
-	// second and instance, in place of 33.
+	// back. While it is away every read of every instance is a call for nothing.
 	restRetry = 4 * followRetry
 	// forgottenRest is the pause before the newest records are read again where the log has
 	// forgotten what came after them; it doubles up to forgottenMost. Each such read is of the
