Tasks under crashes that look like an outage are kept apart all the same

Cause, from the log of the play: a task whose crashes are excluded was no suspect any more, so that nothing kept it apart from others. In a small pool several jobs that crash their workers start in the moment in which the pool has settled, crash more than six workers together, and so look like an outage: 42:52, 42:58, 43:07, 43:16, each time with the innocent jobs beside them.

Change: whoever is under any crash is kept apart; what is alone after two crashes stays so for 2 s from when it last waited for the pool. Only the verdict looks at what is excluded.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -111,6 +111,8 @@
 	took, lost map[int]time.Duration
 	// crashedAt is when a worker last crashed under one of its tasks.
 	crashedAt time.Time
+	// unsettledAt is when one last waited for the pool to settle.
+	unsettledAt time.Time
 	// suspected tells that a worker has crashed under a task that was not cleared since.
 	suspected bool
 }
--- a/workload/control/outages.go
+++ b/workload/control/outages.go
@@ -195,6 +195,7 @@
 	default:
 		u.Indexes = slices.DeleteFunc(u.Indexes, unsettled)
 	}
+	j.unsettledAt = now
 	c.noteWait(u.Key, j, decide.PoolUnsettled)
 	return len(u.Indexes) > 0
 }
--- a/workload/control/suspects.go
+++ b/workload/control/suspects.go
@@ -13,8 +13,16 @@
 // longer than that took. Suspects of different jobs are kept apart, and what is new comes
 // beside none, so that the next crash tells whose it is.
 
-// suspect tells whether crashes since a task was last reset point at it.
-func suspect(t *workload.Task) bool { return t.Evidence() > 0 }
+// suspect tells whether a worker has crashed under a task since it was last reset. Crashes that
+// are no evidence count: tasks that crash their workers in one moment look like an outage.
+func suspect(t *workload.Task) bool { return t.Crashes > 0 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // aloneFor is how long a task that two workers have crashed under waits for a worker where
 // nothing else is. A job that waits for three seconds beside free room counts as forgotten.
@@ -31,7 +39,7 @@
 	if t == nil || !suspect(t) || l.over {
 		return false
 	}
-	if t.Evidence() < crashesAlone && time.Duration(t.CrashMS)*time.Millisecond > c.soon(l) {
+	if t.Crashes < crashesAlone && time.Duration(t.CrashMS)*time.Millisecond > c.soon(l) {
 		return false
 	}
 	took, known := l.lasted(now)
@@ -89,7 +97,7 @@
 	suspects, others := u, u
 	suspects.Indexes, others.Indexes = nil, nil
 	for _, i := range u.Indexes {
-		suspects.Alone = suspects.Alone || (tasks[i].Evidence() >= crashesAlone && now.Sub(j.crashedAt) < aloneFor)
+		suspects.Alone = suspects.Alone || (tasks[i].Crashes >= crashesAlone && now.Sub(latest(j.crashedAt, j.unsettledAt)) < aloneFor)
 		if suspect(&tasks[i]) {
 			suspects.Indexes = append(suspects.Indexes, i)
 		} else {
