No crash is an exception from the bound on starts

Cause, from the log of the play: a gang's member had three crashes of which one was excluded, and an excluded crash did not count against the bound (excludedMost). Its next run ended with another member's crash, which counted as no retry, and left it two more.

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -24,8 +24,6 @@
 	// the crashes of others. An innocent task is under so many only where it meets one sick
 	// worker after the other, or is started into one outage after the other.
 	crashesMost = 3
-	// excludedMost is how many excluded crashes leave a task another run.
-	excludedMost = 1
 	// crashNoticed is what noticing a crash takes: the pause between holds, and a call that
 	// is refused.
 	crashNoticed = 200 * time.Millisecond
@@ -151,7 +149,7 @@
 		} else {
 			one.tasks = append(one.tasks, l.id)
 		}
-		if bounded(t) > crashesMost || (why != whyLeaseOver && c.sure(l, t, lost, now)) {
+		if t.Crashes > crashesMost || (why != whyLeaseOver && c.sure(l, t, lost, now)) {
 			givenUp = append(givenUp, l)
 		}
 	}
@@ -173,13 +171,10 @@
 	c.change(l.job)
 }
 
-// bounded is the number of crashes under a task that counts against the bound on its starts.
-func bounded(t *workload.Task) int { return t.Crashes - min(t.Excluded, excludedMost) }
-
 // spent tells whether a task has had the one run that it is left after the most crashes. A
 // run that never began, or that was stopped for others, has shown nothing.
 func (l *live) spent(t *workload.Task) bool {
-	return bounded(t) >= crashesMost && l.run > t.CrashRun && !l.unbegun && !l.ceded
+	return t.Crashes >= crashesMost && l.run > t.CrashRun && !l.unbegun && !l.ceded
 }
 
 // sure tells whether a crash gives a run's task up at once: all came so soon, and the last points at
