--- a/workload/control/outages_test.go
+++ b/workload/control/outages_test.go
@@ -95,3 +95,42 @@
 		})
 	}
 }
+
+// Guards against jobs that crash their workers in one moment taking innocent ones along: together
+// they look like an outage, whose crashes are no evidence.
+func TestATaskUnderExcludedCrashesIsKeptApart(t *testing.T) {
+	s := newCutOffScene(false)
+	j := s.c.jobs[s.id]
+	s.c.Round(s.now, s.now.UnixMilli())
+	for i := range j.progress.Open[0].Steps[0] {
+		s.c.ended(s.c.live[s.first(i)], EndStopped, "")
+	}
+	s.c.starts = nil
+	*j.progress.Find(s.first(0)) = workload.Task{Run: 1, Crashes: 2, CrashMS: 100, CrashRun: 1, Excluded: 2}
+	j.suspected = true
+	s.now = s.now.Add(time.Minute)
+	j.unsettledAt = s.now
+	snapshot, _ := s.c.snapshot(s.now, s.now.UnixMilli())
+	apart := 0
+	for _, u := range snapshot.Waiting {
+		if u.Suspect && u.Alone && len(u.Indexes) == 1 && u.Indexes[0] == 0 {
+			apart++
+		}
+	}
+	if apart != 1 || len(snapshot.Waiting) != 2 {
+		t.Errorf("%d of %d units are kept apart: %+v", apart, len(snapshot.Waiting), snapshot.Waiting)
+	}
+}
+
+// Guards against a gang's member that crashes its workers in the moments of outages having a run
+// more for each.
+func TestAnExcludedCrashCountsAgainstTheBound(t *testing.T) {
+	s := newCutOffScene(true)
+	s.round()
+	task := s.c.jobs[s.id].progress.Find(s.first(0))
+	*task = workload.Task{Phase: workload.Placed, Worker: "w0", Run: 1, Crashes: crashesMost, Excluded: crashesMost, CrashMS: 2000}
+	s.hold("w0", nil, []EndedRow{{Number: 1, Task: s.first(0), Run: 1, How: EndBroken}})
+	if state := s.c.jobs[s.id].progress.State; state != workload.Failed {
+		t.Errorf("the job is %s after a run that followed %d crashes", state, crashesMost)
+	}
+}
