--- a/events/log.go
+++ b/events/log.go
@@ -87,7 +87,7 @@
 // essential events end the story of a job or of a process, and are never left
 // out before others.
 var essential = map[Name]bool{
-	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true,
+	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true, BookShed: true, ClaimTaken: true,
 	"job-completed": true, "job-failed": true, PlannerBegins: true, PlannerEnds: true, PlannerTempo: true,
 	Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
 }
@@ -144,7 +144,7 @@
 // reasoned events carry a code out of a closed set in the field that is named.
 var reasoned = map[Name]string{
 	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why",
-	RecordUnreadable: "reason", "run-lost": "why", "unit-waits": "why", "job-completed": "why", "job-failed": "why", "worker-gone": "why", "duty-answered": "why",
+	RecordUnreadable: "reason", "run-lost": "why", "unit-waits": "why", "job-completed": "why", "job-failed": "why", "worker-gone": "why", "duty-answered": "why", "end-unknown": "why",
 }
 
 func reasonOf(event Name, fields Fields) string {
--- a/events/names.go
+++ b/events/names.go
@@ -37,6 +37,8 @@
 	ClaimFailed   Name = "claim-failed"
 	PlannerBegins Name = "planner-begins"
 	PlannerEnds   Name = "planner-ends"
+	// BookShed: this instance has let go of acceptances and progress.
+	BookShed Name = "book-shed"
 	// StandbyBegins, StandbyEnds: this instance reads what a planner writes, to succeed it.
 	StandbyBegins Name = "standby-begins"
 	StandbyEnds   Name = "standby-ends"
--- a/workload/book.go
+++ b/workload/book.go
@@ -262,6 +262,33 @@
 	return true
 }
 
+// Census counts the jobs of a book that have not ended.
+type Census struct {
+	// Open are all of them, Unaccepted those whose acceptance was not read, Unrecorded those
+	// that have begun and whose progress was not read.
+	Open, Unaccepted, Unrecorded int
+}
+
+// Census counts what a planner would take over.
+func (b *Book) Census() Census {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := Census{}
+	for _, e := range b.entries {
+		if e.State.Final() || (!e.Accepted && len(e.Progress) == 0) {
+			continue
+		}
+		out.Open++
+		if e.Job == nil {
+			out.Unaccepted++
+		}
+		if e.Begun && len(e.Progress) == 0 {
+			out.Unrecorded++
+		}
+	}
+	return out
+}
+
 // Shown is the state that callers see.
 func (e Entry) Shown() State {
 	if e.Cancelled && !e.State.Final() {
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -205,6 +205,9 @@
 // Deposed tells whether a worker has refused this planner's token.
 func (c *Core) Deposed() bool { return c.deposed }
 
+// Jobs is the number of jobs that this planner has.
+func (c *Core) Jobs() int { return len(c.jobs) }
+
 // Configure takes a configuration over.
 func (c *Core) Configure(config Configuration) { c.config = config }
 
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -19,6 +19,10 @@
 	EventEvacuationEnds = "evacuation-ends"
 	// EventEndPassedOver: a worker lists an end that it was told to forget; detail has its number, that of the last end taken in and of the last to be forgotten.
 	EventEndPassedOver = "end-passed-over"
+	// EventEndUnknown: a worker lists the end of a run that this planner has no record of; why tells what it lacks (job, run), detail how the run ended and the end's number.
+	EventEndUnknown = "end-unknown"
+	// EventEndsAcknowledged: a hold lets a worker forget ends; detail has the numbers of the last that it could forget before, of the last that it may forget now, and of the last taken in.
+	EventEndsAcknowledged = "ends-acknowledged"
 	// EventHostVacated: a host of a wave gets nothing new until its maintenance.
 	EventHostVacated = "host-vacated"
 	// EventWaveTaken: a wave of maintenance was read.
@@ -34,7 +38,7 @@
 	EventProgressUnreadable = "progress-unreadable"
 	// EventProgressUnwritable: a job's record could not be encoded.
 	EventProgressUnwritable = "progress-unwritable"
-	// EventRunEnded: a worker listed the end of a run; why is how it ended.
+	// EventRunEnded: a worker listed the end of a run; why is how it ended, detail the end's number, and whether the run had been written off (late).
 	EventRunEnded = "run-ended"
 	// EventRunLost: a run is taken for ended without an outcome; why tells what proves it, detail how many others were lost with it, how long it had been at work at the most, how many workers have crashed under its task, and how many of these are no evidence against it.
 	EventRunLost = "run-lost"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -163,7 +163,7 @@
 		c.lateEnd(w, row)
 		return
 	}
-	c.note(Note{Event: EventRunEnded, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: string(row.How)})
+	c.note(Note{Event: EventRunEnded, Job: l.id.Job, Task: l.id.String(), Worker: w.ID, Run: l.run, Why: string(row.How), Detail: fmt.Sprintf("number=%d", row.Number)})
 	c.learn(w, l, row.How, now)
 	l.job.worked(l, row.How, now)
 	c.ended(l, row.How, row.Saved)
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -219,6 +219,7 @@
 		// Told once is enough, and never while it is not known who answers: another life
 		// would forget as many ends that nobody has read.
 		order.Cursor = w.cursor
+		c.note(Note{Event: EventEndsAcknowledged, Worker: id, Detail: fmt.Sprintf("before=%d cursor=%d seen=%d", w.told, w.cursor, w.seen)})
 		order.To = w.recipient(now)
 	}
 	if w.met {
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -91,11 +91,11 @@
 		wake: make(chan struct{}, 1), due: make(chan struct{}, 1), stated: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
 		written: now, list: map[string]control.Listing{}, bad: map[string]string{}, changed: map[string]bool{},
 	}
-	s.events.Info(events.PlannerBegins, events.Fields{"token": token})
 	s.wrote.Store(&now)
 	s.planning.Store(true)
 	s.book.Fresh()
 	s.book.All(p.core.Adopt)
+	p.noteBegin()
 	p.lister = s.follow(WorkerList, p.listAll, p.listOne, func() time.Duration { return listRest })
 	p.work.Go(func() { p.lister.run(ctx) })
 	p.work.Go(func() { p.keep(ctx) })
@@ -109,6 +109,15 @@
 	p.work.Wait()
 }
 
+// noteBegin tells what the planner begins from.
+func (p *planner) noteBegin() {
+	known := p.s.book.Census()
+	p.s.events.Info(events.PlannerBegins, events.Fields{
+		"token": p.token, "read_to": p.s.plans.place(), "current": p.s.plans.upToDate() && p.s.accepts.upToDate(),
+		"adopted": p.core.Jobs(), "open": known.Open, "unaccepted": known.Unaccepted, "unrecorded": known.Unrecorded,
+	})
+}
+
 func (p *planner) run(ctx context.Context) string {
 	timer := time.NewTicker(roundEvery)
 	defer timer.Stop()
--- a/workload/service/standby.go
+++ b/workload/service/standby.go
@@ -135,6 +135,7 @@
 			stop()
 			stop = nil
 			s.book.Shed()
+			s.events.Info(events.BookShed, events.Fields{})
 		}
 		sleep(ctx, standbyEvery)
 	}
