Tests that fail: work that is done begins again under a planner without its book

TestWholeInstancesUnderRandomTroubles plays whole instances, with their readers, claims and books, in virtual time: instances lost, back and added, data centres cut off, the log slow, away, losing answers or its history, orders late.

--- a/workload/service/pool_test.go
+++ b/workload/service/pool_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cobalttide/cobalttide/events"
 	"github.com/cobalttide/cobalttide/workload"
 	"github.com/cobalttide/cobalttide/workload/control"
 	"github.com/cobalttide/cobalttide/workload/workertest"
@@ -380,23 +381,35 @@
 	if i%10 == 0 {
 		power = 0.8
 	}
+	p.begin(poolSettings(name, power, fmt.Sprint(i%5)), p.log, p.workers, nil)
+}
+
+// poolSettings are those of an instance of a pool.
+func poolSettings(name string, power float64, centre string) Settings {
 	bounds := control.Bounds{
 		Lease: 6 * time.Second, Authority: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 5 * time.Second,
 		ReclaimWithin: 3 * time.Second, FarFactor: 3, Wait: 1500 * time.Millisecond,
 	}
-	ahead := &atomic.Int64{}
-	s := New(Settings{
-		Clock:    func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) },
+	return Settings{
 		Instance: name, Address: name, Bounds: bounds, Patience: 1600 * time.Millisecond, Stale: 4 * time.Second, Stretch: poolStretch,
-		Power: power, DataCentre: fmt.Sprint(i % 5), Standbys: 5,
-	}, p.log, poolDecoder{}, p.workers, nil, nil)
+		Power: power, DataCentre: centre, Standbys: 5,
+	}
+}
+
+// begin starts an instance.
+func (p *pool) begin(settings Settings, log Log, workers Workers, lines *events.Log) *poolInstance {
+	ahead := &atomic.Int64{}
+	settings.Clock = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	s := New(settings, log, poolDecoder{}, workers, lines, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		s.Run(ctx)
 		close(ended)
 	}()
-	p.instances = append(p.instances, &poolInstance{Service: s, name: name, ahead: ahead, stop: func() { cancel(); <-ended }})
+	one := &poolInstance{Service: s, name: settings.Instance, ahead: ahead, stop: func() { cancel(); <-ended }}
+	p.instances = append(p.instances, one)
+	return one
 }
 
 func (p *pool) stopAll() {
--- /dev/null
+++ b/workload/service/term_test.go
@@ -0,0 +1,187 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// claimLog hands claims to a function before they are made; what it returns says whether the
+// answer is lost.
+type claimLog struct {
+	*shared
+	late sync.WaitGroup
+
+	guard   sync.Mutex
+	claimed func() (lost bool)
+	// slow is what reads of acceptances take beyond the others.
+	slow time.Duration
+}
+
+// atClaim has a function called at each claim from here on.
+func (l *claimLog) atClaim(f func() (lost bool)) {
+	l.guard.Lock()
+	defer l.guard.Unlock()
+	l.claimed = f
+}
+
+func (l *claimLog) slowAcceptances(d time.Duration) {
+	l.guard.Lock()
+	defer l.guard.Unlock()
+	l.slow = d
+}
+
+func (l *claimLog) Append(ctx context.Context, topic Topic, records []control.Record, writer *Writer) (int64, error) {
+	l.guard.Lock()
+	claimed := l.claimed
+	l.guard.Unlock()
+	if writer == nil || writer.Expect < 0 || claimed == nil || !claimed() {
+		return l.shared.Append(ctx, topic, records, writer)
+	}
+	one := *writer
+	l.late.Go(func() {
+		time.Sleep(lateClaim)
+		_, _ = l.shared.Append(context.Background(), topic, records, &one)
+	})
+	return 0, ErrUnknown
+}
+
+// lateClaim is how long after its call a claim without an answer is carried out.
+const lateClaim = time.Second
+
+func (l *claimLog) Newest(ctx context.Context, topic Topic, after string) (NewestPage, error) {
+	l.guard.Lock()
+	slow := l.slow
+	l.guard.Unlock()
+	if isAcceptTopic(topic) {
+		time.Sleep(slow)
+	}
+	return l.shared.Newest(ctx, topic, after)
+}
+
+// termPool is a pool of two instances, of which only the first stands by. It has planned and
+// is lost while jobs are at work, so that the second wakes and claims the role.
+type termPool struct {
+	*pool
+	log    *claimLog
+	second *poolInstance
+}
+
+func newTermPool(t *testing.T) *termPool {
+	p := newPool(t, 0, 40)
+	out := &termPool{pool: p, log: &claimLog{shared: p.log}}
+	for _, name := range []string{"edge-0", "edge-1"} {
+		settings := poolSettings(name, 0.1, "0")
+		settings.Standbys = 1
+		p.begin(settings, out.log, p.workers, nil)
+	}
+	out.second = p.instances[1]
+	time.Sleep(poolWarm)
+	for i := range 20 {
+		p.submit(i, p.instances[0])
+	}
+	time.Sleep(1200 * time.Millisecond)
+	return out
+}
+
+// unneeded has the second instance taken for one that need not read the plans.
+func (p *termPool) unneeded(place int) {
+	b := p.second.standby
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.place, b.wanted, b.quiet = place, time.Time{}, time.Now()
+}
+
+// losePlanner ends the first instance.
+func (p *termPool) losePlanner() {
+	p.instances[0].stop()
+	p.instances = p.instances[1:]
+}
+
+// check holds that everything is done, and that nothing began again.
+func (p *termPool) check() {
+	defer p.log.late.Wait()
+	p.waitFor(p.jobs, 20*time.Second)
+	p.workers.mu.Lock()
+	defer p.workers.mu.Unlock()
+	if n := len(p.workers.twice); n > 0 {
+		p.t.Errorf("%d tasks began beside themselves or after they were done, %s first", n, p.workers.twice[0])
+	}
+}
+
+// Guards against work that begins again, or stands still for ever, under a planner whose book was
+// emptied between its claim and the start of its term.
+func TestNobodyPlansFromABookThatWasEmptiedAfterItsClaim(t *testing.T) {
+	for name, again := range map[string]time.Duration{"and reads no more": 0, "and reads again": 600 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTermPool(t)
+				defer p.stopAll()
+				p.log.atClaim(func() bool {
+					p.unneeded(9)
+					time.Sleep(3 * standbyEvery)
+					if again > 0 {
+						p.log.late.Go(func() {
+							time.Sleep(again)
+							p.unneeded(0)
+						})
+					}
+					return false
+				})
+				p.losePlanner()
+				p.check()
+			})
+		})
+	}
+}
+
+// Guards against a planner that begins on a claim that was carried out late, before it has
+// read what it has to know.
+func TestNobodyPlansOnALateClaimBeforeAllIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTermPool(t)
+		defer p.stopAll()
+		claims := 0
+		p.log.atClaim(func() bool {
+			if claims++; claims > 1 {
+				return false
+			}
+			p.log.slowAcceptances(time.Second)
+			p.unneeded(9)
+			p.log.late.Go(func() {
+				time.Sleep(lateClaim / 2)
+				p.unneeded(0)
+			})
+			return true
+		})
+		p.losePlanner()
+		p.check()
+	})
+}
+
+// A job that has begun, and of which no progress was read, is not complete.
+func TestNobodyClaimsWhileProgressIsMissingOfAJobThatHasBegun(t *testing.T) {
+	b := workload.NewBook()
+	for _, record := range []struct{ key, value string }{
+		{workload.AcceptedKey("a"), `{"id":"a","queue":"q"}`},
+		{workload.StatedKey("a"), `{"q":"q","s":"running","b":true}`},
+	} {
+		if err := b.Fold(0, record.key, []byte(record.value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b.Complete() {
+		t.Fatal("a book without the progress of a job that has begun is complete")
+	}
+	if err := b.Fold(1, workload.ProgressKey("a"), []byte(`{"state":"running","begun":true}`)); err != nil {
+		t.Fatal(err)
+	}
+	if !b.Complete() {
+		t.Fatal("a book with all progress is not complete")
+	}
+}
