What was read for the planner's role is kept while the role is claimed or played

What callers saw: work that was done ran again (TWICE), or accepted work stood still for ever (LOST), under a planner that had none of the jobs.

Cause: an instance that does not stand by reads acceptances and progress while no planner is heard, and for four patiences after. `standBy` let go of the book as soon as that time was over, unless `planning` was set, which happened only inside `playPlanner`, 50 ms and more after the claim. Whoever wakes because the planner is lost claims in those very seconds, so the two meet: the claim was made on a complete book and played from an empty one. Ends that workers listed then changed nothing and were acknowledged; where the instance stood by again, acceptances came back without their progress and all their tasks began anew; where it did not, it signed on and nobody succeeded it.

Change: one lock for the role, held from the check whether it may be claimed to the end of the term; what was read is let go only under it. A claim that is answered is played at once and not 50 ms later.

--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -76,6 +76,9 @@
 	evacuated  *evacuated
 	back       *pulse
 	planning   atomic.Bool
+	// role is held while this instance claims or plays the planner's role: what it has read
+	// for that is let go only outside of it.
+	role sync.Mutex
 	// wrote is when the planner here sent its last write that succeeded.
 	wrote   atomic.Pointer[time.Time]
 	leaving atomic.Bool
@@ -234,14 +237,23 @@
 func (s *Service) elect(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, electEvery)
-		if token, mine := s.succession.mine(); mine && !s.leaving.Load() {
-			s.playPlanner(ctx, token)
-			continue
-		}
-		if s.leaving.Load() || !s.mayClaim() {
-			continue
-		}
-		s.claim(ctx)
+		s.tryRole(ctx)
+	}
+}
+
+// tryRole plays the planner's role if this instance has it, or can claim it now.
+func (s *Service) tryRole(ctx context.Context) {
+	s.role.Lock()
+	defer s.role.Unlock()
+	if s.leaving.Load() {
+		return
+	}
+	token, mine := s.succession.mine()
+	if !mine && s.mayClaim() {
+		token, mine = s.claim(ctx)
+	}
+	if mine {
+		s.playPlanner(ctx, token)
 	}
 }
 
@@ -249,16 +261,19 @@
 	return s.plans.connected() && s.plans.upToDate() && s.accepts.upToDate() && s.directory.Load() != nil && s.succession.due(s.clock.Now()) && s.book.Complete()
 }
 
-func (s *Service) claim(ctx context.Context) {
+// claim claims the planner's role and returns the token; ok is false where the claim failed
+// or had no answer.
+func (s *Service) claim(ctx context.Context) (token int64, ok bool) {
 	attempt, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	token, err := s.succession.take(attempt, s.log, s.plans.place())
 	if err != nil {
 		s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
 		s.succession.failed(s.clock.Now())
-		return
+		return 0, false
 	}
 	s.events.Info(events.ClaimTaken, events.Fields{"token": token})
+	return token, true
 }
 
 // Leave gives up the planner's role and takes it no more.
--- a/workload/service/standby.go
+++ b/workload/service/standby.go
@@ -131,11 +131,12 @@
 		switch {
 		case wants && stop == nil:
 			stop = s.readPlans(ctx)
-		case !wants && stop != nil && !s.planning.Load():
+		case !wants && stop != nil && s.role.TryLock():
 			stop()
 			stop = nil
 			s.book.Shed()
 			s.events.Info(events.BookShed, events.Fields{})
+			s.role.Unlock()
 		}
 		sleep(ctx, standbyEvery)
 	}
