A term begins only once all that was written before its claim was read

Cause: a claim without an answer is given up, and may be carried out seconds later. Whoever then read its own claim among the records played it at once, whatever else it had read: acceptances and progress are several topics with a reader each, and a claim that stands in the first page of one is seen before the others have come.

The checks before a claim and before a term are one function.

Weighed: giving such a claim up at once. Nobody else would begin sooner, and an instance that has read the rest 0.1 s later would have to claim again.

--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -252,13 +252,24 @@
 	if !mine && s.mayClaim() {
 		token, mine = s.claim(ctx)
 	}
-	if mine {
+	// A claim that had no answer may be carried out, and be read, at any later time.
+	if mine && s.readFor(token) {
 		s.playPlanner(ctx, token)
 	}
 }
 
+// current tells whether all that a planner takes over is followed and was read to its end.
+func (s *Service) current() bool {
+	return s.plans.connected() && s.plans.upToDate() && s.accepts.upToDate() && s.directory.Load() != nil && s.book.Complete()
+}
+
+// readFor tells whether all that was written before the claim with a token is known here.
+func (s *Service) readFor(token int64) bool {
+	return s.current() && s.plans.place() >= token-1
+}
+
 func (s *Service) mayClaim() bool {
-	return s.plans.connected() && s.plans.upToDate() && s.accepts.upToDate() && s.directory.Load() != nil && s.succession.due(s.clock.Now()) && s.book.Complete()
+	return s.succession.due(s.clock.Now()) && s.current()
 }
 
 // claim claims the planner's role and returns the token; ok is false where the claim failed
