A claim that was carried out late gives no authority before a write

What callers could see: a task beside itself, under two planners.

Cause: a planner counted its authority from the moment at which its term began, not from its claim. A claim without an answer may be carried out and read seconds later, when another instance has claimed already; what the successor waits for before it takes a silent worker's lease for over counts from the claim. Orders that need no record (holds, stops) went out on it.

Change: authority counts from when an answered claim was sent; a claim that had no answer gives none until the first append of the term has succeeded, which the first round makes at once.

--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -85,13 +85,13 @@
 func (s *Service) playPlanner(ctx context.Context, token int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	now := s.clock.Now()
+	now, claimed := s.clock.Now(), s.succession.claimed()
 	p := &planner{
 		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, Expect: -1},
 		wake: make(chan struct{}, 1), due: make(chan struct{}, 1), stated: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
-		written: now, list: map[string]control.Listing{}, bad: map[string]string{}, changed: map[string]bool{},
+		written: claimed, list: map[string]control.Listing{}, bad: map[string]string{}, changed: map[string]bool{},
 	}
-	s.wrote.Store(&now)
+	s.wrote.Store(&claimed)
 	s.planning.Store(true)
 	s.book.Fresh()
 	s.book.All(p.core.Adopt)
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -39,6 +39,8 @@
 	current  claim
 	offset   int64
 	known    bool
+	// sent is when the claim at the offset was sent, where it is this life's and was answered.
+	sent time.Time
 	// quiet is when the last record came, or the connection was regained.
 	quiet time.Time
 	// spent is the offset of a claim of this life that was given up. Its token
@@ -88,6 +90,9 @@
 	if json.Unmarshal(e.Value, &next) != nil {
 		return
 	}
+	if e.Offset > s.offset {
+		s.sent = time.Time{}
+	}
 	s.current = next
 	s.offset = e.Offset
 	s.known = true
@@ -165,13 +170,32 @@
 // several instances that claim at one end the log lets one succeed.
 func (s *succession) take(ctx context.Context, log Log, end int64) (int64, error) {
 	token := end + 1
+	sent := s.clock.Now()
 	_, err := log.Append(ctx, Plans, []control.Record{s.self.record()}, &Writer{Epoch: token, Seq: s.firstSeq(), Expect: end})
 	if err != nil {
 		return 0, err
 	}
 	s.observe(Entry{Offset: end, Key: claimKey, Value: s.self.record().Value}, s.clock.Now())
+	s.answered(end, sent)
 	return token, nil
 }
 
+// answered notes when the claim at an offset was sent.
+func (s *succession) answered(offset int64, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.offset == offset {
+		s.sent = sent
+	}
+}
+
+// claimed is when the claim that this life holds was sent; zero where it had no answer, so
+// that nothing tells how long ago it was carried out.
+func (s *succession) claimed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
 // fenced tells whether an error means that another planner has written.
 func fenced(err error) bool { return errors.Is(err, ErrFenced) || errors.Is(err, ErrMoved) }
--- a/workload/service/term_test.go
+++ b/workload/service/term_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,8 @@
 	claimed func() (lost bool)
 	// slow is what reads of acceptances take beyond the others.
 	slow time.Duration
+	// blocked tells that a planner's other appends have no answer and are not done.
+	blocked bool
 }
 
 // atClaim has a function called at each claim from here on.
@@ -30,6 +33,13 @@
 	l.claimed = f
 }
 
+// unblock lets appends through again.
+func (l *claimLog) unblock() {
+	l.guard.Lock()
+	defer l.guard.Unlock()
+	l.blocked = false
+}
+
 func (l *claimLog) slowAcceptances(d time.Duration) {
 	l.guard.Lock()
 	defer l.guard.Unlock()
@@ -38,8 +48,12 @@
 
 func (l *claimLog) Append(ctx context.Context, topic Topic, records []control.Record, writer *Writer) (int64, error) {
 	l.guard.Lock()
-	claimed := l.claimed
+	claimed, blocked := l.claimed, l.blocked
 	l.guard.Unlock()
+	if blocked && writer != nil && writer.Expect < 0 {
+		await(ctx, silence)
+		return 0, ErrUnknown
+	}
 	if writer == nil || writer.Expect < 0 || claimed == nil || !claimed() {
 		return l.shared.Append(ctx, topic, records, writer)
 	}
@@ -164,6 +178,33 @@
 	})
 }
 
+// Guards against a planner that orders on a claim which was carried out late: it may have been
+// succeeded before it began.
+func TestALateClaimGivesNoAuthorityBeforeAWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(t, 0, 20)
+		defer p.stopAll()
+		log := &claimLog{shared: p.log, blocked: true}
+		defer log.late.Wait()
+		log.atClaim(func() bool { return true })
+		var orders atomic.Int64
+		p.workers.ordered = func(int64) { orders.Add(1) }
+		p.begin(poolSettings("edge-0", 0.1, "0"), log, p.workers, nil)
+		time.Sleep(8 * time.Second)
+		if len(p.planners()) != 1 {
+			t.Fatal("nobody plans on the late claim")
+		}
+		if n := orders.Load(); n > 0 {
+			t.Errorf("%d orders went out before the planner had written", n)
+		}
+		log.unblock()
+		time.Sleep(time.Second)
+		if orders.Load() == 0 {
+			t.Error("no order went out after the planner had written")
+		}
+	})
+}
+
 // A job that has begun, and of which no progress was read, is not complete.
 func TestNobodyClaimsWhileProgressIsMissingOfAJobThatHasBegun(t *testing.T) {
 	b := workload.NewBook()
