A book that lacks the progress of a job that has begun is not complete

What callers could see: all tasks of a job begin again, also those that were done.

Cause: a book was complete where no progress lacked its acceptance. The other way round counted as complete: a job that the states show as begun, and of which no progress was read, was taken over as a new one. So was one whose progress record can't be read.

Change: `Book.Complete` asks for both, for each job that has not ended; the core does not take such a job over. A record that was read and can't be understood is not waited for, since nothing would ever replace it and nobody would claim; that job alone is left aside, with a line.

TestSheddingKeepsWhatCallersAreTold asserted that an emptied book is complete, which is the fault itself; in its place it asserts what that line stood for (no progress without acceptance is left), that the emptied book is not complete, and that it is once all was read again.

--- a/workload/book.go
+++ b/workload/book.go
@@ -45,6 +45,8 @@
 	// stands at the offset At of its topic.
 	Progress []byte
 	At       int64
+	// Unreadable tells that a record of the job could not be read.
+	Unreadable bool
 	// stated is what was read of the job among the states.
 	stated Stated
 }
@@ -115,7 +117,7 @@
 	}
 	switch key[:2] {
 	case acceptedPrefix:
-		return b.foldAccepted(id, value)
+		return b.unreadable(id, b.foldAccepted(id, value))
 	case cancelledPrefix:
 		if e := b.entries[id]; e != nil && e.Cancelled {
 			return nil
@@ -123,13 +125,21 @@
 		b.change(id, func(e *Entry) { e.Cancelled = true })
 		b.freshen(id)
 	case progressPrefix:
-		return b.foldProgress(id, offset, value)
+		return b.unreadable(id, b.foldProgress(id, offset, value))
 	case statedPrefix:
 		return b.foldStated(id, value)
 	}
 	return nil
 }
 
+// unreadable notes a record of a job that could not be read, and returns its error.
+func (b *Book) unreadable(id JobID, err error) error {
+	if err != nil {
+		b.change(id, func(e *Entry) { e.Unreadable = true })
+	}
+	return err
+}
+
 // drop forgets what a key held. A job's progress outlives its acceptance.
 func (b *Book) drop(id JobID, prefix string) {
 	e := b.entries[id]
@@ -247,21 +257,30 @@
 	return *e, true
 }
 
-// Complete tells whether the acceptance of every job that a planner has worked
-// on and that has not ended was read. Progress and acceptances are read apart,
-// and a planner that does not know a job takes its runs for strange and
-// forgets their ends.
+// Complete tells whether the acceptance and the progress of every job that a planner has
+// worked on and that has not ended were read. States, progress and acceptances are read
+// apart. A planner that does not know a job takes its runs for strange, and one that does not
+// know its progress begins it anew.
 func (b *Book) Complete() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range b.entries {
-		if e.Job == nil && len(e.Progress) > 0 && !e.State.Final() {
+		if !e.complete() {
 			return false
 		}
 	}
 	return true
 }
 
+// complete tells whether nothing of a job is missing that is still to be read.
+func (e *Entry) complete() bool {
+	if e.State.Final() || e.Unreadable {
+		return true
+	}
+	recorded := len(e.Progress) > 0
+	return (e.Job != nil || !recorded) && (recorded || !e.Begun)
+}
+
 // Census counts the jobs of a book that have not ended.
 type Census struct {
 	// Open are all of them, Unaccepted those whose acceptance was not read, Unrecorded those
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -230,6 +230,11 @@
 		return
 	}
 	progress := workload.NewProgress()
+	if len(e.Progress) == 0 && e.Begun && !e.State.Final() {
+		// Begun anew, its tasks would run twice.
+		c.note(Note{Event: EventProgressUnreadable, Job: id, Why: "the job has begun and has no progress"})
+		return
+	}
 	if len(e.Progress) > 0 {
 		if err := json.Unmarshal(e.Progress, progress); err != nil {
 			c.note(Note{Event: EventProgressUnreadable, Job: id, Why: err.Error()})
--- a/workload/control/unknown_end_test.go
+++ b/workload/control/unknown_end_test.go
@@ -115,3 +115,17 @@
 		})
 	}
 }
+
+// Guards against a job that begins anew because its progress was not read.
+func TestAJobThatHasBegunIsNotAdoptedWithoutItsProgress(t *testing.T) {
+	s := newUnknownScene()
+	s.hold()
+	s.c.Adopt(s.id, workload.Entry{Job: s.job, State: workload.Running, Begun: true})
+	if starts := s.round(); len(starts) > 0 {
+		t.Fatalf("%v starts although nothing is known of the runs before", starts[0].Task)
+	}
+	s.adopt(t)
+	if s.c.jobs[s.id] == nil {
+		t.Fatal("the job is not taken over once its progress is there")
+	}
+}
--- a/workload/service/term_test.go
+++ b/workload/service/term_test.go
@@ -226,3 +226,20 @@
 		t.Fatal("a book with all progress is not complete")
 	}
 }
+
+// A record that can't be read is not waited for: nobody would ever claim.
+func TestAnUnreadableRecordHoldsNoClaimUp(t *testing.T) {
+	b := workload.NewBook()
+	for offset, record := range []struct{ key, value string }{
+		{workload.AcceptedKey("a"), "{"},
+		{workload.ProgressKey("a"), `{"state":"running","begun":true}`},
+		{workload.AcceptedKey("b"), `{"id":"b","queue":"q"}`},
+		{workload.StatedKey("b"), `{"q":"q","s":"running","b":true}`},
+		{workload.ProgressKey("b"), "["},
+	} {
+		_ = b.Fold(int64(offset), record.key, []byte(record.value))
+	}
+	if !b.Complete() {
+		t.Fatal("a book waits for records that were read and are unreadable")
+	}
+}
--- a/workload/stated_test.go
+++ b/workload/stated_test.go
@@ -139,12 +139,20 @@
 		t.Fatalf("%+v, %t", e, known)
 	}
 	b.All(func(id JobID, _ Entry) { t.Fatalf("a planner would take %s up", id) })
-	if !b.Complete() {
-		t.Fatal("progress is left without an acceptance")
+	for id, e := range b.entries {
+		if len(e.Progress) > 0 {
+			t.Fatalf("progress of %s is left without an acceptance", id)
+		}
+	}
+	if b.Complete() {
+		t.Fatal("a book without the progress of a job that has begun is complete")
 	}
 	// Read again from the start, at the same offsets.
 	fold(t, b, 0, AcceptedKey("a"), accepted(t, "a", "q"))
 	fold(t, b, 1, ProgressKey("a"), []byte(`{"state":"running","begun":true}`))
+	if !b.Complete() {
+		t.Fatal("a book that was read again is not complete")
+	}
 	if e, _ := b.Get("a"); e.Job == nil || len(e.Progress) == 0 {
 		t.Fatalf("%+v was not read again", e)
 	}
