Ends that changed no job's record are not acknowledged

Cause: the core moved its count of ends on for each end, whether it had the job or not, and the next cursor covered it. Its worker then forgot the only trace of it. Where the job came later its task counted as never begun.

Change: an end whose job, or whose run, the records lack is kept from being acknowledged, and with it what comes after it; the others are applied all the same. Once the job is there the next hold lists the end again, and it counts. Jobs that are over are told by their records, not by their absence: `Adopt` notes those that have ended. After `strangersUntil`, when the runs of earlier planners must be over, an end of a job of which nothing is known is acknowledged as before, so that no worker's list grows for ever. A job that is shown as ended and has no progress is not taken over as a new one.

Weighed: taking an end as done of a run that is ahead of its record for the task's end. TestOtherLateEndsChangeNothing asks that a run which was never ordered changes nothing; it stays.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -29,14 +29,16 @@
 	unlisted  map[string]bool
 	unwritten map[*worker]bool
 	jobs      map[workload.JobID]*job
-	live      map[workload.TaskID]*live
-	dirty     map[workload.JobID]bool
-	starts    []*live
-	batch     []*live
-	stops     []StopOrder
-	paces     []PaceOrder
-	notes     []Note
-	pace      *estimates
+	// over are the jobs that are known to be over, as long as that is asked.
+	over   map[workload.JobID]bool
+	live   map[workload.TaskID]*live
+	dirty  map[workload.JobID]bool
+	starts []*live
+	batch  []*live
+	stops  []StopOrder
+	paces  []PaceOrder
+	notes  []Note
+	pace   *estimates
 	// speeds are the workers' speeds; speedsAt is when they were last compared.
 	speeds   map[string]*speed
 	speedsAt time.Time
@@ -185,6 +187,7 @@
 		unlisted:       map[string]bool{},
 		unwritten:      map[*worker]bool{},
 		jobs:           map[workload.JobID]*job{},
+		over:           map[workload.JobID]bool{},
 		live:           map[workload.TaskID]*live{},
 		speeds:         map[string]*speed{},
 		centres:        map[string]*centre{},
@@ -230,7 +233,11 @@
 		return
 	}
 	progress := workload.NewProgress()
-	if len(e.Progress) == 0 && e.Begun && !e.State.Final() {
+	if len(e.Progress) == 0 && e.State.Final() {
+		c.noteOver(id)
+		return
+	}
+	if len(e.Progress) == 0 && e.Begun {
 		// Begun anew, its tasks would run twice.
 		c.note(Note{Event: EventProgressUnreadable, Job: id, Why: "the job has begun and has no progress"})
 		return
@@ -242,6 +249,7 @@
 		}
 	}
 	if progress.State.Final() && len(progress.Open) == 0 {
+		c.noteOver(id)
 		return
 	}
 	if err := progress.Check(e.Job); err != nil {
@@ -396,7 +404,7 @@
 	c.batch = c.starts
 	c.starts = nil
 	for w := range c.unwritten {
-		w.batchCursor = w.seen
+		w.batchCursor = w.applied()
 	}
 	return out
 }
@@ -434,6 +442,7 @@
 	for id, j := range c.jobs {
 		if j.progress.State.Final() && j.progress.Open == nil && !c.dirty[id] {
 			c.keepSpeeds(j)
+			c.noteOver(id)
 			c.dropJob(j)
 		}
 	}
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -19,7 +19,7 @@
 	EventEvacuationEnds = "evacuation-ends"
 	// EventEndPassedOver: a worker lists an end that it was told to forget; detail has its number, that of the last end taken in and of the last to be forgotten.
 	EventEndPassedOver = "end-passed-over"
-	// EventEndUnknown: a worker lists the end of a run that this planner has no record of; why tells what it lacks (job, run), detail how the run ended and the end's number.
+	// EventEndUnknown: a worker lists the end of a run that this planner has no record of; why tells what it lacks (job, run), detail how the run ended and the end's number. The end is not acknowledged.
 	EventEndUnknown = "end-unknown"
 	// EventEndsAcknowledged: a hold lets a worker forget ends; detail has the numbers of the last that it could forget before, of the last that it may forget now, and of the last taken in.
 	EventEndsAcknowledged = "ends-acknowledged"
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -150,14 +150,19 @@
 
 // takeEnd takes one end in. Its worker may forget it once it is in the log.
 func (c *Core) takeEnd(w *worker, row EndedRow, now time.Time) {
-	if row.Number <= w.seen {
+	if row.Number <= w.seen && !w.unapplied[row.Number] {
 		if row.Number <= w.told {
 			c.note(Note{Event: EventEndPassedOver, Job: row.Task.Job, Task: row.Task.String(), Worker: w.ID, Run: row.Run, Why: string(row.How), Detail: fmt.Sprintf("number=%d seen=%d told=%d", row.Number, w.seen, w.told)})
 		}
 		return
 	}
-	w.seen = row.Number
+	w.seen = max(w.seen, row.Number)
 	c.unwritten[w] = true
+	if lacks := c.lacks(row, now); lacks != "" {
+		c.endUnknown(w, row, lacks)
+		return
+	}
+	delete(w.unapplied, row.Number)
 	l := w.tasks[row.Task]
 	if l == nil || l.run != row.Run {
 		c.lateEnd(w, row)
--- a/workload/control/lateend.go
+++ b/workload/control/lateend.go
@@ -15,19 +15,11 @@
 // meanwhile is stopped.
 func (c *Core) lateEnd(w *worker, row EndedRow) {
 	j := c.jobs[row.Task.Job]
-	if j == nil {
-		c.endUnknown(w, row, lacksJob)
-		return
-	}
-	if row.How != EndDone || j.cancelled || j.progress.State.Final() {
+	if row.How != EndDone || j == nil || j.cancelled || j.progress.State.Final() {
 		return
 	}
 	t := j.progress.Find(row.Task)
-	if t == nil || t.Phase == workload.Done || j.Steps[row.Task.Step].Perpetual {
-		return
-	}
-	if row.Run > t.Run {
-		c.endUnknown(w, row, lacksRun)
+	if t == nil || t.Phase == workload.Done || row.Run > t.Run || j.Steps[row.Task.Step].Perpetual {
 		return
 	}
 	c.note(Note{Event: EventRunEnded, Job: j.ID, Task: row.Task.String(), Worker: w.ID, Run: row.Run, Why: string(EndDone), Detail: fmt.Sprintf("number=%d late", row.Number)})
@@ -42,17 +34,6 @@
 	c.advance(j)
 }
 
-// What the planner lacks of a run whose end it does not know.
-const (
-	lacksJob = "job"
-	lacksRun = "run"
-)
-
-// endUnknown notes the end of a run that this planner has no record of.
-func (c *Core) endUnknown(w *worker, row EndedRow, lacks string) {
-	c.note(Note{Event: EventEndUnknown, Job: row.Task.Job, Task: row.Task.String(), Worker: w.ID, Run: row.Run, Why: lacks, Detail: fmt.Sprintf("how=%s number=%d", row.How, row.Number)})
-}
-
 // markDone marks one task as done, or its whole gang: one member's end stands for all.
 func markDone(tasks []workload.Task, index int, gang bool) {
 	for i := range tasks {
--- a/workload/control/lives.go
+++ b/workload/control/lives.go
@@ -46,7 +46,10 @@
 	// seen is the number of the last end taken in; cursor the last one whose
 	// effect is in the log; told the last one that it may forget.
 	seen, batchCursor, cursor, told int64
-	trust                           trust
+	// unapplied are the numbers of ends up to seen of which the planner lacks the run. They,
+	// and what comes after them, are not acknowledged.
+	unapplied map[int64]bool
+	trust     trust
 	// strange holds what runs there and should not.
 	strange map[workload.TaskID]int64
 }
@@ -63,7 +66,17 @@
 }
 
 func newLife(number int, born int64) life {
-	return life{number: number, born: born, strange: map[workload.TaskID]int64{}}
+	return life{number: number, born: born, strange: map[workload.TaskID]int64{}, unapplied: map[int64]bool{}}
+}
+
+// applied is the number of the last end that may be acknowledged: it and all before it have
+// changed their job's record, or change none.
+func (l *life) applied() int64 {
+	last := l.seen
+	for number := range l.unapplied {
+		last = min(last, number-1)
+	}
+	return last
 }
 
 // raiseBits are the low bits of a token, in which one planner counts silences; a successor's
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -15,6 +15,7 @@
 	c.at = now
 	c.wishes = nil
 	c.expire(now)
+	c.forgetOver(now)
 	c.weighCrashes()
 	c.knowSuspects()
 	c.create(wallMS)
--- a/workload/control/unknown_end_test.go
+++ b/workload/control/unknown_end_test.go
@@ -87,7 +87,7 @@
 	if j := s.c.jobs[s.id]; j != nil && j.progress.State != workload.Completed {
 		t.Fatalf("the job is %s after all of its tasks were done", j.progress.State)
 	}
-	if cursor := s.hold(ends...); cursor != 2 {
+	if cursor := s.c.workers["w0"].told; cursor != 2 {
 		t.Errorf("ends up to %d are acknowledged, want 2", cursor)
 	}
 }
@@ -99,6 +99,9 @@
 		"it has ended": func(s *unknownScene) {
 			s.c.Adopt(s.id, workload.Entry{Job: s.job, State: workload.Completed, Settled: true, Progress: []byte(`{"state":"completed","begun":true,"next":1}`)})
 		},
+		"it is shown as ended": func(s *unknownScene) {
+			s.c.Adopt(s.id, workload.Entry{Job: s.job, State: workload.Completed, Begun: true})
+		},
 		"nothing was known of it for long": func(s *unknownScene) { s.now = s.c.strangersUntil },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -195,7 +195,7 @@
 	if w.gone || w.Address == "" {
 		return false
 	}
-	if len(w.tasks) > 0 || len(w.strange) > 0 || w.cursor > w.told {
+	if len(w.tasks) > 0 || len(w.strange) > 0 || w.cursor > w.told || len(w.unapplied) > 0 {
 		return true
 	}
 	return w.listed && (!w.met || w.doubt || now.Before(w.strayUntil))
