A worker's first answer tells its clock, whatever its entry showed

What callers could see: a task beside itself on a worker that started again under its id before the planner had met it.

Cause: a reading of a worker's clock counted only if it was ahead of what was known. Before the first answer that is what the list's entry showed, which may be the clock of the life before. Deadlines were then an hour ahead, which the worker shortens to its maximum from the arrival of the order: one that is seconds on its way extends the lease beyond what the planner counts. The second answer looked like another restart.

Evidence: TestTheFirstAnswerTellsTheClockWhateverTheEntryShowed: deadline 3,606,098 before, 6,500 after; no second life.

--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -65,6 +65,10 @@
 	}
 	w.problem = answer.Problem
 	w.doubt = false
+	if !w.ever {
+		// Its entry may have shown the clock of a life before.
+		w.clockMS = 0
+	}
 	c.readClock(w, answer.ClockMS, now)
 	if !w.met {
 		c.note(Note{Event: EventWorkerAnswers, Worker: w.ID, Detail: fmt.Sprintf("born=%d", answer.Born)})
