A job whose acceptance is reduced does not begin

What callers could see: a job that had ended shown as running again.

Cause: the planner reduces the acceptance of a job once it has ended. Where such an acceptance was read and the progress was not, the job was taken over as a new one.

Change: a reduced acceptance stands for a job that is over, as a final state does. TestAJobWhoseAcceptanceIsReducedDoesNotBegin failed before.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -233,7 +233,7 @@
 		return
 	}
 	progress := workload.NewProgress()
-	if len(e.Progress) == 0 && e.State.Final() {
+	if len(e.Progress) == 0 && (e.State.Final() || e.Job.Reduced) {
 		c.noteOver(id)
 		return
 	}
--- a/workload/control/unknown_end_test.go
+++ b/workload/control/unknown_end_test.go
@@ -132,3 +132,20 @@
 		t.Fatal("the job is not taken over once its progress is there")
 	}
 }
+
+// A reduced acceptance stands for a job that has ended.
+func TestAJobWhoseAcceptanceIsReducedDoesNotBegin(t *testing.T) {
+	s := newUnknownScene()
+	s.hold()
+	s.job.Reduced, s.job.Steps = true, nil
+	s.c.Adopt(s.id, workload.Entry{Job: s.job, State: workload.Queued})
+	if s.c.jobs[s.id] != nil {
+		t.Fatal("a job that has ended is taken over")
+	}
+	s.hold(EndedRow{Number: 1, Task: s.task(0), Run: 1, How: EndDone})
+	s.round()
+	s.hold()
+	if cursor := s.c.workers["w0"].told; cursor != 1 {
+		t.Errorf("ends up to %d are acknowledged, want 1", cursor)
+	}
+}
