A run whose end a full list leaves out has not vanished

What callers could see: tasks that are done begin again on a worker with more than 500 ends that were not acknowledged, after a long outage of the log for one.

Cause: a worker lists 500 ends at a time. A run that is neither listed as running nor among those 500 was taken for vanished, or for never begun, and was started again; its end came with the next page. Found by the review of the incident: the class is the same, what a part does not have is taken for an answer.

Change: a hold's answer says whether there may be more; nothing is settled by absence then.

Evidence: TestARunWhoseEndIsNotListedYetHasNotVanished: 20 of 520 tasks began again before, none now; TestAFullListOfEndsMayBeFollowedByMore for the adapter.

--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -87,7 +87,9 @@
 	for _, row := range answer.Ended {
 		c.takeEnd(w, row, now)
 	}
-	c.missing(w, listed, order.Token, sent)
+	if !answer.More {
+		c.missing(w, listed, order.Token, sent)
+	}
 	c.controlPace(w, now)
 	switch {
 	case w.seen > w.cursor:
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -220,6 +220,8 @@
 	Connections int64
 	Running     []RunningRow
 	Ended       []EndedRow
+	// More tells that the worker may have more ends than it lists here.
+	More bool
 }
 
 // Record is what is to be written to the log.
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -313,6 +313,7 @@
 		answer.Running = append(answer.Running, control.RunningRow{Task: r.id, Run: r.run, Saved: r.saved, Percent: r.percent(now), Figure: w.figure(r)})
 	}
 	answer.Ended = append(answer.Ended, w.ended[:min(len(w.ended), mostEnds)]...)
+	answer.More = len(w.ended) > mostEnds
 	return answer
 }
 
