A job whose newest record can't be read is left aside

What callers could see: a job begins anew, or from older progress, under a planner that can't read its newest record, that of a later version of the product for one.

Change: the book notes of each job whether its newest acceptance or progress is unreadable; older progress does not take its place, and the core does not take the job over. The next record that can be read ends that, and so does letting go of the book.

--- a/workload/book.go
+++ b/workload/book.go
@@ -45,8 +45,8 @@
 	// stands at the offset At of its topic.
 	Progress []byte
 	At       int64
-	// Unreadable tells that a record of the job could not be read.
-	Unreadable bool
+	// badJob and badProgress tell that the newest record of each could not be read.
+	badJob, badProgress bool
 	// stated is what was read of the job among the states.
 	stated Stated
 }
@@ -117,7 +117,7 @@
 	}
 	switch key[:2] {
 	case acceptedPrefix:
-		return b.unreadable(id, b.foldAccepted(id, value))
+		return b.foldAccepted(id, value)
 	case cancelledPrefix:
 		if e := b.entries[id]; e != nil && e.Cancelled {
 			return nil
@@ -125,21 +125,13 @@
 		b.change(id, func(e *Entry) { e.Cancelled = true })
 		b.freshen(id)
 	case progressPrefix:
-		return b.unreadable(id, b.foldProgress(id, offset, value))
+		return b.foldProgress(id, offset, value)
 	case statedPrefix:
 		return b.foldStated(id, value)
 	}
 	return nil
 }
 
-// unreadable notes a record of a job that could not be read, and returns its error.
-func (b *Book) unreadable(id JobID, err error) error {
-	if err != nil {
-		b.change(id, func(e *Entry) { e.Unreadable = true })
-	}
-	return err
-}
-
 // drop forgets what a key held. A job's progress outlives its acceptance.
 func (b *Book) drop(id JobID, prefix string) {
 	e := b.entries[id]
@@ -186,14 +178,12 @@
 	if known != nil && known.Job != nil && (known.Job.Reduced || !isReduced(value)) {
 		return nil
 	}
-	job := &Job{}
-	if err := json.Unmarshal(value, job); err != nil {
-		return err
-	}
-	if err := job.checkRecord(id); err != nil {
+	job, err := readJob(id, value)
+	if err != nil {
+		b.change(id, func(e *Entry) { e.badJob = true })
 		return err
 	}
-	b.change(id, func(e *Entry) { e.Job, e.Accepted, e.Queue = job, true, job.Queue })
+	b.change(id, func(e *Entry) { e.Job, e.Accepted, e.Queue, e.badJob = job, true, job.Queue, false })
 	if job.Reduced {
 		return nil
 	}
@@ -201,6 +191,15 @@
 	return nil
 }
 
+// readJob reads a job's acceptance.
+func readJob(id JobID, value []byte) (*Job, error) {
+	job := &Job{}
+	if err := json.Unmarshal(value, job); err != nil {
+		return nil, err
+	}
+	return job, job.checkRecord(id)
+}
+
 type progressHead struct {
 	State   State             `json:"state"`
 	Begun   bool              `json:"begun"`
@@ -214,9 +213,12 @@
 	}
 	head := progressHead{}
 	if err := json.Unmarshal(value, &head); err != nil {
+		// What was read before is not the newest.
+		b.change(id, func(e *Entry) { e.Progress, e.At, e.Settled, e.badProgress = nil, offset, false, true })
 		return err
 	}
 	b.change(id, func(e *Entry) {
+		e.badProgress = false
 		e.reach(head.State, head.Begun, head.EndedMS)
 		e.Settled = head.State.Final() && len(head.Open) == 0
 		e.Progress = value
@@ -274,7 +276,7 @@
 
 // complete tells whether nothing of a job is missing that is still to be read.
 func (e *Entry) complete() bool {
-	if e.State.Final() || e.Unreadable {
+	if e.State.Final() || e.Unreadable() {
 		return true
 	}
 	recorded := len(e.Progress) > 0
@@ -308,6 +310,9 @@
 	return out
 }
 
+// Unreadable tells that the newest record of the job's acceptance or progress could not be read.
+func (e *Entry) Unreadable() bool { return e.badJob || e.badProgress }
+
 // Shown is the state that callers see.
 func (e Entry) Shown() State {
 	if e.Cancelled && !e.State.Final() {
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -232,6 +232,10 @@
 		}
 		return
 	}
+	if e.Unreadable() {
+		c.note(Note{Event: EventProgressUnreadable, Job: id, Why: "the newest record of the job can't be read"})
+		return
+	}
 	progress := workload.NewProgress()
 	if len(e.Progress) == 0 && (e.State.Final() || e.Job.Reduced) {
 		c.noteOver(id)
--- a/workload/stated.go
+++ b/workload/stated.go
@@ -93,6 +93,7 @@
 			continue
 		}
 		e.Job, e.Progress, e.At, e.Settled = nil, nil, -1, false
+		e.badJob, e.badProgress = false, false
 	}
 	clear(b.fresh)
 }
