Ends of occurrences that the record lacks are kept; workers that left are let go

- The end of a run in an occurrence which the record has not created yet counted as over and was acknowledged.
It is as unknown as a run ahead of its record (TestAnEndOfAnOccurrenceThatIsNotThereYetIsNotAcknowledged, TestAnEndOfAJobTakenForNewIsNotAcknowledged, both failed before).
- A worker that left the list with such an end stayed in the planner's memory for the rest of the term (TestAWorkerThatLeftWithUnknownEndsIsLetGo).

Not done: a task does not wait while a worker lists an end of it as done that is ahead of its record. Terms begin from complete records, so that nothing is ahead of them; the end is acknowledged once earlier planners' runs must be over.

--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -29,6 +29,7 @@
 	if at, ok := slices.BinarySearchFunc(c.inOrder, id, byID); ok {
 		c.inOrder = slices.Delete(c.inOrder, at, at+1)
 	}
+	delete(c.unwritten, c.workers[id])
 	delete(c.workers, id)
 	delete(c.speeds, id)
 	delete(c.unlisted, id)
--- a/workload/control/unknown.go
+++ b/workload/control/unknown.go
@@ -30,6 +30,9 @@
 		}
 		return lacksJob
 	}
+	if row.Task.K >= j.progress.Next {
+		return lacksRun
+	}
 	if t := j.progress.Find(row.Task); t != nil && t.Phase != workload.Done && row.Run > t.Run {
 		return lacksRun
 	}
