A late claim does not stop an instance's answers

What callers could see: 503 from an instance that has just read the log, from the start of a term on a late claim to its first append.

Cause: what a planner tells is as old as its last write; on a late claim there is none yet, and the age was counted from the year 1.

Change: until its first write it tells what it has read, at the age of that. TestALateClaimDoesNotStopAnswers failed before. Beside it tests of single parts of the fixes: when a term begins, what is kept while the role is claimed, which claims are known to have been sent when.

--- a/workload/service/reading.go
+++ b/workload/service/reading.go
@@ -70,7 +70,7 @@
 // its writes show that it is one: one that wakes after a suspension or a freeze may have
 // been succeeded.
 func (s *Service) statesAge(now time.Time) time.Duration {
-	if wrote := s.wrote.Load(); s.planning.Load() && wrote != nil {
+	if wrote := s.wrote.Load(); s.planning.Load() && wrote != nil && !wrote.IsZero() {
 		return now.Sub(*wrote)
 	}
 	return s.states.age(now)
--- a/workload/service/term_test.go
+++ b/workload/service/term_test.go
@@ -243,3 +243,135 @@
 		t.Fatal("a book waits for records that were read and are unreadable")
 	}
 }
+
+// An instance that reads the log answers its callers, also before the first write of its term.
+func TestALateClaimDoesNotStopAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(t, 0, 20)
+		defer p.stopAll()
+		log := &claimLog{shared: p.log, blocked: true}
+		defer log.late.Wait()
+		log.atClaim(func() bool { return true })
+		p.begin(poolSettings("edge-0", 0.1, "0"), log, p.workers, nil)
+		one := p.instances[0]
+		for !one.planning.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if age := one.states.age(time.Now()); age > one.settings.Stale {
+			t.Fatalf("the states were read %v ago", age)
+		}
+		if err := one.Current(); err != nil {
+			t.Errorf("an instance that has just read the log refuses its callers: %v", err)
+		}
+		log.unblock()
+	})
+}
+
+// watchTerms looks at an instance until the test ends and returns how often it planned although
+// it did not know all that a planner takes over.
+func watchTerms(p *termPool) (blind func() int) {
+	n, begun := 0, false
+	p.log.late.Go(func() {
+		for range 20_000 {
+			time.Sleep(time.Millisecond)
+			now := p.second.planning.Load()
+			if now && !begun && !p.second.current() {
+				n++
+			}
+			begun = now
+		}
+	})
+	return func() int { return n }
+}
+
+// The scene of TestNobodyPlansOnALateClaimBeforeAllIsRead, held against when the term begins.
+func TestALateTermBeginsOnlyOnceAllIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTermPool(t)
+		defer p.stopAll()
+		blind := watchTerms(p)
+		claims := 0
+		p.log.atClaim(func() bool {
+			if claims++; claims > 1 {
+				return false
+			}
+			p.log.slowAcceptances(time.Second)
+			p.unneeded(9)
+			p.log.late.Go(func() {
+				time.Sleep(lateClaim / 2)
+				p.unneeded(0)
+			})
+			return true
+		})
+		p.losePlanner()
+		p.log.late.Wait()
+		if n := blind(); n > 0 {
+			t.Errorf("%d terms began before all was read", n)
+		}
+	})
+}
+
+// What was read is kept while a claim is under way.
+func TestNothingIsLetGoWhileTheRoleIsClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTermPool(t)
+		defer p.stopAll()
+		claims, kept := 0, 0
+		p.log.atClaim(func() bool {
+			p.unneeded(9)
+			time.Sleep(3 * standbyEvery)
+			claims++
+			if p.second.current() {
+				kept++
+			}
+			return false
+		})
+		p.losePlanner()
+		p.check()
+		if claims == 0 || kept != claims {
+			t.Errorf("the book was current at the end of %d of %d claims", kept, claims)
+		}
+	})
+}
+
+// A claim that stands beyond what was read of the plans begins no term.
+func TestAClaimBeyondWhatWasReadBeginsNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(poolSettings("edge-0", 1, "0"), newShared(poolRate), poolDecoder{}, nil, nil, nil)
+		s.directory.Store(&Directory{})
+		for _, f := range s.plannersOwn() {
+			f.following(true)
+			if err := f.readNewest(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !s.readFor(1) {
+			t.Fatal("a claim at the place that was read to is not read for")
+		}
+		if s.readFor(6) {
+			t.Error("a claim five records beyond what was read is read for")
+		}
+	})
+}
+
+// When a claim was sent is known of an answered claim, and of that alone.
+func TestWhenAClaimWasSentIsKnownOfAnAnsweredClaimAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(poolSettings("edge-0", 1, "0"), newShared(poolRate), poolDecoder{}, nil, nil, nil).succession
+		began := time.Now()
+		if _, err := s.take(t.Context(), newShared(poolRate), 0); err != nil {
+			t.Fatal(err)
+		}
+		if got := s.claimed(); !got.Equal(began) {
+			t.Errorf("the answered claim was sent at %v, want %v", got, began)
+		}
+		s.observe(Entry{Offset: 0, Key: claimKey, Value: s.self.record().Value}, time.Now())
+		if got := s.claimed(); !got.Equal(began) {
+			t.Errorf("the answered claim, read once more, was sent at %v, want %v", got, began)
+		}
+		s.observe(Entry{Offset: 7, Key: claimKey, Value: s.self.record().Value}, time.Now())
+		if got := s.claimed(); !got.IsZero() {
+			t.Errorf("a claim that had no answer was sent at %v", got)
+		}
+	})
+}
