Keys that the log has dropped are dropped by whoever reads its newest records

What callers could see: after a partition of hours, a job that had ended and was forgotten meanwhile is shown as running by an instance that was cut off, and is taken up again by it as a planner, with its tasks run once more.

Cause: a topic whose history is gone is read anew by the newest record of each key. What is not among those was kept as it had been read before: the record that dropped the key stood in the history that is gone. The class of the incident, turned round: here absence is the answer, and was not taken for one. Found by the review of the incident.

Change: a follower knows the keys that it has handed over, with their offsets. Those that stood before the end of the newest records and are not among them are handed over as dropped, in all topics alike (jobs' records, waves, evacuations that were taken back). A job whose statement was dropped is not kept when the book is shed. Weighed: emptying the book before each such read; callers would be told nothing of any job meanwhile, and a planner would lose what it has.

Cost: 8 bytes and a key of some 20 for each record that is followed, let go with the book.

--- a/workload/book.go
+++ b/workload/book.go
@@ -47,8 +47,10 @@
 	At       int64
 	// badJob and badProgress tell that the newest record of each could not be read.
 	badJob, badProgress bool
-	// stated is what was read of the job among the states.
-	stated Stated
+	// stated is what was read of the job among the states; dropped tells that they have nothing
+	// of it any more.
+	stated  Stated
+	dropped bool
 }
 
 // Book folds the log's records. It is safe for concurrent use.
@@ -143,6 +145,8 @@
 		b.count(e, -1)
 		delete(b.entries, id)
 		delete(b.unstated, id)
+	case prefix == statedPrefix:
+		e.dropped = true
 	case prefix == acceptedPrefix:
 		b.change(id, func(e *Entry) { e.Job, e.Accepted = nil, false })
 	}
--- a/workload/service/follow.go
+++ b/workload/service/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,8 @@
 	follows, caught bool
 	// told tells that the state of the connection was reported at all.
 	told bool
+	// handed has the offset of the newest record of each key that was handed over.
+	handed map[string]int64
 }
 
 const (
@@ -133,8 +136,7 @@
 	}
 	got := f.newest
 	f.newest = firstRead{}
-	f.snapshot(got.entries)
-	f.advance(got.end, got.began, true)
+	f.takeWhole(got)
 	f.mu.Lock()
 	f.caught = true
 	f.mu.Unlock()
@@ -183,6 +185,7 @@
 	for _, e := range page.Entries {
 		f.record(e)
 	}
+	f.hand(page.Entries)
 	if f.paged != nil && len(page.Entries) > 0 {
 		f.paged()
 	}
@@ -213,6 +216,7 @@
 	f.newest = firstRead{}
 	if !follows {
 		f.ok, f.told = false, false
+		f.handed = nil
 	}
 }
 
@@ -266,12 +270,59 @@
 	if err := got.read(ctx, f.log, f.topic, f.clock); err != nil {
 		return err
 	}
-	f.snapshot(got.entries)
-	f.advance(got.end, got.began, true)
+	f.takeWhole(got)
 	f.looked = began
 	return nil
 }
 
+// takeWhole takes the newest record of each key. A key that was handed over before and is not
+// among them was dropped meanwhile, by a record that the log keeps no more.
+func (f *follower) takeWhole(got firstRead) {
+	gone := f.gone(got)
+	f.snapshot(got.entries)
+	for _, key := range gone {
+		f.record(Entry{Offset: got.end - 1, Key: key})
+	}
+	f.hand(got.entries)
+	f.advance(got.end, got.began, true)
+}
+
+// gone lists the keys that were handed over and that the log has no more.
+func (f *follower) gone(got firstRead) []string {
+	there := make(map[string]bool, len(got.entries))
+	for _, e := range got.entries {
+		there[e.Key] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for key, offset := range f.handed {
+		if offset < got.end && !there[key] {
+			out = append(out, key)
+			delete(f.handed, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// hand notes what was handed over.
+func (f *follower) hand(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.handed == nil {
+		f.handed = map[string]int64{}
+	}
+	for _, e := range entries {
+		switch {
+		case len(e.Value) == 0:
+			delete(f.handed, e.Key)
+		case e.Offset >= f.handed[e.Key]:
+			f.handed[e.Key] = e.Offset
+		}
+	}
+}
+
 func (f *follower) place() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/workload/stated.go
+++ b/workload/stated.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	b.change(id, func(e *Entry) {
-		e.stated = stated
+		e.stated, e.dropped = stated, false
 		e.Accepted = true
 		if e.Queue == "" {
 			e.Queue = stated.Queue
@@ -88,8 +88,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, e := range b.entries {
-		if !e.Accepted {
+		if !e.Accepted || e.dropped {
+			b.count(e, -1)
 			delete(b.entries, id)
+			delete(b.unstated, id)
 			continue
 		}
 		e.Job, e.Progress, e.At, e.Settled = nil, nil, -1, false
--- a/workload/stated_test.go
+++ b/workload/stated_test.go
@@ -173,3 +173,20 @@
 		t.Fatal("a job of which the progress is there is forgotten")
 	}
 }
+
+// Guards against a job that is forgotten but for what an instance had read of it, and that keeps
+// the instance from ever claiming.
+func TestSheddingForgetsJobsThatTheStatesHaveDropped(t *testing.T) {
+	b := NewBook()
+	fold(t, b, 0, AcceptedKey("a"), accepted(t, "a", "q"))
+	fold(t, b, 1, ProgressKey("a"), []byte(`{"state":"running","begun":true}`))
+	fold(t, b, 2, StatedKey("a"), statement(t, Stated{Queue: "q", State: Running, Begun: true}))
+	fold(t, b, 3, StatedKey("a"), nil)
+	b.Shed()
+	if _, known := b.Get("a"); known || !b.Complete() || b.Pending("q") != 0 {
+		t.Fatalf("known %t, complete %t, %d pending", known, b.Complete(), b.Pending("q"))
+	}
+	if _, all := b.Unstated(10); !all {
+		t.Fatal("statements on forgotten jobs are left")
+	}
+}
