--- a/workload/control/verdicts_test.go
+++ b/workload/control/verdicts_test.go
@@ -83,3 +83,13 @@
 	}
 	return count
 }
+
+// Guards against a gang waiting for ever since its job keeps off the workers on which its tasks
+// have failed, and the others have no room for it.
+func TestAGangWhoseTasksHaveFailedFindsRoomInASmallPool(t *testing.T) {
+	for seed, w := range playCrowded([]int64{1001, 1729}, false) {
+		if len(w.problems) > 0 {
+			t.Errorf("seed %d: %v", seed, w.problems)
+		}
+	}
+}
