State: images carry what was said of jobs ahead of their acceptance

Cause: records of a job that is not known yet are kept until its acceptance comes. An image carried the offset that follows them, but not the records, so that whoever loaded it never read them again.

The image now has these records, and loading one folds them: what is below its offset is all in it.

--- a/state/jobs.go
+++ b/state/jobs.go
@@ -294,6 +294,8 @@
 	Offset  int64             `json:"offset"`
 	Jobs    []Status          `json:"jobs"`
 	Binding guarantee.Binding `json:"binding"`
+	// Early are records below Offset of jobs whose acceptance was not read yet.
+	Early []port.Record `json:"early,omitempty"`
 }
 
 // Image returns a copy of the state.
@@ -307,6 +309,9 @@
 	for _, status := range j.active {
 		image.Jobs = append(image.Jobs, *status)
 	}
+	for _, id := range j.earlyOrder {
+		image.Early = append(image.Early, j.early[id]...)
+	}
 	return image
 }
 
@@ -315,7 +320,7 @@
 func (j *Jobs) Load(image Image) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	empty := len(j.jobs) == 0 && len(image.Jobs) > 0
+	empty := len(j.jobs) == 0 && len(image.Jobs)+len(image.Early) > 0
 	if image.Offset < j.offset || (image.Offset == j.offset && !empty) {
 		return false
 	}
@@ -333,5 +338,9 @@
 	j.binding = image.Binding
 	j.offset = image.Offset
 	j.version++
+	j.early, j.earlyOrder = map[domain.JobID][]port.Record{}, nil
+	for _, record := range image.Early {
+		_ = j.fold(record) // one that can't be read is passed over, as in the log
+	}
 	return true
 }
