--- a/instance/site_test.go
+++ b/instance/site_test.go
@@ -84,6 +84,12 @@
 }
 
 func (s *site) start(dc domain.DataCentre) *running {
+	s.t.Helper()
+	return s.startOn(dc, nil)
+}
+
+// startOn starts an instance on another way to the platform; nil is the usual one.
+func (s *site) startOn(dc domain.DataCentre, platform instance.Platform) *running {
 	s.t.Helper()
 	secret := filepath.Join(s.t.TempDir(), "secret")
 	if err := os.WriteFile(secret, []byte("a-secret-of-the-peers"), 0o600); err != nil {
@@ -100,7 +106,7 @@
 	settings.Limits.BodyBytes = 4096
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	in, err := instance.New(settings, instance.Options{Log: quiet})
+	in, err := instance.New(settings, instance.Options{Log: quiet, Platform: platform})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/instance/snapshots.go
+++ b/instance/snapshots.go
@@ -5,8 +5,12 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/membership"
+	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/state"
 )
 
@@ -86,22 +90,34 @@
 	return state.WriteSnapshot(writeCtx, in.platform, state.ConfigurationStream, in.snapshotID(snapshot.Offset), snapshot.Offset, snapshot) == nil
 }
 
-// loadJobs takes the newest snapshot of the jobs from the log.
-func (in *Instance) loadJobs(ctx context.Context, _ int64) {
-	readCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
+// loadJobs takes the newest snapshot of the jobs from the log. An error says
+// that the log did not tell whether there is one.
+func (in *Instance) loadJobs(ctx context.Context, _ int64) error {
 	var image state.Image
-	if _, err := state.ReadSnapshot(readCtx, in.platform, state.JobStream(in.Settings.DataCentre), &image); err == nil {
+	found, err := in.readSnapshot(ctx, state.JobStream(in.Settings.DataCentre), &image)
+	if found {
 		in.jobs.Load(image)
 	}
+	return err
 }
 
 // loadConfiguration takes the newest snapshot of the configuration.
-func (in *Instance) loadConfiguration(ctx context.Context, _ int64) {
-	readCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
+func (in *Instance) loadConfiguration(ctx context.Context, _ int64) error {
 	var snapshot configuration.Snapshot
-	if _, err := state.ReadSnapshot(readCtx, in.platform, state.ConfigurationStream, &snapshot); err == nil && in.configuration.Adopt(snapshot) {
+	found, err := in.readSnapshot(ctx, state.ConfigurationStream, &snapshot)
+	if found && in.configuration.Adopt(snapshot) {
 		in.configured(snapshot)
 	}
+	return err
+}
+
+func (in *Instance) readSnapshot(ctx context.Context, of port.Stream, into any) (found bool, err error) {
+	readCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	_, err = state.ReadSnapshot(readCtx, in.platform, of, into)
+	if errors.Is(err, state.ErrNoSnapshot) {
+		in.log.WithError(err).WithFields(logrus.Fields{"stream": of}).Warn("the log has dropped records of which there is no snapshot")
+		return false, nil
+	}
+	return err == nil, err
 }
--- a/state/follower.go
+++ b/state/follower.go
@@ -19,8 +19,9 @@
 	// Apply takes one entry.
 	Apply func(port.Entry)
 	// Behind is called when entries before oldest are gone; it may load a
-	// snapshot. May be nil.
-	Behind func(ctx context.Context, oldest int64)
+	// snapshot. After an error, which says that it could not find out whether
+	// there is one, the read is repeated and nothing is applied. May be nil.
+	Behind func(ctx context.Context, oldest int64) error
 
 	lastRead atomic.Int64 // unix nanoseconds of the last successful read
 	caughtUp atomic.Bool
@@ -57,7 +58,9 @@
 		return err
 	}
 	if page.Oldest > from && f.Behind != nil {
-		f.Behind(ctx, page.Oldest)
+		if err := f.Behind(ctx, page.Oldest); err != nil {
+			return err
+		}
 		if f.From() > page.Next {
 			return nil // a snapshot covers what was read
 		}
--- a/state/snapshots.go
+++ b/state/snapshots.go
@@ -78,7 +78,7 @@
 	return errors.Wrapf(err, "append %s", kind)
 }
 
-// ErrNoSnapshot says that the log holds no whole snapshot of a stream.
+// ErrNoSnapshot says that the log holds no whole and readable snapshot of a stream.
 var ErrNoSnapshot = errors.New("the log holds no whole snapshot")
 
 // ReadSnapshot decodes the newest whole snapshot of a stream and returns the
@@ -102,7 +102,10 @@
 	if r.best == nil {
 		return 0, ErrNoSnapshot
 	}
-	return r.offset, errors.Wrap(json.Unmarshal(r.best, into), "decode snapshot")
+	if err := json.Unmarshal(r.best, into); err != nil {
+		return 0, errors.Wrapf(ErrNoSnapshot, "decode snapshot: %v", err)
+	}
+	return r.offset, nil
 }
 
 // snapshotReader puts snapshots together and keeps the newest whole one.
