State: held records count on top of an image

Callers saw a job that was accepted in memory, while the log was away, as not found at an instance that then took a newer image: the job's record was held there, but not known until the log had it.

Cause: loading an image replaces the state.

Evidence: TestHeldRecordsCountOnTopOfAnImage fails where the held records are left out of Load: the job "held" is not known.

Load folds the held records in the same step, in the order in which they came, so that nobody reads a state without them.

--- a/instance/records.go
+++ b/instance/records.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,16 +92,29 @@
 	return len(h.records)
 }
 
+// all returns the records in the order in which they came.
 func (h *heldRecords) all() []hold {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make([]hold, 0, len(h.records))
-	for _, r := range h.records {
+	records := slices.SortedFunc(maps.Values(h.records), func(a, b *heldRecord) int { return a.since.Compare(b.since) })
+	out := make([]hold, 0, len(records))
+	for _, r := range records {
 		out = append(out, hold{Stream: r.stream, Record: r.record})
 	}
 	return out
 }
 
+// of returns the records of one stream.
+func (h *heldRecords) of(stream port.Stream) []port.Record {
+	var out []port.Record
+	for _, held := range h.all() {
+		if held.Stream == stream {
+			out = append(out, held.Record)
+		}
+	}
+	return out
+}
+
 // due returns records that their first holder has not got into the log in time.
 func (h *heldRecords) due(now time.Time) []heldRecord {
 	h.mu.Lock()
@@ -358,9 +373,15 @@
 		for _, h := range answer.Held {
 			in.held.add(h.Stream, h.Record, false)
 		}
-		if in.jobs.Load(answer.Image) {
+		if in.loadImage(answer.Image) {
 			in.log.WithFields(logrus.Fields{"from": m.ID, "jobs": len(answer.Image.Jobs)}).Info("state taken from a peer")
 			return
 		}
 	}
 }
+
+// loadImage takes an image that is newer than what is known here. Held records
+// are in no image of the log and may be missing in a peer's.
+func (in *Instance) loadImage(image state.Image) bool {
+	return in.jobs.Load(image, in.held.of(state.JobStream(in.Settings.DataCentre))...)
+}
--- a/instance/snapshots.go
+++ b/instance/snapshots.go
@@ -96,7 +96,7 @@
 	var image state.Image
 	found, err := in.readSnapshot(ctx, state.JobStream(in.Settings.DataCentre), &image)
 	if found {
-		in.jobs.Load(image)
+		in.loadImage(image)
 	}
 	return err
 }
--- a/state/jobs.go
+++ b/state/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -316,8 +317,9 @@
 }
 
 // Load replaces the state by an image, if the image is newer. An empty state
-// takes any image: a peer may hold jobs that the log does not have yet.
-func (j *Jobs) Load(image Image) bool {
+// takes any image: a peer may hold jobs that the log does not have yet. Records
+// that the log does not have yet count on top of the image.
+func (j *Jobs) Load(image Image, held ...port.Record) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	empty := len(j.jobs) == 0 && len(image.Jobs)+len(image.Early) > 0
@@ -339,7 +341,7 @@
 	j.offset = image.Offset
 	j.version++
 	j.early, j.earlyOrder = map[domain.JobID][]port.Record{}, nil
-	for _, record := range image.Early {
+	for _, record := range slices.Concat(image.Early, held) {
 		_ = j.fold(record) // one that can't be read is passed over, as in the log
 	}
 	return true
--- a/state/journal_test.go
+++ b/state/journal_test.go
@@ -282,3 +282,31 @@
 		t.Error("an image that is not newer was loaded")
 	}
 }
+
+// A job that was accepted while the log was away is not forgotten with the image of an instance that has not heard of it.
+func TestHeldRecordsCountOnTopOfAnImage(t *testing.T) {
+	accepted := func(id domain.JobID) port.Record {
+		record, err := NewRecord(string(id), KindAccepted, Accepted{Job: domain.Job{ID: id}, Digest: "d"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return record
+	}
+	other := NewJobs()
+	if err := other.FoldEntry(port.Entry{Offset: 7, Record: accepted("in the log")}); err != nil {
+		t.Fatal(err)
+	}
+	held := accepted("held")
+	jobs := NewJobs()
+	if err := jobs.Fold(held); err != nil {
+		t.Fatal(err)
+	}
+	if !jobs.Load(other.Image(), held) {
+		t.Fatal("the newer image was not loaded")
+	}
+	for _, id := range []domain.JobID{"in the log", "held"} {
+		if _, ok := jobs.Get(id); !ok {
+			t.Errorf("the job %q is not known", id)
+		}
+	}
+}
