Instance: a newcomer asks every peer for the state

Callers lost a job that had been accepted in memory while the log was away, once its holders had been replaced by an instance that asked another newcomer first.

Cause: the state was taken from the first peer whose image could be loaded. That this peer held no copy was taken for there being none, and what other peers knew beyond its image was not asked for.

Evidence: TestANewcomerTakesCopiesFromEachPeerThatHoldsSome failed before: the acceptance was not in the log 20 s after it was back.

All peers are asked at once; the newest image counts, and every copy is held and folded on top of it.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/instance"
 	"github.com/cobalttide/cobalttide/port"
+	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/standin/client"
 	"github.com/cobalttide/cobalttide/state"
 )
@@ -57,3 +59,28 @@
 		}
 	}
 }
+
+// An accepted job outlives the replacement of its holders although a newcomer reaches a peer first that holds no copy.
+func TestANewcomerTakesCopiesFromEachPeerThatHoldsSome(t *testing.T) {
+	s := newSite(t, "north")
+	a, b, c := s.start("north"), s.start("north"), s.start("north")
+	s.configure()
+	a.call(t, "POST", "/v1/jobs", "shop", "", gangBody("early", 1, time.Millisecond))
+	for _, in := range s.instances {
+		in.wait(t, "early", "shop")
+	}
+	s.platform.Log.SetFaults(standin.LogFaults{Down: true})
+	b.PeerPool().Block(a.PeersAddress())
+	if _, raw, _ := b.call(t, "POST", "/v1/jobs", "shop", "", gangBody("held", 1, time.Millisecond)); !strings.Contains(raw, `"memory"`) {
+		t.Fatalf("not accepted in memory: %s", raw)
+	}
+	late := s.start("north")
+	eventually(t, "the newcomer has the state", func() bool {
+		_, raw, _ := late.call(t, "GET", "/v1/jobs/early", "shop", "", "")
+		return strings.Contains(raw, `"completed"`)
+	})
+	b.Kill()
+	c.Kill()
+	s.platform.Log.SetFaults(standin.LogFaults{})
+	eventually(t, "both acceptances are in the log", func() bool { return s.accepted() == 2 })
+}
--- a/instance/records.go
+++ b/instance/records.go
@@ -357,27 +357,52 @@
 	}
 }
 
-// recoverFromPeers takes the newest image that a peer of the data centre has.
+// recoverFromPeers takes the newest image that a peer of the data centre has,
+// and what any of them holds for the log: a peer that has just started may know
+// less than others.
 func (in *Instance) recoverFromPeers(ctx context.Context) {
-	for _, m := range in.members.present(in.Settings.DataCentre) {
-		if m.ID == in.ID {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-		var answer recovered
-		err := in.peers.Call(callCtx, m.Address, methodImage, nil, &answer)
-		cancel()
-		if err != nil {
-			continue
-		}
+	var images []state.Image
+	for _, answer := range in.askForState(ctx) {
 		for _, h := range answer.Held {
 			in.held.add(h.Stream, h.Record, false)
 		}
-		if in.loadImage(answer.Image) {
-			in.log.WithFields(logrus.Fields{"from": m.ID, "jobs": len(answer.Image.Jobs)}).Info("state taken from a peer")
-			return
+		images = append(images, answer.Image)
+	}
+	loaded := false
+	for _, image := range images {
+		loaded = in.loadImage(image) || loaded
+	}
+	for _, h := range in.held.all() {
+		in.foldHeld(h.Stream, h.Record)
+	}
+	in.log.WithFields(logrus.Fields{"answers": len(images), "loaded": loaded, "held": in.held.count()}).Info("peers asked for the state")
+}
+
+// askForState asks all peers of the data centre at once.
+func (in *Instance) askForState(ctx context.Context) []recovered {
+	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var out []recovered
+	for _, m := range in.members.present(in.Settings.DataCentre) {
+		if m.ID == in.ID {
+			continue
 		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var answer recovered
+			if err := in.peers.Call(callCtx, m.Address, methodImage, nil, &answer); err != nil {
+				return // the others and the log have it
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, answer)
+		}()
 	}
+	wg.Wait()
+	return out
 }
 
 // loadImage takes an image that is newer than what is known here. Held records
