Instance: the planner's role waits until jobs and classes have been read

Callers saw work of a job that had completed begin again, and jobs that may run again end as outcome-unknown, after a change of planner beside a slow or failing log.

Cause: an instance took part 5 s after its start, whatever it had read by then, and never asked for the configuration. A job whose end stands further on in the log was waiting to it; a job whose class it did not know counted as one that must not run twice and was ended once its gang was lost.

The patience now bounds the wait for a log that is away only, and only where a peer that has recovered has told the state and the configuration, or where no jobs have been read and the configuration has.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/instance"
+	"github.com/cobalttide/cobalttide/planner"
 	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/standin"
 	"github.com/cobalttide/cobalttide/standin/client"
@@ -38,6 +40,95 @@
 	return p.Platform.Read(ctx, stream, from)
 }
 
+// slowReads is a way to the platform on which the reads of one stream bring one
+// entry at a time.
+type slowReads struct {
+	instance.Platform
+	stream port.Stream
+	pause  time.Duration
+}
+
+func (p *slowReads) Read(ctx context.Context, stream port.Stream, from int64) (port.Page, error) {
+	page, err := p.Platform.Read(ctx, stream, from)
+	if stream != p.stream || err != nil || len(page.Entries) < 2 {
+		return page, err
+	}
+	time.Sleep(p.pause)
+	page.Entries = page.Entries[:1]
+	page.Next = page.Entries[0].Offset + 1
+	return page, nil
+}
+
+// starts counts how often workers have begun a gang's run.
+func (s *site) starts(id domain.JobID) int {
+	n := 0
+	for _, w := range s.platform.Workers() {
+		for _, run := range w.Starts() {
+			if run.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// members counts the gangs' members that workers hold or remember.
+func (s *site) members() int {
+	n := 0
+	for _, w := range s.platform.Workers() {
+		n += len(w.Members())
+	}
+	return n
+}
+
+// A planner that has read a job's acceptance and not its end yet does not begin it again.
+func TestAPlannerThatReadsSlowlyStartsNothingThatHasEnded(t *testing.T) {
+	s := newSite(t, "north")
+	a := s.start("north")
+	s.configure()
+	a.call(t, "POST", "/v1/jobs", "shop", "", gangBody("first", 1, time.Second))
+	for i := range 6 {
+		id := fmt.Sprint("beside", i)
+		a.call(t, "POST", "/v1/jobs", "shop", "", gangBody(id, 1, time.Millisecond))
+	}
+	for _, id := range []string{"first", "beside5"} {
+		a.wait(t, id, "shop")
+	}
+	eventually(t, "the workers have forgotten what has ended", func() bool { return s.members() == 0 })
+	a.Kill()
+	jobs := &slowReads{
+		Platform: client.New(s.platform.Address, s.platform.Address, "north"),
+		stream:   state.JobStream("north"), pause: 500 * time.Millisecond,
+	}
+	b := s.startWith("north", instance.Options{Platform: jobs})
+	eventually(t, "the new instance has the configuration", func() bool { return b.ConfigurationVersion() == 1 })
+	if status := b.wait(t, "first", "shop"); status.State != domain.JobCompleted {
+		t.Errorf("first is %s", status.State)
+	}
+	if n := s.starts("first"); n != 1 {
+		t.Errorf("it was started %d times", n)
+	}
+}
+
+// A planner that does not know the classes yet gives up no job that may run again.
+func TestAPlannerWithoutConfigurationEndsNoJob(t *testing.T) {
+	s := newSite(t, "north")
+	brief := planner.DefaultOptions()
+	brief.Timing.Lease, brief.Authority, brief.Poll = 2*time.Second, time.Second, 500*time.Millisecond
+	a := s.startWith("north", instance.Options{Planner: &brief})
+	s.configure()
+	a.call(t, "POST", "/v1/jobs", "shop", "", gangBody("lost", 1, 3*time.Second))
+	eventually(t, "the gang runs", func() bool { return s.starts("lost") == 1 })
+	a.Kill()
+	time.Sleep(brief.Timing.Lease + time.Second)
+	configuration := s.failingReads("north", state.ConfigurationStream, 6)
+	b := s.startWith("north", instance.Options{Platform: configuration, Planner: &brief})
+	eventually(t, "the new instance has the configuration", func() bool { return b.ConfigurationVersion() == 1 })
+	if status := b.wait(t, "lost", "shop"); status.State != domain.JobCompleted {
+		t.Errorf("the job is %s (%s)", status.State, status.Cause)
+	}
+}
+
 // Records that the log has dropped are in a snapshot; a read of it that fails does not mean that there were none.
 func TestAJobIsKnownWhereTheFirstReadOfItsSnapshotFailed(t *testing.T) {
 	s := newSite(t, "north")
@@ -52,7 +143,8 @@
 	a.wait(t, "late", "shop")
 	a.Kill()
 	s.platform.Log.Expire(state.JobStream("north"), 3)
-	b := s.startOn("north", s.failingReads("north", state.SnapshotStream(state.JobStream("north")), 2))
+	snapshots := s.failingReads("north", state.SnapshotStream(state.JobStream("north")), 2)
+	b := s.startWith("north", instance.Options{Platform: snapshots})
 	for _, id := range []string{"late", "early"} {
 		if status := b.wait(t, id, "shop"); status.State != domain.JobCompleted {
 			t.Errorf("%s is %s", id, status.State)
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -96,14 +96,22 @@
 }
 
 // recovered is what a new instance takes from a peer: the jobs, and the records
-// that wait for the log, so that copies outlive the replacement of instances.
+// that wait for the log, so that copies outlive the replacement of instances,
+// and the configuration that the jobs are planned by.
 type recovered struct {
-	Image state.Image `json:"image"`
-	Held  []hold      `json:"held,omitempty"`
+	Image         state.Image            `json:"image"`
+	Held          []hold                 `json:"held,omitempty"`
+	Configuration configuration.Snapshot `json:"configuration"`
+	// Recovered tells whether the peer has read all or was told by one that has.
+	Recovered bool `json:"recovered,omitempty"`
 }
 
 func (in *Instance) serveImage(context.Context) (recovered, error) {
-	return recovered{Image: in.jobs.Image(), Held: in.held.all()}, nil
+	return recovered{
+		// Read before the rest: what the peer has then is in it.
+		Recovered: in.recovered.Load(),
+		Image:     in.jobs.Image(), Held: in.held.all(), Configuration: in.configuration.Current(),
+	}, nil
 }
 
 func (in *Instance) serveHold(_ context.Context, h hold) (bool, error) {
--- a/instance/records.go
+++ b/instance/records.go
@@ -340,33 +340,46 @@
 		in.spawn(ctx, f.Run)
 	}
 	in.list(ctx)
-	in.recoverFromPeers(ctx)
-	in.awaitLog(ctx)
-	in.recovered.Store(true)
+	informed := in.recoverFromPeers(ctx)
+	in.awaitLog(ctx, informed)
+	in.recovered.Store(ctx.Err() == nil)
 }
 
-// recoveryPatience bounds the wait for the log before an instance takes part
-// with what it has from peers.
+// recoveryPatience bounds the wait for a log that is away before an instance
+// takes part with what it has from peers.
 const recoveryPatience = 5 * time.Second
 
-func (in *Instance) awaitLog(ctx context.Context) {
+// awaitLog waits until the jobs and the configuration have been read to their
+// end. A part of them shows jobs as waiting whose end stands further on, and
+// jobs of classes that are declared further on. Without the log an instance
+// takes part with what it has from a peer that has recovered, or with no jobs.
+func (in *Instance) awaitLog(ctx context.Context, informed bool) {
 	end := time.Now().Add(recoveryPatience)
-	follower := in.followers[state.JobStream(in.Settings.DataCentre)]
-	for ctx.Err() == nil && time.Now().Before(end) && !follower.CaughtUp() {
+	jobs := in.followers[state.JobStream(in.Settings.DataCentre)]
+	declared := in.followers[state.ConfigurationStream]
+	for ctx.Err() == nil && !(jobs.CaughtUp() && declared.CaughtUp()) {
+		whole := informed || in.jobs.Offset() == 0 && declared.CaughtUp()
+		if whole && in.logAway() && time.Now().After(end) {
+			return
+		}
 		sleep(ctx, 10*time.Millisecond)
 	}
 }
 
 // recoverFromPeers takes the newest image that a peer of the data centre has,
 // and what any of them holds for the log: a peer that has just started may know
-// less than others.
-func (in *Instance) recoverFromPeers(ctx context.Context) {
+// less than others. The result tells whether one of them has recovered itself.
+func (in *Instance) recoverFromPeers(ctx context.Context) (informed bool) {
 	var images []state.Image
 	for _, answer := range in.askForState(ctx) {
+		informed = informed || answer.Recovered
 		for _, h := range answer.Held {
 			in.held.add(h.Stream, h.Record, false)
 		}
 		images = append(images, answer.Image)
+		if in.configuration.Adopt(answer.Configuration) {
+			in.configured(answer.Configuration)
+		}
 	}
 	loaded := false
 	for _, image := range images {
@@ -376,6 +389,7 @@
 		in.foldHeld(h.Stream, h.Record)
 	}
 	in.log.WithFields(logrus.Fields{"answers": len(images), "loaded": loaded, "held": in.held.count()}).Info("peers asked for the state")
+	return informed
 }
 
 // askForState asks all peers of the data centre at once.
--- a/instance/site_test.go
+++ b/instance/site_test.go
@@ -85,11 +85,10 @@
 
 func (s *site) start(dc domain.DataCentre) *running {
 	s.t.Helper()
-	return s.startOn(dc, nil)
+	return s.startWith(dc, instance.Options{})
 }
 
-// startOn starts an instance on another way to the platform; nil is the usual one.
-func (s *site) startOn(dc domain.DataCentre, platform instance.Platform) *running {
+func (s *site) startWith(dc domain.DataCentre, options instance.Options) *running {
 	s.t.Helper()
 	secret := filepath.Join(s.t.TempDir(), "secret")
 	if err := os.WriteFile(secret, []byte("a-secret-of-the-peers"), 0o600); err != nil {
@@ -106,7 +105,8 @@
 	settings.Limits.BodyBytes = 4096
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	in, err := instance.New(settings, instance.Options{Log: quiet, Platform: platform})
+	options.Log = quiet
+	in, err := instance.New(settings, options)
 	if err != nil {
 		s.t.Fatal(err)
 	}
