Planner: what runs for a job that is not read yet is left alone

Callers saw the work of a job begin again, or a job end as outcome-unknown, that had completed while one planner took over from another.

Cause: a new planner stopped each gang that it found on the workers and whose job was not among those that have not ended, and had the workers forget it, result included. That a job was not there was taken for its end; its acceptance may not have been read yet, or may be held in the memory of others.

Ended tells jobs that have ended from those that have not been read. A gang is taken over, or stopped and forgotten, once its job is one or the other; its lease bounds it until then. It is taken before anything is planned in the same step, so that the job does not start beside it.

--- a/planner/core.go
+++ b/planner/core.go
@@ -82,6 +82,9 @@
 	Classes  map[domain.ClassName]domain.Class
 	// Jobs are the jobs that have not ended.
 	Jobs []state.Status
+	// Ended tells whether a job is known to have ended. One that is neither among
+	// Jobs nor ended has not been read yet.
+	Ended func(domain.JobID) bool
 	// Version changes whenever Jobs, Accounts or Classes do.
 	Version uint64
 	// Binding is the published one, taken over once.
@@ -151,6 +154,8 @@
 	deposedBy domain.Token
 	deposed   bool
 
+	// found are gangs that the claims have shown and whose jobs are not known yet.
+	found    map[domain.Incarnation][]gang.Found
 	machines map[domain.JobID]*gang.Machine
 	orphans  map[domain.Incarnation]*gang.Machine
 	closing  map[domain.Incarnation]*closing
@@ -246,6 +251,7 @@
 	if !c.adopted {
 		c.adopt(in)
 	}
+	c.takeOver(in)
 	c.cancelRequested(in)
 	c.advance(in)
 	c.recoverLost(in)
--- a/planner/gangs.go
+++ b/planner/gangs.go
@@ -12,36 +12,52 @@
 	"github.com/cobalttide/cobalttide/state"
 )
 
-// adopt takes over the gangs that the claims have found. The newest attempt of
-// a job that has not ended goes on if it is whole; everything else is stopped.
+// adopt takes over what the claims have found.
 func (c *Core) adopt(in Inputs) {
 	c.adopted = true
 	c.binding = in.Binding
+	c.found = c.foundGangs()
+}
+
+// takeOver takes the found gangs of jobs that are known. The newest attempt of a
+// job that has not ended goes on if it is whole; all others are stopped. A gang
+// whose job has not been read yet is left as it is: workers forget what is
+// stopped, and its result would be lost.
+func (c *Core) takeOver(in Inputs) {
+	if len(c.found) == 0 {
+		return
+	}
 	jobs := map[domain.JobID]state.Status{}
 	for _, status := range in.Jobs {
 		jobs[status.Job.ID] = status
 	}
-	found := c.foundGangs()
 	newest := map[domain.JobID]domain.Incarnation{}
-	for id := range found {
+	for id := range c.found {
 		if old, ok := newest[id.Job]; !ok || id.Newer(old) {
 			newest[id.Job] = id
 		}
 	}
-	for _, id := range sortedGangs(found) {
-		members := found[id]
-		local := c.localOf(id.Job)
-		local.attempt = max(local.attempt, id.Attempt)
+	for _, id := range sortedGangs(c.found) {
 		status, active := jobs[id.Job]
-		class := in.Classes[status.Job.Class]
-		m := gang.Adopt(status.Job, class, id, members, status.Guaranteed, c.options.Timing, in.Now)
-		if active && newest[id.Job] == id && !status.Gang.Newer(id) {
-			c.machines[id.Job] = m
+		if !active && !in.Ended(id.Job) {
 			continue
 		}
-		m.Cancel(gang.CausePartial)
-		c.orphans[id] = m
+		c.takeGang(id, status, in, active && newest[id.Job] == id && !status.Gang.Newer(id))
+		delete(c.found, id)
+	}
+}
+
+func (c *Core) takeGang(id domain.Incarnation, status state.Status, in Inputs, goesOn bool) {
+	local := c.localOf(id.Job)
+	local.attempt = max(local.attempt, id.Attempt)
+	class := in.Classes[status.Job.Class]
+	m := gang.Adopt(status.Job, class, id, c.found[id], status.Guaranteed, c.options.Timing, in.Now)
+	if goesOn {
+		c.machines[id.Job] = m
+		return
 	}
+	m.Cancel(gang.CausePartial)
+	c.orphans[id] = m
 }
 
 func (c *Core) foundGangs() map[domain.Incarnation][]gang.Found {
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -173,10 +173,15 @@
 	}
 	return Inputs{
 		Now: now, Workers: r.Fleet(), Accounts: configured.Declarations.Accounts, Classes: configured.Declarations.Classes,
-		Jobs: r.jobs, Version: r.inputs, Binding: r.Jobs.Binding(), Draining: r.Draining(), LogDown: r.LogDown(), Evacuated: r.Evacuated(),
+		Jobs: r.jobs, Ended: r.ended, Version: r.inputs, Binding: r.Jobs.Binding(), Draining: r.Draining(), LogDown: r.LogDown(), Evacuated: r.Evacuated(),
 	}
 }
 
+func (r *Runner) ended(id domain.JobID) bool {
+	status, ok := r.Jobs.Get(id)
+	return ok && status.State.Final()
+}
+
 // do carries out one call and hands its answer to the loop. Answers to a core
 // that has been given up are dropped with it.
 func (r *Runner) do(ctx context.Context, core *Core, call Call) {
