Instance: a job is not found only where all jobs have been read

Callers were told not-found for a job that exists, and a cancel was refused the same way, by an instance that was still reading or could not reach the log. A caller that believes it submits the work again under another id.

Cause: an unknown id was looked up in what had been read so far.

Evidence: TestAJobIsNotFoundOnlyWhereAllHaveBeenRead failed before: 404 for GET and DELETE of a job that had completed.

An unknown job is not-ready until the instance has recovered, and while its log is away. What is known is answered as before.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -176,3 +177,26 @@
 	s.platform.Log.SetFaults(standin.LogFaults{})
 	eventually(t, "both acceptances are in the log", func() bool { return s.accepted() == 2 })
 }
+
+// An instance that has not read all jobs does not say of one that there is none.
+func TestAJobIsNotFoundOnlyWhereAllHaveBeenRead(t *testing.T) {
+	s := newSite(t, "north")
+	a := s.start("north")
+	s.configure()
+	a.call(t, "POST", "/v1/jobs", "shop", "", gangBody("there", 1, time.Millisecond))
+	a.wait(t, "there", "shop")
+	jobs := s.failingReads("north", state.JobStream("north"), 4)
+	a.Kill()
+	b := s.startWith("north", instance.Options{Platform: jobs})
+	eventually(t, "the new instance has the configuration", func() bool { return b.ConfigurationVersion() == 1 })
+	for _, method := range []string{"GET", "DELETE"} {
+		if response, _, refusal := b.call(t, method, "/v1/jobs/there", "shop", "", ""); response.StatusCode == http.StatusNotFound {
+			t.Errorf("%s before the jobs have been read: %+v", method, refusal)
+		}
+	}
+	b.wait(t, "there", "shop")
+	eventually(t, "a job that does not exist is not found", func() bool {
+		response, _, _ := b.call(t, "GET", "/v1/jobs/none", "shop", "", "")
+		return response.StatusCode == http.StatusNotFound
+	})
+}
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -190,8 +190,17 @@
 		"check the id; a job of another data centre is asked for with ?data_centre=NAME")
 }
 
+// jobsNotRead says that an unknown job may exist.
+func jobsNotRead() *domain.Refusal {
+	return domain.Refuse(domain.ReasonNotReady, "", "the instance can't tell yet whether there is such a job: it has not read all of them",
+		"ask again, or ask another instance").After(time.Second)
+}
+
 func (in *Instance) jobHere(q jobQuery) (state.Status, error) {
 	status, ok := in.jobs.Get(q.ID)
+	if !ok && !in.hasReadAll() {
+		return state.Status{}, jobsNotRead()
+	}
 	if !ok || status.Job.Account != q.Account {
 		return state.Status{}, unknownJob()
 	}
--- a/instance/records.go
+++ b/instance/records.go
@@ -304,6 +304,10 @@
 	return age < 0 || age > logAwayAfter
 }
 
+// hasReadAll tells whether a job that is not known here is not in the log
+// either.
+func (in *Instance) hasReadAll() bool { return in.recovered.Load() && !in.logAway() }
+
 func (in *Instance) applyConfiguration(e port.Entry) {
 	if e.Record.Kind != configuration.KindChange {
 		return
