Instance: operators' orders are passed on to instances that start later

Operators saw work placed again on a worker that they were emptying, and in a data centre that they had evacuated, once an instance planned that had started after the order.

Cause: such orders are in the memory of the instances that were there, and are not recorded. An instance that started later knew of none, and took that for there being none.

Evidence: TestOrdersOfOperatorsReachAnInstanceThatStartsLater failed before: the new instance did not show the evacuation within 20 s.

The answer by which a newcomer takes the state over carries the orders too.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	cobalttidev1 "github.com/cobalttide/cobalttide/api/cobalttide/v1"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/instance"
 	"github.com/cobalttide/cobalttide/planner"
@@ -200,3 +201,26 @@
 		return response.StatusCode == http.StatusNotFound
 	})
 }
+
+// A worker that is being emptied, and a data centre that is evacuated, stay so for an instance that starts later.
+func TestOrdersOfOperatorsReachAnInstanceThatStartsLater(t *testing.T) {
+	s := newSite(t, "north")
+	a := s.start("north")
+	s.configure()
+	ctx := context.Background()
+	if _, err := a.operators().Evacuate(ctx, &cobalttidev1.EvacuateRequest{DataCentre: "north"}); err != nil {
+		t.Fatal(err)
+	}
+	b := s.start("north")
+	eventually(t, "the new instance has the configuration", func() bool { return b.ConfigurationVersion() == 1 && b.Ready() })
+	eventually(t, "the new instance shows the evacuation", func() bool {
+		status, err := b.operators().Status(ctx, &cobalttidev1.StatusRequest{})
+		return err == nil && status.EvacuatedMs > 0
+	})
+	a.Kill()
+	b.call(t, "POST", "/v1/jobs", "shop", "", gangBody("waits", 2, time.Millisecond))
+	time.Sleep(2 * time.Second)
+	if s.started("waits") {
+		t.Error("a gang began in the evacuated data centre")
+	}
+}
--- a/instance/jobs.go
+++ b/instance/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,6 +67,30 @@
 	d.workers = next
 }
 
+// orders are what operators have asked for and nobody has recorded.
+type orders struct {
+	Drained []domain.WorkerID `json:"drained,omitempty"`
+	// Evacuated is zero while the data centre is in use.
+	Evacuated time.Time `json:"evacuated,omitzero"`
+}
+
+// orders returns all orders in force.
+func (d *drainSet) orders() orders {
+	return orders{Drained: slices.Sorted(maps.Keys(d.current())), Evacuated: d.evacuatedSince()}
+}
+
+// take adds a peer's orders.
+func (d *drainSet) take(o orders) {
+	for _, worker := range o.Drained {
+		d.set(drainOrder{Worker: worker})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.evacuated.IsZero() {
+		d.evacuated = o.Evacuated
+	}
+}
+
 // current returns the set; it is replaced and never changed.
 func (d *drainSet) current() map[domain.WorkerID]bool {
 	d.mu.Lock()
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -293,8 +293,9 @@
 }
 
 // Drain implements the operators' interface. Peers of the data centre are told
-// too, so that the order outlives a change of planner; it is not recorded, and
-// an operator repeats it after all instances were replaced.
+// too, and pass it on to instances that start later, so that the order outlives
+// a change of planner; it is not recorded, and an operator repeats it after all
+// instances were lost at once.
 func (s *operatorService) Drain(ctx context.Context, r *cobalttidev1.DrainRequest) (*cobalttidev1.DrainResponse, error) {
 	if err := s.authorize(ctx); err != nil {
 		return nil, err
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -97,11 +97,13 @@
 
 // recovered is what a new instance takes from a peer: the jobs, and the records
 // that wait for the log, so that copies outlive the replacement of instances,
-// and the configuration that the jobs are planned by.
+// the configuration that the jobs are planned by, and operators' orders.
 type recovered struct {
 	Image         state.Image            `json:"image"`
 	Held          []hold                 `json:"held,omitempty"`
 	Configuration configuration.Snapshot `json:"configuration"`
+	// Orders are not in the log: only peers can pass them on.
+	Orders orders `json:"orders"`
 	// Recovered tells whether the peer has read all or was told by one that has.
 	Recovered bool `json:"recovered,omitempty"`
 }
@@ -111,6 +113,7 @@
 		// Read before the rest: what the peer has then is in it.
 		Recovered: in.recovered.Load(),
 		Image:     in.jobs.Image(), Held: in.held.all(), Configuration: in.configuration.Current(),
+		Orders: in.draining.orders(),
 	}, nil
 }
 
--- a/instance/records.go
+++ b/instance/records.go
@@ -377,6 +377,7 @@
 	var images []state.Image
 	for _, answer := range in.askForState(ctx) {
 		informed = informed || answer.Recovered
+		in.draining.take(answer.Orders)
 		for _, h := range answer.Held {
 			in.held.add(h.Stream, h.Record, false)
 		}
