Control: what is wrong with an answer that is none is noted

Operators saw a worker as silent whose answers came and could not be read.

The note that such an answer's birth gets is given for one that does not count too, once for each problem.

--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -34,6 +34,7 @@
 	case Gone:
 		c.goneFrom(w, order.Address, now)
 	default:
+		c.unreadable(w, answer.Problem)
 		c.stray(w, sent)
 		c.mute(w, sent.Add(order.Wait), now)
 		c.silence(w, now)
@@ -60,10 +61,7 @@
 	if answer.Born != 0 {
 		w.born = answer.Born
 	}
-	if answer.Problem != "" && answer.Problem != w.problem {
-		c.note(Note{Event: EventWorkerUnreadable, Worker: w.ID, Why: answer.Problem})
-	}
-	w.problem = answer.Problem
+	c.unreadable(w, answer.Problem)
 	w.doubt = false
 	if !w.ever {
 		// Its entry may have shown the clock of a life before.
@@ -99,6 +97,14 @@
 	}
 }
 
+// unreadable notes what is wrong with a worker's answer, once.
+func (c *Core) unreadable(w *worker, problem string) {
+	if problem != "" && problem != w.problem {
+		c.note(Note{Event: EventWorkerUnreadable, Worker: w.ID, Why: problem})
+	}
+	w.problem = problem
+}
+
 // takeRunning compares what runs with what should, and returns what was listed.
 func (c *Core) takeRunning(w *worker, rows []RunningRow, clockMS int64, now time.Time) map[workload.TaskID]bool {
 	listed := make(map[workload.TaskID]bool, len(rows))
