Service: the list of workers is taken whole, and an unreadable entry is not a gone one

Work was placed late, and workers that were there were met anew, each time that the planner read the list of workers anew: all that had nothing to do could be taken off the list and forgotten, with what had been read of their ends. A worker whose entry could not be read then was taken off as well.

Cause: the list was emptied and filled entry by entry, its lock given up between them, while rounds took it over; and what was known of an unreadable entry's worker was looked up in the emptied list.

The entries are decoded first and taken in one step under the lock; an unreadable one keeps what was known before. The two faults go together: both came from the list that was emptied first.

--- a/workload/service/places.go
+++ b/workload/service/places.go
@@ -38,32 +38,58 @@
 	p.core.Sweep(now)
 }
 
+// listing is what an entry of the list says.
+type listing struct {
+	Entry
+	of  control.Listing
+	err error
+}
+
+func (p *planner) readListing(e Entry) listing {
+	if len(e.Value) == 0 {
+		return listing{Entry: e}
+	}
+	of, err := p.s.decoder.Listing(e.Key, e.Value)
+	return listing{e, of, err}
+}
+
+// listAll takes the whole list in one step: a part of it says nothing of the workers
+// that are not in it.
 func (p *planner) listAll(entries []Entry) {
+	read := make([]listing, len(entries))
+	for i, e := range entries {
+		read[i] = p.readListing(e)
+	}
 	p.mu.Lock()
-	p.list = map[string]control.Listing{}
+	defer p.mu.Unlock()
+	before := p.list
+	p.list = make(map[string]control.Listing, len(entries))
 	p.fresh = true
-	p.mu.Unlock()
-	for _, e := range entries {
-		p.listOne(e)
+	for _, l := range read {
+		p.takeListing(l, before)
 	}
 }
 
 func (p *planner) listOne(e Entry) {
+	l := p.readListing(e)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.changed[e.Key] = true
-	if len(e.Value) == 0 {
-		delete(p.list, e.Key)
-		delete(p.bad, e.Key)
-		return
-	}
-	listing, err := p.s.decoder.Listing(e.Key, e.Value)
-	if err != nil {
-		p.listBad(e, err)
-		return
+	p.takeListing(l, p.list)
+}
+
+// takeListing takes one entry; before is what was known until then.
+func (p *planner) takeListing(l listing, before map[string]control.Listing) {
+	p.changed[l.Key] = true
+	switch {
+	case len(l.Value) == 0:
+		delete(p.list, l.Key)
+		delete(p.bad, l.Key)
+	case l.err != nil:
+		p.listBad(l, before)
+	default:
+		delete(p.bad, l.Key)
+		p.list[l.Key] = l.of
 	}
-	delete(p.bad, e.Key)
-	p.list[e.Key] = listing
 }
 
 // mostBad bounds the entries that are noted as bad.
@@ -72,14 +98,14 @@
 // listBad takes an entry that can't be understood. A worker that was known before gets
 // nothing new, and what runs there is held on at the address that it had; one that was
 // not known is not used.
-func (p *planner) listBad(e Entry, err error) {
-	if known, ok := p.list[e.Key]; ok {
+func (p *planner) listBad(l listing, before map[string]control.Listing) {
+	if known, ok := before[l.Key]; ok {
 		known.Unreadable = true
-		p.list[e.Key] = known
+		p.list[l.Key] = known
 	}
-	if p.bad[e.Key] == err.Error() || len(p.bad) >= mostBad {
+	if p.bad[l.Key] == l.err.Error() || len(p.bad) >= mostBad {
 		return
 	}
-	p.bad[e.Key] = err.Error()
-	p.s.noteUnreadable(e, err)
+	p.bad[l.Key] = l.err.Error()
+	p.s.noteUnreadable(l.Entry, l.err)
 }
