Control: a completed wave is reported by whoever plans next

Operators saw a wave of maintenance as active for good that had been completed.

Cause: the record of the completion is written before the report. A planner that ended between the two left a record from which its successor took the report for made.

Evidence: TestACompletedWaveIsReportedByTheSuccessor failed before: the successor reported nothing.

What an earlier planner has reported is not in the log, so the state is reported once by each planner. The report has the wave's key, so that a second one changes nothing.

--- a/workload/control/maintenance.go
+++ b/workload/control/maintenance.go
@@ -137,9 +137,6 @@
 	if len(record) > 0 && json.Unmarshal(record, &past) == nil {
 		v.sinceMS = past.SinceMS
 		v.complete = past.Complete
-		if v.complete {
-			v.told = WaveCompleted
-		}
 		v.dirty = false
 	}
 	for _, host := range past.Ordered {
--- a/workload/control/maintenance_test.go
+++ b/workload/control/maintenance_test.go
@@ -200,3 +200,26 @@
 		t.Fatalf("%+v, %d hosts", reports, len(m.had))
 	}
 }
+
+// A planner that ends between the record of a wave's completion and its report leaves the report to its successor.
+func TestACompletedWaveIsReportedByTheSuccessor(t *testing.T) {
+	m := newMaintenance(1, 1)
+	for range 60 {
+		m.now = m.now.Add(100 * time.Millisecond)
+		if m.core.WantsHosts(m.now) {
+			m.core.Hosts(m.list(), m.now)
+		}
+		m.write()
+		for _, o := range m.core.Duties(m.now) {
+			m.begin(o.Host)
+			m.core.DutyDone(o, control.DutyBegun, m.now)
+		}
+	}
+	if reports := m.core.WaveReports(); len(reports) != 1 || reports[0].State != control.WaveCompleted {
+		t.Fatalf("the first planner would report %+v", reports)
+	}
+	m.succeed()
+	if reports := m.core.WaveReports(); len(reports) != 1 || reports[0].State != control.WaveCompleted {
+		t.Fatalf("its successor reports %+v", reports)
+	}
+}
