Service: a job is denied only after its acceptances have been read

Callers were told 410 for a job that had been accepted, and a cancel of it was refused the same way, where another instance had accepted it within the last seconds and a topic of acceptances could not be read here.

Cause: where the look failed, what had been read less than Stale ago stood for it.

Evidence: TestAJobIsNotDeniedOnWhatWasReadBefore failed before: not-found for state and cancel with either topic refused.

An unknown job is denied after a look that succeeded, as docs/design/platform.md has it, and refused as cut off otherwise. Jobs that are known are answered as before.

--- a/workload/service/accept.go
+++ b/workload/service/accept.go
@@ -81,12 +81,6 @@
 	return nil
 }
 
-// ageOf is how long ago the topics were read that may have a job's records.
-func (a *acceptances) ageOf(id workload.JobID, now time.Time) time.Duration {
-	two := a.of(id)
-	return max(two[0].age(now), two[1].age(now))
-}
-
 func (a *acceptances) ages(now time.Time) []time.Duration {
 	out := make([]time.Duration, len(a.topics))
 	for i, f := range a.topics {
--- a/workload/service/parts_test.go
+++ b/workload/service/parts_test.go
@@ -136,6 +136,25 @@
 	}
 }
 
+// What was read a moment ago says nothing of a job that another instance has accepted since.
+func TestAJobIsNotDeniedOnWhatWasReadBefore(t *testing.T) {
+	for _, topic := range []Topic{Jobs, SpareJobs} {
+		log := &partly{written: map[Topic]int{}, fails: map[Topic]func(context.Context) error{topic: refuses}}
+		s := New(Settings{Instance: "a", Stale: time.Second, Stretch: time.Hour}, log, nil, nil, nil, nil)
+		s.directory.Store(&Directory{Version: 1})
+		for _, f := range append(slices.Clone(s.accepts.topics), s.states, s.plans, s.declared) {
+			f.good = time.Now()
+		}
+		_, stateErr := s.State(context.Background(), workload.JobID("00000000000000aa"))
+		cancelErr := s.Cancel(context.Background(), workload.JobID("00000000000000aa"))
+		for _, err := range []error{stateErr, cancelErr} {
+			if reason := domain.AsRefusal(err).Reason; reason != domain.ReasonLogUnavailable {
+				t.Errorf("%s can't be read: answered %s", topic, reason)
+			}
+		}
+	}
+}
+
 // A log may keep news from a read that waits. Whatever decides or answers is
 // read anew often enough for what it is worth.
 func TestWhatDecisionsDependOnIsReadOften(t *testing.T) {
--- a/workload/service/reading.go
+++ b/workload/service/reading.go
@@ -77,18 +77,15 @@
 }
 
 // lookForJob reads the acceptances where the job would be to their end, so that one
-// that is not known then was not accepted before. Where that fails, what was read a moment
-// ago has to do.
+// that is not known then was not accepted before. What was read until then can't tell:
+// another instance may have accepted the job since.
 func (s *Service) lookForJob(ctx context.Context, id workload.JobID) error {
 	if !s.states.known() {
 		// What has been read is a part, and says nothing of a job that is not in it.
 		return cutOff()
 	}
-	if s.accepts.look(ctx, id) == nil {
-		return nil
-	}
-	if s.accepts.ageOf(id, s.clock.Now()) >= s.settings.Stale {
+	if s.accepts.look(ctx, id) != nil {
 		return cutOff()
 	}
-	return s.Current()
+	return nil
 }
