Control: a data centre is not empty while it is unknown where runs are

Operators were told evacuation-empty, and evacuated_runs 0, by a planner that had just begun, while tasks ran in the evacuated data centre.

Cause: runs are counted by the data centre of their worker's entry. A planner takes runs over from the log before it reads the list of workers; until then none was anywhere.

Evidence: TestNoDataCentreIsEmptyWhileAWorkerWithRunsIsNotListed failed before: Centres:1 Runs:0.

Runs on workers whose place is not known count as left, and keep an evacuation from being noted as done.

--- a/workload/control/evacuation.go
+++ b/workload/control/evacuation.go
@@ -39,6 +39,9 @@
 
 func (c *Core) evacuates(w *worker) bool { return c.evacuations[w.DataCentre] != nil }
 
+// unknownCentre is where workers are whose entries were not read yet.
+const unknownCentre = ""
+
 // runsIn counts the runs that may be at work in a data centre.
 func (c *Core) runsIn(name string) int {
 	n := 0
@@ -53,21 +56,27 @@
 // Evacuated is what is left to do of the evacuations.
 type Evacuated struct {
 	// Centres is how many data centres get nothing new, Runs how many runs are left
-	// there.
+	// there, or may be: those on workers of which it is not known where they are count.
 	Centres, Runs int
 }
 
 // Evacuated counts what is left, and notes when a data centre has become empty.
 func (c *Core) Evacuated(now time.Time) Evacuated {
 	out := Evacuated{Centres: len(c.evacuations)}
+	if out.Centres == 0 {
+		return out
+	}
+	anywhere := c.runsIn(unknownCentre)
+	out.Runs = anywhere
 	for _, name := range sortedKeys(c.evacuations) {
 		e := c.evacuations[name]
 		runs := c.runsIn(name)
 		out.Runs += runs
-		if runs == 0 && !e.empty {
+		empty := runs+anywhere == 0
+		if empty && !e.empty {
 			c.note(Note{Event: EventEvacuationEmpty, Detail: fmt.Sprintf("centre=%s after_ms=%d", name, now.Sub(e.since).Milliseconds())})
 		}
-		e.empty = runs == 0
+		e.empty = empty
 	}
 	return out
 }
--- a/workload/control/evacuation_test.go
+++ b/workload/control/evacuation_test.go
@@ -420,3 +420,26 @@
 		})
 	}
 }
+
+// A planner that has not read yet where its workers are does not say that nothing runs in an evacuated data centre.
+func TestNoDataCentreIsEmptyWhileAWorkerWithRunsIsNotListed(t *testing.T) {
+	first := newCentres(t, nil)
+	first.submit(jobA, whole)
+	entry := workload.Entry{Job: &workload.Job{ID: jobA, Steps: []workload.Step{whole}, Terms: workload.Terms{Priority: 1, Attempts: 3, Stretch: 3}}}
+	for _, r := range first.decide() {
+		if r.Key == workload.ProgressKey(jobA) {
+			entry.Progress = r.Value
+		}
+	}
+	next := &centres{now: first.now, list: first.list, Core: control.New(worldBounds, 2, first.now)}
+	next.Configure(control.Configuration{Version: 1})
+	next.Adopt(jobA, entry)
+	next.Evacuate([]string{"a"}, next.now)
+	if left := next.Evacuated(next.now); left.Runs == 0 || next.noted(control.EventEvacuationEmpty) != "" {
+		t.Fatalf("left before the list is read: %+v", left)
+	}
+	next.List(next.list, next.now)
+	if left := next.Evacuated(next.now); left != (control.Evacuated{Centres: 1, Runs: 2}) || next.noted(control.EventEvacuationEmpty) != "" {
+		t.Fatalf("left after it was read: %+v", left)
+	}
+}
