Requests: an attempt that is no longer known is not told as not-run

A caller that waited for another attempt at its id could be told not-run after that attempt had run, where the ledger had reached its bound and forgotten the id.

Cause: an id that is not known and one whose attempts were all given up were answered alike.

Evidence: TestAForgottenAttemptIsNotToldAsNotRun failed before: not-run.

What is not known is told as unknown.

--- a/requests/attempt/keeper.go
+++ b/requests/attempt/keeper.go
@@ -120,7 +120,9 @@
 	for {
 		status, known, changed := k.Ledger.Status(key)
 		switch {
-		case !known || status.Winner == "":
+		case !known:
+			return Begun{}, domain.OutcomeUnknown(domain.ReasonOutcomeUnknown, "what became of an earlier attempt at this id is no longer known")
+		case status.Winner == "":
 			return Begun{}, domain.Refuse(domain.ReasonOverloaded, "",
 				"an earlier attempt at this id was given up before it ran", "repeat it with the same id").After(k.Options.RetryAfter)
 		case status.Digest != digest:
