--- /dev/null
+++ b/workload/control/reduced_test.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/cobalttide/cobalttide/workload"
+)
+
+// A job of which only the reduced acceptance has been read is neither begun nor ended: its progress is not there yet.
+func TestAJobWithoutItsStepsIsLeftAlone(t *testing.T) {
+	s := newCutOffScene(false)
+	s.round()
+	book := workload.NewBook()
+	const id = workload.JobID("00000000000000bb")
+	if err := book.Fold(0, workload.AcceptedKey(id), []byte(`{"reduced":true,"id":"00000000000000bb","queue":"q"}`)); err != nil {
+		t.Fatal(err)
+	}
+	book.All(s.c.Adopt)
+	for range 3 {
+		s.c.Round(s.now, s.now.UnixMilli())
+		for _, r := range s.c.Changes() {
+			if r.Key == workload.ProgressKey(id) {
+				t.Fatalf("written: %s", r.Value)
+			}
+		}
+		if starts := s.c.Persisted(s.now); len(starts) > 0 {
+			t.Fatalf("started: %+v", starts)
+		}
+	}
+}
