Instance: an end counts once two instances have it

Work that had completed began again, where the log was away when a gang ended and its planner was lost before the log came back; a job that must not run twice would have ended as outcome-unknown.

Cause: while the log is away the planner's records counted in its own memory at once, whether or not another instance had taken a copy. A job that was over there let its workers forget the gang with its result.

The record counts once it is in the log or at least two instances hold it, as an acceptance does; until then the workers keep the result for the next planner. Where no other instance is there, callers see the end when the log is back.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -224,3 +225,26 @@
 		t.Error("a gang began in the evacuated data centre")
 	}
 }
+
+// A gang's result stays with its workers while its end is in the memory of one instance alone.
+func TestAnEndThatOnlyOneInstanceHoldsIsNotForgotten(t *testing.T) {
+	s := newSite(t, "north")
+	a := s.start("north")
+	s.configure()
+	a.call(t, "POST", "/v1/jobs", "shop", "", gangBody("ends", 2, 2*time.Second))
+	eventually(t, "the start is in the log", func() bool {
+		page, err := s.platform.Log.Read(context.Background(), state.JobStream("north"), 0)
+		return err == nil && slices.ContainsFunc(page.Entries, func(e port.Entry) bool { return e.Record.Kind == state.KindStarted })
+	})
+	s.platform.Log.SetFaults(standin.LogFaults{Down: true})
+	time.Sleep(6 * time.Second)
+	a.Kill()
+	s.platform.Log.SetFaults(standin.LogFaults{})
+	b := s.start("north")
+	if status := b.wait(t, "ends", "shop"); status.State != domain.JobCompleted {
+		t.Errorf("the job is %s (%s)", status.State, status.Cause)
+	}
+	if n := s.starts("ends"); n != 2 {
+		t.Errorf("its two members were started %d times", n)
+	}
+}
--- a/instance/records.go
+++ b/instance/records.go
@@ -265,10 +265,13 @@
 	go func() {
 		select {
 		case <-done:
+			return
 		case <-time.After(logPatience):
-			// It is a fact, whether or not anybody else holds a copy.
+		}
+		// Workers forget a gang once its job's end counts here. In one memory alone
+		// the end would be lost with this instance.
+		if copies, _ := in.spread(context.Background(), stream, record); copies >= minCopies {
 			in.foldHeld(stream, record)
-			in.spread(context.Background(), stream, record)
 		}
 	}()
 }
