Instance: no class is removed where its jobs may not have been read

An operator could remove a class while jobs of it ran: they then counted as ones that must not run twice, and were ended as outcome-unknown once a gang was lost.

Cause: whether a class is in use was looked up in the jobs that the instance had read so far.

Evidence: TestAClassIsNotRemovedWhereItsJobsHaveNotBeenRead failed before: removed by version 2 while a job of it ran.

A change that removes classes is refused by an instance that has not read all jobs.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -248,3 +249,25 @@
 		t.Errorf("its two members were started %d times", n)
 	}
 }
+
+// An instance that has not read the jobs does not take a class for unused.
+func TestAClassIsNotRemovedWhereItsJobsHaveNotBeenRead(t *testing.T) {
+	s := newSite(t, "north")
+	a := s.start("north")
+	s.configure()
+	a.call(t, "POST", "/v1/jobs", "shop", "", gangBody("runs", 1, time.Minute))
+	eventually(t, "the gang runs", func() bool { return s.starts("runs") == 1 })
+	jobs := s.failingReads("north", state.JobStream("north"), 6)
+	a.Kill()
+	b := s.startWith("north", instance.Options{Platform: jobs})
+	eventually(t, "the new instance has the configuration", func() bool { return b.ConfigurationVersion() == 1 })
+	without := declarations()
+	delete(without.Classes, "gang")
+	raw, err := json.Marshal(without)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if version, refusal := b.Apply(context.Background(), string(raw), 1, "second", "test"); refusal == nil {
+		t.Errorf("the class is removed by version %d, and a job of it runs", version)
+	}
+}
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -150,6 +150,7 @@
 			})
 		}
 	}
+	problems = append(problems, in.unreadUses(d)...)
 	sort.Slice(problems, func(i, j int) bool { return problems[i].String() < problems[j].String() })
 	active, _ := in.jobs.Active()
 	for _, status := range active {
@@ -163,6 +164,23 @@
 	return problems
 }
 
+// unreadUses lists the classes that are removed while it is not known whether jobs
+// of them have ended.
+func (in *Instance) unreadUses(d configuration.Declarations) configuration.Problems {
+	if in.hasReadAll() {
+		return nil
+	}
+	var problems configuration.Problems
+	for name := range in.configuration.Current().Declarations.Classes {
+		if _, kept := d.Classes[name]; !kept {
+			problems = append(problems, configuration.Problem{
+				Field: "classes." + string(name), Message: "is removed while the instance has not read all jobs", Remedy: "come back, or ask another instance",
+			})
+		}
+	}
+	return problems
+}
+
 // allFleets returns the workers of every data centre, or, while the platform's
 // list is away, of this one.
 func (in *Instance) allFleets(ctx context.Context) map[domain.DataCentre][]domain.Worker {
