Instance: a newcomer reads the configuration from the log where it can

An operator's change could be answered outcome-unknown though it was accepted, or conflict when it was repeated, by an instance that had just started.

A peer's configuration is kept aside, and taken only where the instance goes on without the log. The longer tests of this file run beside one another.

--- a/instance/incomplete_test.go
+++ b/instance/incomplete_test.go
@@ -87,6 +87,7 @@
 
 // A planner that has read a job's acceptance and not its end yet does not begin it again.
 func TestAPlannerThatReadsSlowlyStartsNothingThatHasEnded(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a := s.start("north")
 	s.configure()
@@ -116,6 +117,7 @@
 
 // A planner that does not know the classes yet gives up no job that may run again.
 func TestAPlannerWithoutConfigurationEndsNoJob(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	brief := planner.DefaultOptions()
 	brief.Timing.Lease, brief.Authority, brief.Poll = 2*time.Second, time.Second, 500*time.Millisecond
@@ -135,6 +137,7 @@
 
 // Records that the log has dropped are in a snapshot; a read of it that fails does not mean that there were none.
 func TestAJobIsKnownWhereTheFirstReadOfItsSnapshotFailed(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a := s.start("north")
 	s.configure()
@@ -158,6 +161,7 @@
 
 // An accepted job outlives the replacement of its holders although a newcomer reaches a peer first that holds no copy.
 func TestANewcomerTakesCopiesFromEachPeerThatHoldsSome(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a, b, c := s.start("north"), s.start("north"), s.start("north")
 	s.configure()
@@ -183,6 +187,7 @@
 
 // An instance that has not read all jobs does not say of one that there is none.
 func TestAJobIsNotFoundOnlyWhereAllHaveBeenRead(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a := s.start("north")
 	s.configure()
@@ -206,6 +211,7 @@
 
 // A worker that is being emptied, and a data centre that is evacuated, stay so for an instance that starts later.
 func TestOrdersOfOperatorsReachAnInstanceThatStartsLater(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a := s.start("north")
 	s.configure()
@@ -229,6 +235,7 @@
 
 // A gang's result stays with its workers while its end is in the memory of one instance alone.
 func TestAnEndThatOnlyOneInstanceHoldsIsNotForgotten(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a := s.start("north")
 	s.configure()
@@ -252,6 +259,7 @@
 
 // An instance that has not read the jobs does not take a class for unused.
 func TestAClassIsNotRemovedWhereItsJobsHaveNotBeenRead(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, "north")
 	a := s.start("north")
 	s.configure()
@@ -271,3 +279,21 @@
 		t.Errorf("the class is removed by version %d, and a job of it runs", version)
 	}
 }
+
+// An instance that peers have told the configuration still learns from the log what became of a change.
+func TestAChangeIsKnownAtAnInstanceThatStartsLater(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, "north")
+	s.start("north")
+	s.configure()
+	declared := s.failingReads("north", state.ConfigurationStream, 4)
+	late := s.startWith("north", instance.Options{Platform: declared})
+	eventually(t, "the new instance has the configuration", func() bool { return late.ConfigurationVersion() == 1 })
+	raw, err := json.Marshal(declarations())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if version, refusal := late.Apply(context.Background(), string(raw), 0, "first", "test"); refusal != nil || version != 1 {
+		t.Errorf("the change that made version 1 again: version %d, %v", version, refusal)
+	}
+}
--- a/instance/records.go
+++ b/instance/records.go
@@ -347,8 +347,7 @@
 		in.spawn(ctx, f.Run)
 	}
 	in.list(ctx)
-	informed := in.recoverFromPeers(ctx)
-	in.awaitLog(ctx, informed)
+	in.awaitLog(ctx, in.recoverFromPeers(ctx))
 	in.recovered.Store(ctx.Err() == nil)
 }
 
@@ -359,35 +358,45 @@
 // awaitLog waits until the jobs and the configuration have been read to their
 // end. A part of them shows jobs as waiting whose end stands further on, and
 // jobs of classes that are declared further on. Without the log an instance
-// takes part with what it has from a peer that has recovered, or with no jobs.
-func (in *Instance) awaitLog(ctx context.Context, informed bool) {
+// takes part with the state and the configuration that a peer has told which has
+// recovered, or with no jobs.
+func (in *Instance) awaitLog(ctx context.Context, told *configuration.Snapshot) {
 	end := time.Now().Add(recoveryPatience)
 	jobs := in.followers[state.JobStream(in.Settings.DataCentre)]
 	declared := in.followers[state.ConfigurationStream]
 	for ctx.Err() == nil && !(jobs.CaughtUp() && declared.CaughtUp()) {
-		whole := informed || in.jobs.Offset() == 0 && declared.CaughtUp()
+		whole := told != nil || in.jobs.Offset() == 0 && declared.CaughtUp()
 		if whole && in.logAway() && time.Now().After(end) {
+			in.adoptConfiguration(told)
 			return
 		}
 		sleep(ctx, 10*time.Millisecond)
 	}
 }
 
+// adoptConfiguration takes a peer's configuration if it is newer; nil is none.
+func (in *Instance) adoptConfiguration(told *configuration.Snapshot) {
+	if told != nil && in.configuration.Adopt(*told) {
+		in.configured(*told)
+	}
+}
+
 // recoverFromPeers takes the newest image that a peer of the data centre has,
 // and what any of them holds for the log: a peer that has just started may know
-// less than others. The result tells whether one of them has recovered itself.
-func (in *Instance) recoverFromPeers(ctx context.Context) (informed bool) {
+// less than others. It returns the newest configuration of those that have
+// recovered themselves, nil if there is none. With the log it is read there, so
+// that the outcome of each change is known.
+func (in *Instance) recoverFromPeers(ctx context.Context) (told *configuration.Snapshot) {
 	var images []state.Image
 	for _, answer := range in.askForState(ctx) {
-		informed = informed || answer.Recovered
+		if answer.Recovered && (told == nil || answer.Configuration.Version > told.Version) {
+			told = &answer.Configuration
+		}
 		in.draining.take(answer.Orders)
 		for _, h := range answer.Held {
 			in.held.add(h.Stream, h.Record, false)
 		}
 		images = append(images, answer.Image)
-		if in.configuration.Adopt(answer.Configuration) {
-			in.configured(answer.Configuration)
-		}
 	}
 	loaded := false
 	for _, image := range images {
@@ -397,7 +406,7 @@
 		in.foldHeld(h.Stream, h.Record)
 	}
 	in.log.WithFields(logrus.Fields{"answers": len(images), "loaded": loaded, "held": in.held.count()}).Info("peers asked for the state")
-	return informed
+	return told
 }
 
 // askForState asks all peers of the data centre at once.
