Stand-in's client: an answer that lacks its fields is an error

Gangs were stopped and begun again where the platform's list was answered without any list, and jobs could be taken for read to the log's end where a read was answered without its offsets.

Cause: a missing field was read as 0, "" or an empty list: no workers, a log that ends at 0, an append at 0, a worker that has restarted.

Evidence: TestAnAnswerThatLacksItsFieldsIsAnError failed before for all four calls.

Such an answer says nothing of what it lacks: an error, after which the last list stands, the read is repeated, and the append or the command counts as unanswered.

--- a/standin/client/client.go
+++ b/standin/client/client.go
@@ -96,33 +96,64 @@
 	Offset int64 `json:"offset"`
 }
 
+// lacks is the error of an answer without a field: what it does not say is not
+// known to be empty.
+func lacks(field string) error { return errors.Newf("the platform's answer lacks %s", field) }
+
 // Append implements port.Log.
 func (c *Client) Append(ctx context.Context, stream port.Stream, records []port.Record) (int64, error) {
-	var answer AppendAnswer
-	err := c.post(ctx, c.LogAddress, "/log/append", AppendRequest{Stream: stream, Records: records}, &answer)
-	return answer.Offset, err
+	answer := struct {
+		Offset *int64 `json:"offset"`
+	}{}
+	if err := c.post(ctx, c.LogAddress, "/log/append", AppendRequest{Stream: stream, Records: records}, &answer); err != nil {
+		return 0, err
+	}
+	if answer.Offset == nil {
+		return 0, lacks("the offset")
+	}
+	return *answer.Offset, nil
 }
 
 // Read implements port.Log.
 func (c *Client) Read(ctx context.Context, stream port.Stream, from int64) (port.Page, error) {
 	query := url.Values{"stream": {string(stream)}, "from": {strconv.FormatInt(from, 10)}}
-	var page port.Page
-	err := c.do(ctx, http.MethodGet, "http://"+c.LogAddress+"/log/read?"+query.Encode(), nil, &page)
-	return page, err
+	answer := struct {
+		Entries []port.Entry `json:"entries"`
+		Oldest  *int64       `json:"oldest"`
+		Next    *int64       `json:"next"`
+		End     *int64       `json:"end"`
+	}{}
+	if err := c.do(ctx, http.MethodGet, "http://"+c.LogAddress+"/log/read?"+query.Encode(), nil, &answer); err != nil {
+		return port.Page{}, err
+	}
+	if answer.Oldest == nil || answer.Next == nil || answer.End == nil {
+		return port.Page{}, lacks("an offset")
+	}
+	return port.Page{Entries: answer.Entries, Oldest: *answer.Oldest, Next: *answer.Next, End: *answer.End}, nil
 }
 
 // List implements port.Lister.
 func (c *Client) List(ctx context.Context, query port.ListQuery) (port.Inventory, error) {
 	var inventory port.Inventory
-	err := c.post(ctx, c.ListAddress, "/list", query, &inventory)
-	return inventory, err
+	if err := c.post(ctx, c.ListAddress, "/list", query, &inventory); err != nil {
+		return port.Inventory{}, err
+	}
+	if v := inventory.Versions; v.Instances == "" || v.Workers == "" || v.Backends == "" {
+		return port.Inventory{}, lacks("a list's version")
+	}
+	return inventory, nil
 }
 
 // Do implements port.Workers.
 func (c *Client) Do(ctx context.Context, worker domain.Worker, command port.Command) (port.Report, error) {
 	var report port.Report
-	err := c.post(ctx, worker.Address, "/workers/"+string(worker.ID)+"/do", command, &report)
-	return report, err
+	if err := c.post(ctx, worker.Address, "/workers/"+string(worker.ID)+"/do", command, &report); err != nil {
+		return port.Report{}, err
+	}
+	if report.Boot == "" {
+		return port.Report{}, lacks("the worker's boot")
+	}
+	return report, nil
 }
 
 func (c *Client) post(ctx context.Context, address, path string, body, answer any) error {
