A job keeps off workers only while the others could take its work

Cause: a job keeps off the workers on which its tasks have failed, for good. With few workers in its service there is no place left for a gang.

Change: it keeps off them as long as the other workers could take the unit with all of their room; else any worker will do.

--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -212,7 +212,7 @@
 	if !o.Ready(j.Job, step) {
 		return decide.Unit{}, false
 	}
-	u := decide.Unit{Key: key, Step: spec, Guaranteed: guaranteed, Avoid: j.avoid}
+	u := decide.Unit{Key: key, Step: spec, Guaranteed: guaranteed}
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != workload.Waiting {
 			continue
@@ -228,6 +228,7 @@
 		return decide.Unit{}, false
 	}
 	c.describe(&u, j, o, now, wallMS)
+	c.keepOff(&u, j)
 	return u, true
 }
 
--- a/workload/control/suspects.go
+++ b/workload/control/suspects.go
@@ -123,7 +123,8 @@
 	if !u.Suspect || len(c.unstable) == 0 {
 		return
 	}
-	avoid := maps.Clone(u.Avoid)
+	avoid := map[string]bool{}
+	maps.Copy(avoid, u.Avoid)
 	listed, unstable := 0, 0
 	for id, w := range c.workers {
 		if !w.listed {
