What ran on a worker that has left begins again at once

Cause: a worker that does not answer was waited for until its lease was over, also where its entry was gone. A removal can mean two things: the worker has left, or its entry expired after three heartbeats of silence, in which case it may run on (cut off from the store, the planner or both).

Evidence: entries of draining workers are written anew with each heartbeat and show the worker's clock (trial on a scratch copy). With the clock that answers to holds show, that bounds from below when the entry was written.

Change: a worker that drains, whose entry is removed less than two heartbeats after the earliest time at which it can have been written, and that answers no hold sent after the removal, has left (why=worker-left). A removal beside a gap in the list, or in a list read anew, is no evidence. Bounds.Heartbeat comes from heartbeat_ms of the settings; without it nothing is concluded. The worlds' bounds got their heartbeat of 1.5 s, a third of the time that their entries stay; TestAGangWhoseMembersWorkerHasLeftBeginsAgainSoon itself is as it was, failed before ("nothing of the job runs 3s after ...") and passes.

A planner's reader reports the loss before it reads on; the harness now does so with the first read after a gap. The check is as it was.

Also run: go test ./... (only TestAVerdictClearsWhatWasBeside fails, as before), CRASH_WORLDS=2000 and RESTART_WORLDS=2000 (0 broken), the new tests with -race.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -75,8 +75,10 @@
 	// listed is how many workers the list has, alive how many of them are not known to have
 	// crashed.
 	listed, alive int
-	ordered       []DutyOrder
-	dutiesFrom    time.Time
+	// listUnbrokenFrom is from when on the list has been followed without a gap.
+	listUnbrokenFrom time.Time
+	ordered          []DutyOrder
+	dutiesFrom       time.Time
 	// began is when this planner began.
 	began time.Time
 	// loadAt is when the pool's load was last noted.
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -47,6 +47,7 @@
 	whyAnotherLife = "another-life"
 	whyTakenOver   = "address-taken-over"
 	whyRestarted   = "worker-restarted"
+	whyLeft        = "worker-left"
 )
 
 // crashed tells whether a worker's life ended by a crash: it did not leave by a plan, and
--- a/workload/control/holds.go
+++ b/workload/control/holds.go
@@ -67,6 +67,8 @@
 		// Its entry may have shown the clock of a life before.
 		w.clockMS = 0
 	}
+	w.heard(sent)
+	w.anchor(answer.ClockMS, sent)
 	c.readClock(w, answer.ClockMS, now)
 	if !w.met {
 		c.note(Note{Event: EventWorkerAnswers, Worker: w.ID, Detail: fmt.Sprintf("born=%d", answer.Born)})
--- a/workload/control/lives.go
+++ b/workload/control/lives.go
@@ -33,6 +33,9 @@
 	clockMS int64
 	clockAt time.Time
 	heldMS  int64
+	// anchorMS was shown by its clock at anchorAt or later.
+	anchorMS int64
+	anchorAt time.Time
 	// connections is the newest connection that leads to this life, or nowhere.
 	connections int64
 	// deadlineMS is the latest that any order has set.
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -36,6 +36,13 @@
 	unboundStarts, unboundCursors bool
 	// cursors: each hold to a worker carries the highest cursor that ever went there.
 	cursors bool
+	// heartbeats: heartbeats are taken to be as many times as far apart.
+	heartbeats time.Duration
+	// datedByReading: entries show the time at which they were read, not that at which they
+	// were written.
+	datedByReading bool
+	// untoldGaps: planners don't know that the list was not read for a while.
+	untoldGaps bool
 }
 
 // token is the one that an order carries.
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -223,12 +223,15 @@
 // expire releases what workers without an answer must have lost.
 func (c *Core) expire(now time.Time) {
 	for _, w := range c.inOrder {
-		if len(w.tasks) == 0 || !c.lapsed(w, now) {
-			continue
+		switch {
+		case len(w.tasks) == 0:
+		case w.departed && !w.met:
+			c.lose(w, whyLeft, now)
+		case c.lapsed(w, now):
+			c.release(w, whyLeaseOver, now)
+			w.clockMS = 0
+			w.deadlineMS = 0
 		}
-		c.release(w, whyLeaseOver, now)
-		w.clockMS = 0
-		w.deadlineMS = 0
 	}
 }
 
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -35,8 +35,8 @@
 	delete(c.unlisted, id)
 }
 
-// List takes the platform's whole list over. A life that left the list is not taken
-// for dead: it may be cut off and run on.
+// List takes the platform's whole list over. A life that is not in the list any more may be cut
+// off and run on.
 func (c *Core) List(list []Listing, now time.Time) {
 	present := make(map[string]bool, len(list))
 	for _, l := range list {
@@ -59,7 +59,7 @@
 		c.leaveAddress(w)
 	}
 	if !w.listed {
-		w.listed = true
+		w.listed, w.departed = true, false
 		c.listed++
 		delete(c.unlisted, l.ID)
 		c.note(Note{Event: EventWorkerListed, Worker: l.ID, Detail: l.Rack})
@@ -80,9 +80,10 @@
 	}
 	w.listed = false
 	w.unlistedAt = now
+	w.departed = c.hasLeft(w, now)
 	c.listed--
 	c.leaveAddress(w)
-	c.note(Note{Event: EventWorkerUnlisted, Worker: id})
+	c.note(Note{Event: EventWorkerUnlisted, Worker: id, Detail: w.removal(now)})
 }
 
 // leaveAddress notes that a worker is not listed at its address any more.
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -12,6 +12,8 @@
 type Bounds struct {
 	// Lease is the longest time that a worker runs on without being held.
 	Lease time.Duration
+	// Heartbeat is how often a worker writes its entry in the list; 0 is unknown.
+	Heartbeat time.Duration
 	// Authority is how long a planner gives orders after its last write.
 	Authority time.Duration
 	// StopTimeout is the longest that a stop takes on a worker.
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -18,7 +18,9 @@
 	life
 	listed     bool
 	unlistedAt time.Time
-	labels     map[string]bool
+	// departed tells that its entry was removed since it has left, as far as the list tells.
+	departed bool
+	labels   map[string]bool
 	// problem is what is wrong with the birth that it last told.
 	problem string
 	// gone workers never come back but as another life.
--- a/workload/control/world_test.go
+++ b/workload/control/world_test.go
@@ -23,7 +23,7 @@
 }
 
 var worldBounds = control.Bounds{
-	Lease: worldLimits.HoldMax, Authority: 2 * time.Second, StopTimeout: worldLimits.StopTimeout,
+	Lease: worldLimits.HoldMax, Heartbeat: worldHeartbeat, Authority: 2 * time.Second, StopTimeout: worldLimits.StopTimeout,
 	GangTimeout: worldLimits.GangTimeout, ReclaimWithin: 3 * time.Second, Restore: worldLimits.Restore,
 	Wait: time.Second, Pace: 100 * time.Millisecond, Harm: 4 * time.Second,
 }
@@ -74,6 +74,11 @@
 	cursors map[string]int64
 	// waits tells that holds wait for news.
 	waits bool
+	// registry is the list where it is written by heartbeats and read late; nil is a list that
+	// is always as things are.
+	registry *registry
+	// left counts the workers that were found to have left.
+	left int
 	// writeMost is the longest that the log takes to answer a planner; 0 is at once.
 	writeMost time.Duration
 	// restarted is told of each later life; nil tells nobody.
@@ -95,6 +100,8 @@
 	// writing is until when the log has not answered.
 	writing time.Time
 	dead    bool
+	// gaps are those of the registry that it was told of.
+	gaps int
 }
 
 type runOf struct {
@@ -276,7 +283,7 @@
 	for _, id := range w.order {
 		s.core.Adopt(workload.JobID(id), w.entry(workload.JobID(id)))
 	}
-	s.core.List(w.listings(), w.now)
+	w.takeList(s)
 	s.core.Round(w.now, w.now.UnixMilli())
 	records := s.core.Changes()
 	if s.token != w.token && !w.mutant.openLog {
@@ -308,7 +315,7 @@
 	if s.dead || s.core.Deposed() {
 		return
 	}
-	s.core.List(w.listings(), w.now)
+	w.takeList(s)
 	for _, o := range s.core.Persisted(w.now) {
 		w.sendStart(s, o)
 	}
@@ -334,6 +341,7 @@
 		if n.Event == control.EventRunUnsettled {
 			w.unsettled = append(w.unsettled, fmt.Sprintf("%s %s run %d %s", n.Task, n.Worker, n.Run, n.Detail))
 		}
+		w.seeGone(n)
 		if w.trace != nil {
 			w.trace("token %d: %s %s %s %s run %d %s", s.token, n.Event, n.Task, n.Worker, n.Why, n.Run, n.Detail)
 		}
@@ -344,6 +352,7 @@
 func (w *world) tick(d time.Duration) {
 	w.now = w.now.Add(d)
 	w.fleet.Advance(w.now)
+	w.keepRegistry()
 	due := w.mail
 	w.mail = nil
 	sort.SliceStable(due, func(a, b int) bool { return due[a].at.Before(due[b].at) })
@@ -429,6 +438,7 @@
 func (w *world) calm(mutate func(*control.Core)) {
 	w.faulty = false
 	w.cut = map[string]time.Time{}
+	w.calmRegistry()
 	w.wholeRooms()
 	w.claim(mutate)
 	for range 3000 {
@@ -513,5 +523,8 @@
 func (w *world) bounds() control.Bounds {
 	b := worldBounds
 	b.Lease -= w.mutant.longer
+	if w.mutant.heartbeats > 0 {
+		b.Heartbeat *= w.mutant.heartbeats
+	}
 	return b
 }
--- a/workload/service/places.go
+++ b/workload/service/places.go
@@ -16,6 +16,10 @@
 func (p *planner) takePlaces() {
 	now := p.s.clock.Now()
 	p.core.Evacuate(p.s.evacuated.list(), now)
+	if p.interrupted {
+		p.interrupted = false
+		p.core.ListInterrupted(now)
+	}
 	if p.fresh {
 		p.fresh = false
 		p.listed = true
@@ -65,11 +69,20 @@
 	before := p.list
 	p.list = make(map[string]control.Listing, len(entries))
 	p.fresh = true
+	p.interrupted = true
 	for _, l := range read {
 		p.takeListing(l, before)
 	}
 }
 
+// listConnection takes it that the connection to the list was lost or regained.
+func (p *planner) listConnection(topic Topic, ok bool, cause string) {
+	p.mu.Lock()
+	p.interrupted = true
+	p.mu.Unlock()
+	p.s.connection(topic, ok, cause)
+}
+
 func (p *planner) listOne(e Entry) {
 	l := p.readListing(e)
 	p.mu.Lock()
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -58,7 +58,9 @@
 	// fresh tells that the whole list is to be taken over, changed which entries are.
 	fresh   bool
 	changed map[string]bool
-	lister  *follower
+	// interrupted tells that the list was not followed without a gap since it was taken over last.
+	interrupted bool
+	lister      *follower
 	// dropped are to be written among the states.
 	dropped []control.Record
 	// hostsLost tells that the service of hosts did not answer last.
@@ -97,6 +99,7 @@
 	s.book.All(p.core.Adopt)
 	p.noteBegin()
 	p.lister = s.follow(WorkerList, p.listAll, p.listOne, func() time.Duration { return listRest })
+	p.lister.changed = p.listConnection
 	p.work.Go(func() { p.lister.run(ctx) })
 	p.work.Go(func() { p.keep(ctx) })
 	p.work.Go(func() { p.maintain(ctx) })
