Leases of a planner that has resigned are counted from its resignation

Cause: a successor counts the end of earlier orders from its own claim and the longest authority, whether the planner before fell silent or gave the role up.

Change: a planner that resigns gives no order any more from before its record is sent; whoever has read its claim and its resignation counts leases from there, or from the end of the authority of the one before it, if that is later. Where the claim was not read, or this instance's own had no answer, it is as before. `planner-begins` tells how long that is (strangers_ms).

Besides: a hold whose planner has ended is not followed by another.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -203,10 +203,26 @@
 		began:          now,
 		dirty:          map[workload.JobID]bool{},
 		pace:           newEstimates(),
-		strangersUntil: now.Add(bounds.Authority + stretched(bounds.Lease) + lapseSlack),
+		strangersUntil: leasesEnd(now.Add(bounds.Authority), bounds),
 	}
 }
 
+// leasesEnd is when all leases must have lapsed if no order was given since a time.
+func leasesEnd(since time.Time, bounds Bounds) time.Time {
+	return since.Add(stretched(bounds.Lease) + lapseSlack)
+}
+
+// Succeeds takes it that no earlier planner has given an order since a time.
+func (c *Core) Succeeds(since time.Time) {
+	if end := leasesEnd(since, c.bounds); end.Before(c.strangersUntil) {
+		c.strangersUntil = end
+	}
+}
+
+// StrangersUntil is when leases that earlier planners gave to workers which have not answered
+// yet must have lapsed.
+func (c *Core) StrangersUntil() time.Time { return c.strangersUntil }
+
 // Deposed tells whether a worker has refused this planner's token.
 func (c *Core) Deposed() bool { return c.deposed }
 
--- a/workload/service/orders.go
+++ b/workload/service/orders.go
@@ -80,7 +80,7 @@
 // hold keeps one worker's lease and takes its news, call after call, while
 // there is something to hold and no pause between.
 func (p *planner) hold(ctx context.Context, o control.HoldOrder) {
-	for again := true; again; {
+	for again := true; again && ctx.Err() == nil; {
 		sent := p.s.clock.Now()
 		answer := control.HoldAnswer{Verdict: control.Unreached}
 		if p.mayStillOrder() {
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -63,6 +63,8 @@
 	lister      *follower
 	// dropped are to be written among the states.
 	dropped []control.Record
+	// resigned tells that the role is being given up: no order goes out any more.
+	resigned bool
 	// hostsLost tells that the service of hosts did not answer last.
 	hostsLost bool
 }
@@ -93,6 +95,9 @@
 		wake: make(chan struct{}, 1), due: make(chan struct{}, 1), stated: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
 		written: claimed, list: map[string]control.Listing{}, bad: map[string]string{}, changed: map[string]bool{},
 	}
+	if ended := s.succession.ordersEnded(); !ended.IsZero() {
+		p.core.Succeeds(ended)
+	}
 	s.wrote.Store(&claimed)
 	s.planning.Store(true)
 	s.book.Fresh()
@@ -117,7 +122,7 @@
 	known := p.s.book.Census()
 	p.s.events.Info(events.PlannerBegins, events.Fields{
 		"token": p.token, "read_to": p.s.plans.place(), "current": p.s.plans.upToDate() && p.s.accepts.upToDate(),
-		"adopted": p.core.Jobs(), "open": known.Open, "unaccepted": known.Unaccepted, "unrecorded": known.Unrecorded,
+		"strangers_ms": p.core.StrangersUntil().Sub(p.s.clock.Now()).Milliseconds(), "adopted": p.core.Jobs(), "open": known.Open, "unaccepted": known.Unaccepted, "unrecorded": known.Unrecorded,
 	})
 }
 
@@ -193,8 +198,12 @@
 	return ""
 }
 
-// resign lets the others claim at once.
+// resign lets the others claim at once. Orders end before the record is sent: whoever follows
+// counts from it how long leases last.
 func (p *planner) resign(ctx context.Context) {
+	p.mu.Lock()
+	p.resigned = true
+	p.mu.Unlock()
 	c := p.s.succession.self
 	c.Left = true
 	if _, err := p.append(ctx, []control.Record{c.record()}); err != nil {
@@ -368,7 +377,9 @@
 }
 
 // acting tells whether this planner may give orders now; p.mu is held.
-func (p *planner) acting(now time.Time) bool { return p.entitled(now) && !p.core.Deposed() }
+func (p *planner) acting(now time.Time) bool {
+	return p.entitled(now) && !p.resigned && !p.core.Deposed()
+}
 
 func (p *planner) sendStops(ctx context.Context) {
 	p.mu.Lock()
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -92,6 +92,7 @@
 	metered := newMeter(log, metrics)
 	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newWaves(), evacuated: newEvacuated(), shown: map[workload.JobID]bool{}, back: newPulse()}
 	s.succession = newSuccession(settings.Instance, drawLife(), settings.Patience, settings.Clock)
+	s.succession.authority = settings.Bounds.Authority
 	if settings.Address != "" {
 		// Until it knows its place it comes behind the others.
 		s.succession.setTurn(turnsInPatience)
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -41,6 +41,12 @@
 	known    bool
 	// sent is when the claim at the offset was sent, where it is this life's and was answered.
 	sent time.Time
+	// authority is how long a planner gives orders after its last write.
+	authority time.Duration
+	// claimedAt is when the standing claim was read first. endedAt is from when on nobody gives
+	// orders, where the last planner has resigned, and inheritedAt what that was at the claim
+	// that followed; zero is unknown.
+	claimedAt, endedAt, inheritedAt time.Time
 	// quiet is when the last record came, or the connection was regained.
 	quiet time.Time
 	// spent is the offset of a claim of this life that was given up. Its token
@@ -92,12 +98,44 @@
 	}
 	if e.Offset > s.offset {
 		s.sent = time.Time{}
+		s.follow(next, now)
 	}
 	s.current = next
 	s.offset = e.Offset
 	s.known = true
 }
 
+// follow notes when orders end, with the record that follows the current one. Before a planner
+// that resigns there may have been another one, which gave orders until its authority was over.
+func (s *succession) follow(next claim, now time.Time) {
+	if !next.Left {
+		s.claimedAt, s.inheritedAt, s.endedAt = now, s.endedAt, time.Time{}
+		return
+	}
+	s.endedAt = time.Time{}
+	if s.known && !s.current.Left && s.current.Life == next.Life {
+		s.endedAt = later(now, s.claimedAt.Add(s.authority))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// ordersEnded is from when on no earlier planner gives orders, as far as the claim that this life
+// holds tells; zero is unknown.
+func (s *succession) ordersEnded() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sent.IsZero() {
+		return time.Time{}
+	}
+	return s.inheritedAt
+}
+
 // regained starts the wait anew: silence counts only while it could be broken.
 func (s *succession) regained(now time.Time) {
 	s.mu.Lock()
