Configuration: the change that made an adopted version is known

What callers could see: conflict for a change that was accepted, where an operator repeats it at an instance that has its version from a peer, since it could not read the log at that moment.

Cause: while its reads of the log fail an instance takes a newer configuration from a peer that probes it.

--- a/configuration/fold.go
+++ b/configuration/fold.go
@@ -230,6 +230,9 @@
 	// The offset moves with the version: records below it are part of the
 	// snapshot, and Fold passes them over.
 	s.current = snapshot
+	if snapshot.LastChange != "" {
+		s.remember(Change{ID: snapshot.LastChange, Base: snapshot.Version - 1}, Outcome{Accepted: true, Version: snapshot.Version})
+	}
 	s.changed()
 	return true
 }
--- a/configuration/fold_test.go
+++ b/configuration/fold_test.go
@@ -204,3 +204,25 @@
 		}
 	})
 }
+
+// Guards against a conflict for a change that is repeated at an instance which has its version
+// from a peer, and not the records that made it.
+func TestTheChangeThatMadeAnAdoptedVersionIsKnown(t *testing.T) {
+	made := NewStore()
+	if outcome := made.Fold(0, Change{ID: "first"}); !outcome.Accepted {
+		t.Fatalf("%+v", outcome)
+	}
+	late := NewStore()
+	if !late.Adopt(made.Current()) {
+		t.Fatal("the version is not adopted")
+	}
+	if outcome, known := late.Outcome("first", 0); !known || !outcome.Accepted || outcome.Version != 1 {
+		t.Errorf("of the change that made the version: %+v, known %t", outcome, known)
+	}
+	if outcome := late.Fold(0, Change{ID: "first"}); !outcome.Accepted || outcome.Version != 1 {
+		t.Errorf("its record is folded as %+v", outcome)
+	}
+	if outcome, known := late.Outcome("second", 0); known {
+		t.Errorf("of a change that nobody made: %+v", outcome)
+	}
+}
