Planner: worker speeds survive a change of planner (keep-speeds)

Cause: speeds were only in the planner's memory. After a change of planner, first-priority gangs ran with a member on a slow worker until the speeds were measured again, and were late.

A part is recorded when a class in it has changed, at most once a second, at most 64 KB at once. A new incarnation halves the weight instead of dropping the speed, and a worker that leaves the list keeps it for a minute. -without keep-speeds restores all of that as it was.

Ruled out: one record for all (630 KB at 18,000 workers), and records named by the number of parts (a change of the pool's size leaves parts behind).

Tests: go test ./workload/control passes (121 s); TestEachMechanismImprovesItsPattern/keep-speeds passes.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -42,6 +42,7 @@
 	// speeds are the workers' speeds, last updated at speedsUpdatedAt.
 	speeds          map[string]*speed
 	speedsUpdatedAt time.Time
+	speedRecords    speedRecords
 	// headroom is the capacity that the first priority is expected to need at once.
 	headroom headroom
 	arrivals arrivals
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -170,10 +170,10 @@
 	}
 }
 
-// forgetIncarnation drops whatever else is kept under the worker's id: its speed, its tickets,
-// and that jobs avoid it.
+// forgetIncarnation drops whatever else is kept under the worker's id: its tickets, and that jobs
+// avoid it. Its speed counts for less from now on.
 func (c *Core) forgetIncarnation(id string) {
-	delete(c.speeds, id)
+	c.ageSpeed(id)
 	for _, j := range c.jobs {
 		delete(j.avoidedWorkers, id)
 	}
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -31,7 +31,7 @@
 	}
 	delete(c.unpersisted, c.workers[id])
 	delete(c.workers, id)
-	delete(c.speeds, id)
+	c.keepMissingSpeed(id)
 	delete(c.unlisted, id)
 }
 
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -61,6 +61,7 @@
 	if answer.StartMS != 0 {
 		w.startMS = answer.StartMS
 	}
+	c.compareSpeedIncarnation(w)
 	c.recordProblem(w, answer.Problem)
 	w.restartSuspected = false
 	if !w.everReached {
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -247,6 +247,7 @@
 		mutate(p.core)
 	}
 	p.core.Configure(control.Configuration{Version: 1, Guaranteed: map[domain.AccountID]int64{"": 16}})
+	sim.restoreState(p.core)
 	for _, id := range sim.jobIDs {
 		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
 	}
--- /dev/null
+++ b/workload/control/speed_records.go
@@ -0,0 +1,276 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload/decide"
+)
+
+// A planner records the speeds that it has measured for its successor, which would otherwise place
+// gangs on slow workers until it has measured them again: a first-priority gang that runs for 2 s
+// on a worker of speed 0.6 is late. Speed belongs to the machine, so it is also kept for the next
+// incarnation of a worker, with less weight.
+
+// keptClass is a worker's class in a speed record; workers of average speed are not in one.
+type keptClass int8
+
+const (
+	keptAverage keptClass = iota
+	keptSlow
+	keptFast
+)
+
+const (
+	// minKeptRuns is the number of runs from which on a speed is recorded. After one run, a task
+	// that is longer than the others of its step still makes its worker slow.
+	minKeptRuns = 2
+	// maxKeptRuns limits the weight of a recorded speed, in runs. A worker of speed 0.6 that
+	// replaces one of 1.6 under the same id counts as slow after 6 runs, or after 4 if its
+	// replacement is noticed.
+	maxKeptRuns = 3
+	// speedParts is the number of records that hold the speeds, by a hash of the id. With 18,000
+	// workers and ids of 36 bytes a record has 31 KB.
+	speedParts = 32
+	// maxSpeedBytes limits the records that are due at once. The others follow a second later.
+	maxSpeedBytes = 64 << 10
+	// missingSpeedTime is how long the speed of a worker is kept that is not in the list: a machine
+	// that is replaced under its id is back within the time of a restart, and a successor may take
+	// some seconds to read the list.
+	missingSpeedTime = time.Minute
+	// maxKeptLog limits the logarithm of a recorded factor, which is measured with at most a
+	// difference of maxApart per run.
+	maxKeptLog = 2 * math.Ln2
+)
+
+// speedsState is the state of kind "speeds".
+var speedsState = stateKind{name: "speeds", changed: (*Core).changedSpeeds, restore: (*Core).restoreSpeeds}
+
+// speedRecords is what is known of the recorded speeds.
+type speedRecords struct {
+	// due is set when speeds may have changed since the last records.
+	due bool
+	// dropped are the parts with an entry of a worker that is gone.
+	dropped [speedParts]bool
+	// next is the part that is recorded first.
+	next int
+}
+
+// keptClass returns the class in which the worker is to be recorded. A worker that is recorded
+// stays so until it counts as average.
+func (s *speed) keptClass() keptClass {
+	if s.recorded == keptAverage && s.runs+s.openRuns < minKeptRuns {
+		return keptAverage
+	}
+	return classOf(s.factor())
+}
+
+func classOf(factor float64) keptClass {
+	switch {
+	case decide.IsSlow(factor):
+		return keptSlow
+	case decide.IsFast(factor):
+		return keptFast
+	}
+	return keptAverage
+}
+
+// limitRuns lowers the number of runs on which the speed rests, without changing it.
+func (s *speed) limitRuns(runs float64) {
+	factor := s.logFactor()
+	s.runs, s.openSum, s.openRuns = min(s.runs+s.openRuns, runs), 0, 0
+	s.sum = factor * (s.runs + speedPrior)
+}
+
+func (c *Core) keepsSpeeds() bool { return !c.bounds.Disabled[decide.KeepSpeeds] }
+
+// ageSpeed halves the weight of a worker's speed for its next incarnation, which may run on
+// another machine.
+func (c *Core) ageSpeed(id string) {
+	s := c.speeds[id]
+	if s == nil {
+		return
+	}
+	if !c.keepsSpeeds() {
+		delete(c.speeds, id)
+		return
+	}
+	s.limitRuns(max(1, min(s.runs+s.openRuns, maxKeptRuns)/2))
+	if w := c.workers[id]; w != nil {
+		s.startMS = w.startMS
+	}
+}
+
+// compareSpeedIncarnation ages the speed of a worker that answers as another incarnation than the
+// one that was measured.
+func (c *Core) compareSpeedIncarnation(w *worker) {
+	s := c.speeds[w.ID]
+	if s == nil || w.startMS == 0 {
+		return
+	}
+	if startsDiffer(s.startMS, w.startMS) {
+		c.ageSpeed(w.ID)
+	}
+	s.startMS = w.startMS
+}
+
+// keepMissingSpeed keeps the speed of a worker that is dropped, in case that it comes back.
+func (c *Core) keepMissingSpeed(id string) {
+	if s := c.speeds[id]; s != nil && c.keepsSpeeds() {
+		s.missingSince = c.roundAt
+		return
+	}
+	delete(c.speeds, id)
+}
+
+// dropMissingSpeeds drops the speeds of workers that have been missing for too long.
+func (c *Core) dropMissingSpeeds(now time.Time) {
+	for id, s := range c.speeds {
+		switch {
+		case c.workers[id] != nil:
+			s.missingSince = time.Time{}
+		case s.missingSince.IsZero():
+			s.missingSince = now
+		case now.Sub(s.missingSince) > missingSpeedTime:
+			delete(c.speeds, id)
+			if s.recorded != keptAverage {
+				c.speedRecords.dropped[speedPart(id)] = true
+			}
+		}
+	}
+}
+
+// speedPart returns the number of the record that holds a worker.
+func speedPart(id string) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32() % speedParts)
+}
+
+// changedSpeeds returns the parts in which the class of a worker has changed, up to maxSpeedBytes.
+func (c *Core) changedSpeeds() []statePart {
+	if !c.speedRecords.due || !c.keepsSpeeds() {
+		return nil
+	}
+	c.speedRecords.due = false
+	changed := c.speedRecords.dropped
+	ids := [speedParts][]string{}
+	for id, s := range c.speeds {
+		class, part := s.keptClass(), speedPart(id)
+		changed[part] = changed[part] || class != s.recorded
+		if class != keptAverage {
+			ids[part] = append(ids[part], id)
+		}
+	}
+	var out []statePart
+	bytes := 0
+	for i := range speedParts {
+		part := (c.speedRecords.next + i) % speedParts
+		if !changed[part] {
+			continue
+		}
+		if bytes > maxSpeedBytes/2 {
+			c.speedRecords.next = part
+			break
+		}
+		entries := c.speedEntries(ids[part])
+		for _, e := range entries {
+			bytes += len(e)
+		}
+		c.speedRecords.dropped[part] = false
+		out = append(out, newSpeedPart(part, entries))
+	}
+	c.markSpeedsRecorded(out)
+	return out
+}
+
+func newSpeedPart(part int, entries []string) statePart {
+	out := statePart{name: strconv.Itoa(part)}
+	if len(entries) > 0 {
+		out.state = entries
+	}
+	return out
+}
+
+// markSpeedsRecorded records the classes that the parts hold.
+func (c *Core) markSpeedsRecorded(parts []statePart) {
+	recorded := map[string]bool{}
+	for _, p := range parts {
+		recorded[p.name] = true
+	}
+	for id, s := range c.speeds {
+		if recorded[strconv.Itoa(speedPart(id))] {
+			s.recorded = s.keptClass()
+		}
+	}
+}
+
+// speedEntries returns the entries of workers: id, start time of the incarnation in base 36,
+// logarithm of the factor in hundredths and number of runs, separated by commas. This takes at most
+// 20 bytes beside the id.
+func (c *Core) speedEntries(ids []string) []string {
+	slices.Sort(ids)
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		s := c.speeds[id]
+		startMS := s.startMS
+		if w := c.workers[id]; w != nil && w.startMS != 0 {
+			startMS = w.startMS
+		}
+		runs := min(math.Round(s.runs+s.openRuns), maxKeptRuns)
+		out = append(out, fmt.Sprintf("%s,%s,%.0f,%.0f", id, strconv.FormatInt(startMS, 36), 100*s.logFactor(), max(1, runs)))
+	}
+	return out
+}
+
+var errSpeedForm = errors.New("form")
+
+// restoreSpeeds takes over a record of speeds. New measurements override them.
+func (c *Core) restoreSpeeds(_ string, state json.RawMessage) error {
+	if !c.keepsSpeeds() {
+		return errors.New("disabled")
+	}
+	var entries []string
+	if err := json.Unmarshal(state, &entries); err != nil {
+		return err
+	}
+	restored := map[string]*speed{}
+	for _, e := range entries {
+		id, s, err := parseSpeedEntry(e)
+		if err != nil {
+			return err
+		}
+		s.missingSince = c.startedAt
+		s.recorded = classOf(s.factor())
+		restored[id] = s
+	}
+	for id, s := range restored {
+		c.speeds[id] = s
+	}
+	return nil
+}
+
+// parseSpeedEntry is the inverse of speedEntries. Only the id may contain further commas.
+func parseSpeedEntry(entry string) (string, *speed, error) {
+	fields := strings.Split(entry, ",")
+	n := len(fields)
+	if n < 4 {
+		return "", nil, errSpeedForm
+	}
+	startMS, err1 := strconv.ParseInt(fields[n-3], 36, 64)
+	hundredths, err2 := strconv.Atoi(fields[n-2])
+	runs, err3 := strconv.Atoi(fields[n-1])
+	factor := float64(hundredths) / 100
+	if errors.Join(err1, err2, err3) != nil || math.Abs(factor) > maxKeptLog || runs < 1 || runs > maxKeptRuns || startMS < 0 {
+		return "", nil, errSpeedForm
+	}
+	s := &speed{runs: float64(runs), sum: factor * (float64(runs) + speedPrior), startMS: startMS}
+	return strings.Join(fields[:n-3], ","), s, nil
+}
--- a/workload/control/speeds.go
+++ b/workload/control/speeds.go
@@ -21,6 +21,12 @@
 	// sum and runs are from jobs that have ended, openSum and openRuns from the others.
 	sum, runs         float64
 	openSum, openRuns float64
+	// startMS is when the worker's incarnation started that was last seen; 0 is unknown.
+	startMS int64
+	// recorded is the class of the worker in the newest record for a successor.
+	recorded keptClass
+	// missingSince is since when there is no worker with this id; zero if there is one.
+	missingSince time.Time
 }
 
 const (
@@ -83,12 +89,14 @@
 	for _, s := range c.speeds {
 		s.openSum, s.openRuns = 0, 0
 	}
+	c.dropMissingSpeeds(now)
 	for _, id := range sortedKeys(c.jobs) {
 		c.compareRuns(c.jobs[id], func(s *speed, by float64) {
 			s.openSum += by
 			s.openRuns++
 		})
 	}
+	c.speedRecords.due = true
 }
 
 // keepSpeeds keeps the comparison of a job's runs after its end.
--- a/workload/control/speeds_test.go
+++ b/workload/control/speeds_test.go
@@ -1,13 +1,25 @@
 package control_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
 	"github.com/cobalttide/cobalttide/workload/workertest"
 )
 
+// restoreState passes the state records in the log to a new planner.
+func (sim *simulation) restoreState(core *control.Core) {
+	for _, key := range slices.Sorted(maps.Keys(sim.log)) {
+		if control.IsStateKey(key) && len(sim.log[key]) > 0 {
+			core.RestoreState(key, sim.log[key])
+		}
+	}
+}
+
 // newSingleTaskSpeedScenario returns a scenario in which speeds were measured from single tasks.
 func newSingleTaskSpeedScenario() *scenario { return newSpeedScenario(false) }
 
@@ -68,3 +80,22 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// Guards against a successor that places a first-priority gang on slow workers because what its
+// predecessor had measured was lost with it.
+func TestSuccessorKnowsTheSpeedsOfItsPredecessor(t *testing.T) {
+	for _, gangs := range []bool{false, true} {
+		s := newSpeedScenario(gangs)
+		s.planners[len(s.planners)-1].dead = true
+		s.startPlanner(nil)
+		s.advance(3 * time.Second)
+		s.add(jobB, func(j *workload.Job) { j.QueueSettings.Priority = 0 }, workload.Step{Count: 2, Gang: true, Need: need(4), EstimateMS: 1000})
+		s.advance(5 * time.Second)
+		s.check(t)
+		for _, got := range s.starts(jobB) {
+			if got.Worker != "w0" {
+				t.Fatalf("measured from gangs %t: %+v", gangs, got)
+			}
+		}
+	}
+}
--- a/workload/decide/classes.go
+++ b/workload/decide/classes.go
@@ -31,8 +31,8 @@
 // unknown.
 func IsSlow(speed float64) bool { return speed > 0 && speed < 1/speedThreshold }
 
-// isFast reports whether a worker with the given speed counts as faster than most.
-func isFast(speed float64) bool { return speed > speedThreshold }
+// IsFast reports whether a worker with the given speed counts as faster than most.
+func IsFast(speed float64) bool { return speed > speedThreshold }
 
 // groupBySpeed lists the workers by speed class. If none is slow, or all are, no distinction is
 // made.
@@ -41,7 +41,7 @@
 	p.racksByClass = map[speedClass]map[string][]*workerState{notSlow: {}, slow: {}, fast: {}, notFast: {}}
 	for _, w := range p.workers {
 		p.addToClass(w, IsSlow(w.Speed), slow, notSlow)
-		p.addToClass(w, isFast(w.Speed), fast, notFast)
+		p.addToClass(w, IsFast(w.Speed), fast, notFast)
 	}
 }
 
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -36,10 +36,13 @@
 	// IsolateSuspects isolates tasks under which a worker has crashed from one another and from
 	// other runs that have just started.
 	IsolateSuspects Mechanism = "suspects-apart"
+	// KeepSpeeds keeps what a planner has learnt of workers' speeds for its successor, and for the
+	// next incarnation of a worker.
+	KeepSpeeds Mechanism = "keep-speeds"
 )
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
--- a/workload/replay/collector.go
+++ b/workload/replay/collector.go
@@ -46,6 +46,7 @@
 	stopReasons map[runKey]string
 	wasted      map[string]float64
 	claimed     map[domain.AccountID]int64
+	gangs       map[*Class]gangStarts
 
 	// Sums of the samples taken during the load: accelerators in use, free, and free but unusable
 	// for a gang of half a rack.
@@ -69,7 +70,7 @@
 const sampleInterval = 100 * time.Millisecond
 
 func newCollector(sim *simulation) *collector {
-	return &collector{sim: sim, startTimes: map[runKey]time.Duration{}, stopReasons: map[runKey]string{}, wasted: map[string]float64{}, claimed: map[domain.AccountID]int64{}}
+	return &collector{sim: sim, startTimes: map[runKey]time.Duration{}, stopReasons: map[runKey]string{}, wasted: map[string]float64{}, claimed: map[domain.AccountID]int64{}, gangs: map[*Class]gangStarts{}}
 }
 
 func (m *collector) arrive(t *trackedJob) {
--- a/workload/replay/pattern.go
+++ b/workload/replay/pattern.go
@@ -51,6 +51,9 @@
 	// SlowShare of the workers take SlowFactor times as long as the others, permanently.
 	SlowShare  float64 `json:"slow_share"`
 	SlowFactor float64 `json:"slow_by"`
+	// Speeds replaces the drawn speed of each worker by one of these, all equally likely; empty
+	// does not.
+	Speeds []float64 `json:"speeds,omitempty"`
 }
 
 // Bounds are the time limits and latencies of the deployment, in milliseconds.
@@ -278,6 +281,9 @@
 	if p.Workers.SlowShare < 0 || p.Workers.SlowShare > 1 || (p.Workers.SlowShare > 0 && p.Workers.SlowFactor < 1) {
 		return invalid("workers.slow_share, workers.slow_by", "the share is not between 0 and 1, or the factor is less than 1", "set a share from 0 to 1 and a factor of at least 1")
 	}
+	if len(p.Workers.Speeds) > 0 && slices.Min(p.Workers.Speeds) <= 0 {
+		return invalid("workers.speeds", "a speed is not greater than 0", "set speeds greater than 0, or none")
+	}
 	for i, t := range p.Faults {
 		field := fmt.Sprintf("troubles[%d]", i)
 		if !slices.Contains(faultKinds, t.Kind) {
--- a/workload/replay/replay_test.go
+++ b/workload/replay/replay_test.go
@@ -110,6 +110,7 @@
 		{decide.ReserveRacks, "burst-urgent", urgentInTime, 1.03, decide.WorkerSpeeds},
 		{decide.WaitForLocality, "large-gangs", urgentInTime, 1.04, ""},
 		{decide.WorkerSpeeds, "two-speeds", urgentInTime, 1.08, ""},
+		{decide.KeepSpeeds, "planner-changes", urgentInTime, 1.1, ""},
 	} {
 		t.Run(string(c.mechanism), func(t *testing.T) {
 			t.Parallel()
--- a/workload/replay/result.go
+++ b/workload/replay/result.go
@@ -45,6 +45,8 @@
 	// the objective, Worthless later than that. Refused jobs were refused at every attempt,
 	// Unserved ones got no result.
 	Total, InTime, Late, Worthless, Refused, Unserved int
+	// Gangs is the number of started gangs, SlowGangs that of those with a member on a slow worker.
+	Gangs, SlowGangs int
 	// Credit is 0 to 1. Slowdown is the mean ratio of a job's completion time to the duration of
 	// its longest chain. Waits are the times until all tasks of the first step had started, in
 	// milliseconds.
@@ -109,7 +111,8 @@
 }
 
 func (sum *summary) classResult(c *Class) ClassResult {
-	class := ClassResult{Name: c.Name, Waits: newHistogram()}
+	gangs := sum.sim.metrics.gangs[c]
+	class := ClassResult{Name: c.Name, Gangs: gangs.all, SlowGangs: gangs.slow, Waits: newHistogram()}
 	var credit creditSum
 	slowdown, completed := 0.0, 0
 	for _, a := range sum.sim.arrivals {
--- a/workload/replay/simulation.go
+++ b/workload/replay/simulation.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
@@ -44,9 +46,11 @@
 	workers   map[string]*simWorker
 	workerIDs []string
 
-	core        *control.Core
-	token       int64
-	log         map[workload.JobID]workload.Entry
+	core  *control.Core
+	token int64
+	log   map[workload.JobID]workload.Entry
+	// planState holds the state records that planners have left.
+	planState   map[string][]byte
 	changedJobs []workload.JobID
 	writing     bool
 	lastRound   time.Duration
@@ -95,7 +99,7 @@
 func newSimulation(p *Pattern, policy Policy, seed uint64) *simulation {
 	sim := &simulation{
 		pattern: p, policy: policy, rng: rand.New(rand.NewPCG(seed, 7)), workers: map[string]*simWorker{},
-		log: map[workload.JobID]workload.Entry{}, jobs: map[workload.JobID]*trackedJob{}, farGangs: map[gangRun]bool{},
+		log: map[workload.JobID]workload.Entry{}, planState: map[string][]byte{}, jobs: map[workload.JobID]*trackedJob{}, farGangs: map[gangRun]bool{},
 	}
 	sim.arrivals = generateLoad(p, rand.New(rand.NewPCG(seed, 1)))
 	sim.metrics = newCollector(sim)
@@ -129,6 +133,9 @@
 		id: fmt.Sprintf("w%03d", i), rack: rackName(rack), centre: fmt.Sprintf("dc%d", rack%sim.pattern.Workers.DataCentres),
 		speed: 1 + sim.pattern.Workers.SpeedSpread*(2*sim.rng.Float64()-1), slowdown: 1,
 	}
+	if speeds := sim.pattern.Workers.Speeds; len(speeds) > 0 {
+		w.speed = speeds[sim.rng.IntN(len(speeds))]
+	}
 	if sim.pattern.Workers.SlowShare > 0 && sim.rng.Float64() < sim.pattern.Workers.SlowShare {
 		w.speed /= sim.pattern.Workers.SlowFactor
 	}
@@ -158,6 +165,7 @@
 		config.Guaranteed[domain.AccountID(a.Name)] = a.Guaranteed
 	}
 	sim.core.Configure(config)
+	sim.restoreState()
 	for _, a := range sim.arrivals {
 		if e, ok := sim.log[a.job.ID]; ok {
 			sim.core.Adopt(a.job.ID, e)
@@ -167,6 +175,13 @@
 	sim.listWorkers()
 }
 
+// restoreState passes the state records of earlier planners to a new one.
+func (sim *simulation) restoreState() {
+	for _, key := range slices.Sorted(maps.Keys(sim.planState)) {
+		sim.core.RestoreState(key, sim.planState[key])
+	}
+}
+
 func (sim *simulation) listWorkers() {
 	var out []control.Listing
 	for _, id := range sim.workerIDs {
@@ -303,8 +318,15 @@
 	})
 }
 
-// applyRecord applies a progress record to the log.
+// applyRecord applies a progress or state record to the log.
 func (sim *simulation) applyRecord(r control.Record) {
+	if control.IsStateKey(r.Key) {
+		sim.planState[r.Key] = r.Value
+		if len(r.Value) == 0 {
+			delete(sim.planState, r.Key)
+		}
+		return
+	}
 	id := workload.JobID(r.Key[2:])
 	e, ok := sim.log[id]
 	head := struct {
@@ -321,6 +343,7 @@
 func (sim *simulation) sendStarts(core *control.Core) {
 	starts := core.Persisted(sim.now())
 	sim.recordFarGangs(starts)
+	sim.metrics.countGangs(starts)
 	for _, o := range starts {
 		sim.sendStart(core, o)
 	}
