--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -42,6 +42,7 @@
 	// speeds are the workers' speeds, last updated at speedsUpdatedAt.
 	speeds          map[string]*speed
 	speedsUpdatedAt time.Time
+	speedRecords    speedRecords
 	// headroom is the capacity that the first priority is expected to need at once.
 	headroom headroom
 	arrivals arrivals
@@ -84,6 +85,11 @@
 	loadReportedAt time.Time
 	// adviceInFlight is set while a call for advice is in flight.
 	adviceInFlight bool
+	// stateKinds are the kinds of state for a successor. stateWrittenAt is when a record of any was
+	// last due, stateKindWrittenAt when one of each kind was.
+	stateKinds         []stateKind
+	stateWrittenAt     time.Time
+	stateKindWrittenAt map[string]time.Time
 	// wallMS is the wall-clock time of the last round, roundAt its monotonic time.
 	wallMS  int64
 	roundAt time.Time
@@ -202,6 +208,8 @@
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
+		stateKinds:         stateKinds,
+		stateKindWrittenAt: map[string]time.Time{},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
 		inheritedLeasesEnd: leasesEnd(now.Add(bounds.AuthorityPeriod), bounds),
@@ -355,7 +363,7 @@
 		}
 		out = append(out, Record{Key: workload.ProgressKey(id), Value: value})
 	}
-	out = c.addWaveRecords(out)
+	out = c.addStateRecords(c.addWaveRecords(out))
 	c.dirty = map[workload.JobID]bool{}
 	c.batchStarts = c.pendingStarts
 	c.pendingStarts = nil
