Planner: leases end at a horizon after their planner's last write

Cause: a planner ordered until AuthorityPeriod after its last write, and each order granted a whole lease. A successor that could not reach a worker waited for both, from its own start: 20.4 s with leases of 10 s. Work of workers that leave while there is no planner stalled for that time.

Change: no order grants a lease beyond lastWrite + H, with H from recovery_s (bounds.Horizon, 0 without recovery_s: as before). What an earlier planner may have granted is kept apart from what this one grants, and is never sent. A claim states H and for how long the leases of all earlier planners may last, so that a successor need only read the newest claim. The bound counts from when the answer arrived that showed the end at which the claim was made. lastWrite is now when a successful append was first sent, and a claim counts from its first attempt: an attempt that was carried out without an answer may have been read by a successor before its repetition was sent. A heartbeat follows an append that took half of the authority. Claims without the new field, or that can't be read, keep the old bound. Workers get at least 1 s for a first answer.

Tests: TestWorkOfAWorkerThatLeftWithoutAPlannerRestartsWithinTheHorizon took 20.389 s with the old bound, limit 14.27 s. Mutants that grant beyond the horizon are detected in both simulations. The clock allowlist names plan_writes.go, to which three readings of planner.go have moved.

--- a/internal/clock/readings_test.go
+++ b/internal/clock/readings_test.go
@@ -15,19 +15,20 @@
 	readings int
 	why      string
 }{
-	"workload/service/orders.go":     {3, "how long one call took"},
-	"workload/service/states.go":     {1, "the rest of a caller's deadline, which is in the runtime's time"},
-	"workload/service/planner.go":    {10, "how long a round and a write took; the time of day"},
-	"workload/service/committer.go":  {2, "how long one append took"},
-	"workload/service/suspension.go": {3, "compared with the clock for ages"},
-	"workload/service/members.go":    {2, "a pause at startup"},
-	"workload/service/follower.go":   {2, "the pause between two reads"},
-	"workload/service/service.go":    {1, "the rest of a caller's deadline"},
-	"workload/service/retention.go":  {1, "the time of day"},
-	"platform/writes.go":             {7, "the timeout of one call: a suspension makes the call seem shorter, so it is not repeated sooner"},
-	"platform/store.go":              {5, "how long one call took"},
-	"platform/front.go":              {3, "how long one call took; the time of day"},
-	"platform/router.go":             {10, "pauses of failed routes: a suspension only prolongs them"},
+	"workload/service/orders.go":      {3, "how long one call took"},
+	"workload/service/states.go":      {1, "the rest of a caller's deadline, which is in the runtime's time"},
+	"workload/service/plan_writes.go": {3, "how long an append took"},
+	"workload/service/planner.go":     {7, "how long a round and a write took; the time of day"},
+	"workload/service/committer.go":   {2, "how long one append took"},
+	"workload/service/suspension.go":  {3, "compared with the clock for ages"},
+	"workload/service/members.go":     {2, "a pause at startup"},
+	"workload/service/follower.go":    {2, "the pause between two reads"},
+	"workload/service/service.go":     {1, "the rest of a caller's deadline"},
+	"workload/service/retention.go":   {1, "the time of day"},
+	"platform/writes.go":              {7, "the timeout of one call: a suspension makes the call seem shorter, so it is not repeated sooner"},
+	"platform/store.go":               {5, "how long one call took"},
+	"platform/front.go":               {3, "how long one call took; the time of day"},
+	"platform/router.go":              {10, "pauses of failed routes: a suspension only prolongs them"},
 }
 
 var clockReading = regexp.MustCompile(`time\.(Now|Since|Until)\(`)
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -50,7 +50,9 @@
 	// inheritedLeasesEnd is when leases given by earlier planners to workers that have not
 	// answered yet must have expired.
 	inheritedLeasesEnd time.Time
-	deposed            bool
+	// lastWrite is when this planner's last successful append was first sent.
+	lastWrite time.Time
+	deposed   bool
 	// tokenRaises counts how often worker tokens were raised.
 	tokenRaises int64
 	centres     map[string]*centre
@@ -208,22 +210,6 @@
 	}
 }
 
-// leasesEnd returns when all leases must have expired if no order was sent after the given time.
-func leasesEnd(since time.Time, bounds Bounds) time.Time {
-	return since.Add(maxLeaseTime(bounds.Lease) + lapseSlack)
-}
-
-// SetPredecessorSilentSince records that no earlier planner has sent an order after the given time.
-func (c *Core) SetPredecessorSilentSince(since time.Time) {
-	if end := leasesEnd(since, c.bounds); end.Before(c.inheritedLeasesEnd) {
-		c.inheritedLeasesEnd = end
-	}
-}
-
-// InheritedLeasesEnd returns when leases that earlier planners gave to workers which have not
-// answered yet must have expired.
-func (c *Core) InheritedLeasesEnd() time.Time { return c.inheritedLeasesEnd }
-
 // Deposed reports whether a worker or host has refused this planner's token.
 func (c *Core) Deposed() bool { return c.deposed }
 
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -40,8 +40,9 @@
 	anchorAt time.Time
 	// newestConnection is the newest connection that leads to this incarnation, or nowhere.
 	newestConnection int64
-	// deadlineMS is the latest deadline that any order has set, by the worker's clock.
-	deadlineMS int64
+	// deadlineMS is the latest deadline that any order may have set, by the worker's clock,
+	// grantedMS the latest that an order of this planner has.
+	deadlineMS, grantedMS int64
 	// reachable is set if it has answered a lease renewal under this planner's token, and every
 	// call since.
 	reachable bool
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -23,6 +23,8 @@
 	earlyAck bool
 	// extraLease: workers get longer leases than the planner assumes.
 	extraLease time.Duration
+	// extraHorizon: planners grant leases beyond the horizon of which their successors know.
+	extraHorizon time.Duration
 	// trustSilence: an unanswered order counts as refused or carried out.
 	trustSilence bool
 	// losesCrashCounts: crashes are counted only in the planner's memory.
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -234,7 +234,7 @@
 		case c.hasLapsed(w, now):
 			c.releaseRuns(w, reasonLeaseOver, now)
 			w.clockMS = 0
-			w.deadlineMS = 0
+			w.deadlineMS, w.grantedMS = 0, 0
 		}
 	}
 }
--- a/workload/control/simulation_orders_test.go
+++ b/workload/control/simulation_orders_test.go
@@ -43,6 +43,9 @@
 // is running when the order arrives.
 func (sim *simulation) send(worker string, p *planner, incarnation *workertest.Worker, carryOut func(*workertest.Worker) func(), fail func(control.Result)) {
 	delay, answered, lost := sim.drawDelivery(worker)
+	if p.cutOff[worker] {
+		answered, lost = false, true
+	}
 	reportTimeout := func() { fail(control.Unanswered) }
 	if !lost {
 		sim.schedule(delay, func() {
@@ -78,6 +81,7 @@
 
 func (sim *simulation) sendStart(p *planner, o control.StartOrder) {
 	sent := sim.now
+	sim.checkHorizon(p, o.Worker, o.DeadlineMS)
 	p.lastStartToken = o.Token
 	o.Token = sim.mutant.token(o.Token)
 	o.DeadlineMS += sim.mutant.extraLease.Milliseconds()
@@ -128,6 +132,7 @@
 }
 
 func (sim *simulation) sendRenewal(p *planner, o control.RenewalOrder) {
+	sim.checkHorizon(p, o.Worker, o.DeadlineMS)
 	sent := sim.now
 	if o.DeadlineMS > 0 {
 		o.DeadlineMS += sim.mutant.extraLease.Milliseconds()
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -89,6 +89,10 @@
 	unansweredJobs map[workload.JobID]bool
 	// startDelays are the delivery delays of some jobs' start orders, which get no answer.
 	startDelays map[workload.JobID]time.Duration
+	// horizon is the planners' Bounds.Horizon, of which their successors know; 0 is none. lastAppend
+	// is when the log last carried out an append.
+	horizon    time.Duration
+	lastAppend time.Time
 }
 
 // planner is a planner with its core, its token and its connections to workers.
@@ -103,6 +107,9 @@
 	// writingUntil is when its write to the log is answered.
 	writingUntil time.Time
 	dead         bool
+	// cutOff are the workers that it can't reach. From logLostAt on the log does not answer it.
+	cutOff    map[string]bool
+	logLostAt time.Time
 	// seenGaps is the number of the registry's gaps that were reported to it.
 	seenGaps int
 }
@@ -246,6 +253,7 @@
 	if mutate != nil {
 		mutate(p.core)
 	}
+	sim.takeOverLeases(p)
 	p.core.Configure(control.Configuration{Version: 1, Guaranteed: map[domain.AccountID]int64{"": 16}})
 	for _, id := range sim.jobIDs {
 		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
@@ -280,7 +288,7 @@
 	if p.dead || sim.now.Before(p.frozenUntil) || p.core.Deposed() {
 		return
 	}
-	if sim.now.Before(p.writingUntil) {
+	if sim.now.Before(p.writingUntil) || p.hasLostLog(sim.now) {
 		sim.sendOrders(p)
 		return
 	}
@@ -305,7 +313,7 @@
 		}
 		sim.log[r.Key] = sim.mutant.alterRecord(r.Value)
 	}
-	p.written = sim.now
+	sim.recordAppend(p)
 	if takes := sim.logWriteTime(); takes > 0 {
 		p.writingUntil = sim.now.Add(takes)
 		sim.schedule(takes, func() { sim.deliver(p, func() { sim.sendPersisted(p) }) })
@@ -327,6 +335,9 @@
 }
 
 func (sim *simulation) sendOrders(p *planner) {
+	if !sim.hasAuthority(p) {
+		return
+	}
 	for _, o := range p.core.RetryOrders(sim.now) {
 		sim.sendStart(p, o)
 	}
@@ -530,6 +541,10 @@
 func (sim *simulation) bounds() control.Bounds {
 	b := simBounds
 	b.Lease -= sim.mutant.extraLease
+	if sim.horizon > 0 {
+		b.AuthorityPeriod = horizonAuthority
+		b.Horizon = sim.horizon + sim.mutant.extraHorizon
+	}
 	if sim.mutant.heartbeatFactor > 0 {
 		b.Heartbeat *= sim.mutant.heartbeatFactor
 	}
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -16,6 +16,9 @@
 	Heartbeat time.Duration
 	// AuthorityPeriod is how long a planner may send orders after its last write.
 	AuthorityPeriod time.Duration
+	// Horizon is how long after a planner's last write any lease that it grants may last; 0 is no
+	// limit beyond Lease.
+	Horizon time.Duration
 	// StopTimeout is the maximum time that a stop takes on a worker.
 	StopTimeout time.Duration
 	// GangTimeout is how long a gang's member waits for the others.
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -105,16 +105,6 @@
 	return w.clockMS + int64(float64(elapsed.Milliseconds())*(1-clockDrift))
 }
 
-// nextDeadline returns the deadline for the next order. It is not extended while the worker does
-// not answer, so that its lease expires.
-func (c *Core) nextDeadline(w *worker, now time.Time) int64 {
-	if w.clockMS == 0 || (w.everReached && !w.reachable) {
-		return w.deadlineMS
-	}
-	w.deadlineMS = max(w.deadlineMS, w.clockLowerBound(now)+c.bounds.Lease.Milliseconds())
-	return w.deadlineMS
-}
-
 // hasLapsed reports whether all runs on an unreachable worker must have been killed at the end of
 // its lease.
 func (c *Core) hasLapsed(w *worker, now time.Time) bool {
@@ -231,7 +221,7 @@
 		order.DeadlineMS = c.nextDeadline(w, now)
 		order.Wait = c.boundPollWait(w, c.bounds.PollWait)
 	} else {
-		order.DeadlineMS = w.deadlineMS
+		order.DeadlineMS = c.lastDeadline(w)
 	}
 	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd {
 		// Ends that are still listed would be returned at once anyway.
--- /dev/null
+++ b/workload/service/claim_versions_test.go
@@ -0,0 +1,123 @@
+package service
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// Guards against a bound on the leases of earlier planners that one of them does not keep: planners
+// of older versions and unreadable claims, also before the planner that is succeeded, and claims
+// whose place in the log proves nothing.
+func TestInheritedLeasesEndFollowsFromAllClaimsThatMatter(t *testing.T) {
+	const horizonMS = 13_000
+	began := time.Unix(1000, 0)
+	horizon, old := control.LeaseTime(leaseBounds.Horizon), leaseBounds.AuthorityPeriod+control.LeaseTime(leaseBounds.Lease)
+	holder := func(incarnation, horizonMS, inheritedMS int64) string {
+		return string(claim{Holder: "a", Incarnation: incarnation, claimLeases: claimLeases{horizonMS, inheritedMS}}.record().Value)
+	}
+	resigned := claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: claimLeases{horizonMS, 20_000}}
+	for name, c := range map[string]struct {
+		seen []string
+		// at is when each claim was read, reached when the topic had reached its end.
+		at      []time.Duration
+		reached time.Duration
+		// want is when leases end; negative is unknown.
+		want time.Duration
+	}{
+		"nobody has held the role":                  {nil, nil, time.Second, time.Second},
+		"one planner":                               {[]string{holder(1, horizonMS, 0)}, []time.Duration{0}, 30 * time.Second, 30*time.Second + horizon},
+		"an older version":                          {[]string{holder(1, 0, 0)}, []time.Duration{0}, 30 * time.Second, -1},
+		"an older version after a newer":            {[]string{holder(1, horizonMS, 0), holder(2, 0, 0)}, []time.Duration{0, time.Second}, 30 * time.Second, -1},
+		"an older version shortly before":           {[]string{holder(1, 0, 0), holder(2, horizonMS, old.Milliseconds())}, []time.Duration{0, time.Second}, 2 * time.Second, time.Second + old},
+		"an older version long before":              {[]string{holder(1, 0, 0), holder(2, horizonMS, old.Milliseconds())}, []time.Duration{0, time.Second}, 30 * time.Second, 30*time.Second + horizon},
+		"an older version whose claim was not read": {[]string{holder(2, horizonMS, old.Milliseconds())}, []time.Duration{2 * time.Second}, 2 * time.Second, 2*time.Second + old},
+		"two planners that did not write":           {[]string{holder(1, horizonMS, 0), holder(2, horizonMS, horizon.Milliseconds()), holder(3, horizonMS, horizon.Milliseconds())}, []time.Duration{0, 2 * time.Second, 4 * time.Second}, 4 * time.Second, 4*time.Second + horizon},
+		"a longer horizon before":                   {[]string{holder(2, horizonMS, 20_000)}, []time.Duration{2 * time.Second}, 3 * time.Second, 22 * time.Second},
+		"an unreadable claim":                       {[]string{holder(1, horizonMS, 0), "{"}, []time.Duration{0, time.Second}, 30 * time.Second, -1},
+		"a claim after an unreadable one":           {[]string{"{", holder(2, horizonMS, 20_000)}, []time.Duration{0, time.Second}, 3 * time.Second, 21 * time.Second},
+		"a resignation":                             {[]string{holder(1, horizonMS, 20_000), string(resigned.record().Value)}, []time.Duration{0, 30 * time.Second}, 30 * time.Second, 30*time.Second + horizon},
+		"a resignation whose claim was not read":    {[]string{string(resigned.record().Value)}, []time.Duration{30 * time.Second}, 30 * time.Second, 50 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession("me", 9, testPlannerTimeout, nil)
+			s.leases = newInheritedLeases(leaseBounds)
+			log := &memoryLog{}
+			for i, value := range c.seen {
+				e := Entry{Offset: int64(i), Key: claimKey, Value: []byte(value)}
+				s.observe(e, began.Add(c.at[i]))
+				log.records = append(log.records, e)
+			}
+			if _, err := s.claim(t.Context(), log, int64(len(c.seen)), began.Add(c.reached)); err != nil {
+				t.Fatal(err)
+			}
+			got := s.inheritedLeasesEnd()
+			if c.want < 0 && got.IsZero() {
+				return
+			}
+			if want := began.Add(c.want); c.want < 0 || got.Sub(want).Abs() > 2*time.Millisecond {
+				t.Errorf("leases end at %v, want %v", got.Sub(began), c.want)
+			}
+		})
+	}
+}
+
+// Guards against short bounds under settings without a horizon, whose planners grant whole leases.
+func TestClaimWithoutAHorizonStatesNoneAndKeepsTheOldBound(t *testing.T) {
+	bounds := leaseBounds
+	bounds.Horizon = 0
+	s := newSuccession("me", 9, testPlannerTimeout, nil)
+	s.leases = newInheritedLeases(bounds)
+	if _, err := s.claim(t.Context(), &memoryLog{}, 0, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if s.current.claimLeases != (claimLeases{}) || !s.inheritedLeasesEnd().IsZero() {
+		t.Errorf("the claim states %+v, leases end at %v", s.current.claimLeases, s.inheritedLeasesEnd())
+	}
+}
+
+// Guards against the time of a repetition: a claim that was carried out without an answer gives
+// authority from when it was first sent, and its place in the log still proves when leases end.
+func TestRepeatedClaimCountsFromItsFirstAttempt(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	s := newSuccession("me", 9, testPlannerTimeout, func() time.Time { return clock })
+	s.leases = newInheritedLeases(leaseBounds)
+	log := &memoryLog{}
+	reached := clock
+	record, first := s.beginClaim(0, reached, clock)
+	if _, err := log.Append(t.Context(), Plans, []control.Record{record}, &Writer{Epoch: 1, Seq: s.firstSeq(), ExpectedEnd: 0}); err != nil || !first {
+		t.Fatal(err, first)
+	}
+	clock = clock.Add(3 * time.Second)
+	s.observe(Entry{Offset: 0, Key: claimKey, Value: record.Value}, clock)
+	if got := s.inheritedLeasesEnd(); !got.Equal(reached) {
+		t.Errorf("leases end at %v, want %v", got, reached)
+	}
+	if !s.claimSent().IsZero() {
+		t.Error("an unanswered claim gives authority")
+	}
+	s.recordClaimSent(0)
+	if got := s.claimSent(); !got.Equal(reached) {
+		t.Errorf("the claim gives authority from %v, want its first attempt at %v", got, reached)
+	}
+}
+
+// Guards against authority that is lost, or given too late, because a claim that the log refused
+// counts as a first attempt.
+func TestRefusedClaimIsNotAnAttempt(t *testing.T) {
+	clock := time.Unix(1000, 0)
+	s := newSuccession("me", 9, testPlannerTimeout, func() time.Time { return clock })
+	if _, err := s.claim(t.Context(), &logLink{}, 0, clock); !errors.Is(err, ErrNotDone) {
+		t.Fatal(err)
+	}
+	clock = clock.Add(3 * time.Second)
+	if _, err := s.claim(t.Context(), &memoryLog{}, 0, clock); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.claimSent(); !got.Equal(clock) {
+		t.Errorf("the claim gives authority from %v, want %v", got, clock)
+	}
+}
--- a/workload/service/election.go
+++ b/workload/service/election.go
@@ -63,7 +63,8 @@
 func (s *Service) claim(ctx context.Context) (token int64, ok bool) {
 	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	token, err := s.succession.claim(claimCtx, s.log, s.plans.offset())
+	end, reached := s.plans.position()
+	token, err := s.succession.claim(claimCtx, s.log, end, reached)
 	if err != nil {
 		s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
 		s.succession.claimFailed(s.clock.Now())
--- a/workload/service/follower.go
+++ b/workload/service/follower.go
@@ -47,7 +47,9 @@
 	mu          sync.Mutex
 	readToEndAt time.Time
 	next        int64
-	healthy     bool
+	// advancedAt is a time at which the topic is known to have reached next.
+	advancedAt time.Time
+	healthy    bool
 	// isFollowing is set while run reads the topic, caughtUp once it has read a whole snapshot
 	// since it started.
 	isFollowing, caughtUp bool
@@ -233,7 +235,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.isFollowing {
-		f.next = max(f.next, offset)
+		f.moveTo(offset)
 	}
 }
 
@@ -330,11 +332,26 @@
 	return f.next
 }
 
+// position returns the current offset, and a time at which the topic is known to have reached it.
+func (f *follower) position() (offset int64, reached time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next, f.advancedAt
+}
+
+// moveTo raises the offset. f.mu must be held. The time is that of the answer and not that of the
+// call, since the answer also holds records that were written in between.
+func (f *follower) moveTo(offset int64) {
+	if offset > f.next || f.advancedAt.IsZero() {
+		f.next, f.advancedAt = max(f.next, offset), f.clock.Now()
+	}
+}
+
 // advance records that the topic was read up to next, and, if end is set, that this was its end
 // at the time read.
 func (f *follower) advance(next int64, read time.Time, end bool) {
 	f.mu.Lock()
-	f.next = max(f.next, next)
+	f.moveTo(next)
 	if end && read.After(f.readToEndAt) {
 		f.readToEndAt = read
 	}
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/cobalttide/cobalttide/events"
 	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/workload/control"
@@ -48,7 +46,7 @@
 
 	mu   sync.Mutex
 	core *control.Core
-	// lastWrite is when the last successful append was sent.
+	// lastWrite is when the last successful append was first sent.
 	lastWrite     time.Time
 	listRead      bool
 	configVersion int64
@@ -82,10 +80,6 @@
 	// third of the processor, at the price that new input waits for the pause.
 	roundPauseFactor = 2
 	listPause        = 200 * time.Millisecond
-	appendTimeout    = 2 * time.Second
-	appendRetryPause = 50 * time.Millisecond
-	maxBatchRecords  = 200
-	maxBatchBytes    = 1 << 20
 )
 
 // runPlanner plans until another instance has claimed the role, the log has not answered for
@@ -102,6 +96,10 @@
 	if ended := s.succession.ordersEnded(); !ended.IsZero() {
 		p.core.SetPredecessorSilentSince(ended)
 	}
+	if end := s.succession.inheritedLeasesEnd(); !end.IsZero() {
+		p.core.LimitInheritedLeases(end)
+	}
+	p.core.RecordWrite(claimed)
 	s.lastPlanWrite.Store(&claimed)
 	s.planning.Store(true)
 	s.book.TakeChanged()
@@ -177,6 +175,9 @@
 		if err := p.write(ctx, records); err != nil {
 			return err.Error()
 		}
+		if err := p.renewAuthority(ctx); err != nil {
+			return err.Error()
+		}
 		p.stats.writes.add(time.Since(began))
 		notify(p.statesChanged)
 	}
@@ -238,11 +239,13 @@
 const (
 	gaugeEvacuatedCentres = "evacuated_centres"
 	gaugeEvacuatedRuns    = "evacuated_runs"
+	gaugeAwaitedLeases    = "awaited_leases"
 )
 
 func (p *planner) updateGauges(remaining control.EvacuationStatus) {
 	p.s.metrics.SetGauge(gaugeEvacuatedCentres, float64(remaining.Centres))
 	p.s.metrics.SetGauge(gaugeEvacuatedRuns, float64(remaining.Runs))
+	p.s.metrics.SetGauge(gaugeAwaitedLeases, float64(p.core.AwaitedLeases()))
 }
 
 // logNotes logs the core's notes as events.
@@ -267,87 +270,6 @@
 	}
 }
 
-// write appends records to the log, in as many calls as the size limits require.
-func (p *planner) write(ctx context.Context, records []control.Record) error {
-	if len(records) == 0 {
-		records = []control.Record{{Key: planHeartbeatKey, Value: []byte("{}")}}
-	}
-	for len(records) > 0 {
-		n := batchSize(records)
-		first, err := p.append(ctx, records[:n])
-		if err != nil {
-			return err
-		}
-		for i, r := range records[:n] {
-			p.s.storePlanRecord(Entry{Offset: first + int64(i), Key: r.Key, Value: r.Value})
-		}
-		records = records[n:]
-	}
-	return nil
-}
-
-func batchSize(records []control.Record) int {
-	bytes := 0
-	for i, r := range records {
-		bytes += len(r.Key) + len(r.Value)
-		if i > 0 && (bytes > maxBatchBytes || i >= maxBatchRecords) {
-			return i
-		}
-	}
-	return len(records)
-}
-
-// append writes to the plans topic. A successful append extends the planner's authority.
-func (p *planner) append(ctx context.Context, records []control.Record) (int64, error) {
-	first, err := p.appendTo(ctx, Plans, &p.writer, records)
-	return first, errors.Wrap(err, "the planner's append failed")
-}
-
-// appendTo repeats an append until the log has answered it. The log recognises a repetition by
-// the sequence number.
-func (p *planner) appendTo(ctx context.Context, topic Topic, writer *Writer, records []control.Record) (int64, error) {
-	began := time.Now()
-	for {
-		sent := p.s.clock.Now()
-		attemptCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		attemptWriter := *writer
-		first, err := p.s.log.Append(attemptCtx, topic, records, &attemptWriter)
-		cancel()
-		if err == nil {
-			writer.Seq++
-			p.recordAppend(topic, sent)
-			return first, nil
-		}
-		if isFenced(err) || ctx.Err() != nil {
-			return 0, err
-		}
-		if _, held := p.s.succession.heldToken(); !held {
-			return 0, errors.New("succeeded while the log did not answer")
-		}
-		if time.Since(began) > appendTimeout {
-			p.s.events.Info(events.AppendRepeated, events.Fields{"token": p.token, "topic": string(topic), "cause": err.Error(), "for_ms": time.Since(began).Milliseconds()})
-		}
-		sleep(ctx, appendRetryPause)
-	}
-}
-
-// recordAppend records when a successful append was sent.
-func (p *planner) recordAppend(topic Topic, sent time.Time) {
-	if topic != Plans {
-		return
-	}
-	p.mu.Lock()
-	p.lastWrite = sent
-	p.mu.Unlock()
-	p.s.lastPlanWrite.Store(&sent)
-}
-
-// hasAuthority reports whether orders may be given: the last write is recent enough that no
-// successor regards this planner's leases as expired.
-func (p *planner) hasAuthority(now time.Time) bool {
-	return now.Sub(p.lastWrite) < p.s.settings.Bounds.AuthorityPeriod
-}
-
 // sendStarts sends the start orders that the last write has made safe.
 func (p *planner) sendStarts(ctx context.Context) {
 	p.mu.Lock()
--- a/workload/service/resignation_test.go
+++ b/workload/service/resignation_test.go
@@ -128,7 +128,7 @@
 				s.observe(Entry{Offset: int64(i), Key: claimKey, Value: value}, began.Add(c.at[i]))
 				log.records = append(log.records, Entry{Offset: int64(i), Key: claimKey, Value: value})
 			}
-			if _, err := s.claim(t.Context(), log, int64(len(c.seen))); err != nil {
+			if _, err := s.claim(t.Context(), log, int64(len(c.seen)), time.Time{}); err != nil {
 				t.Fatal(err)
 			}
 			got := s.ordersEnded()
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -92,6 +92,7 @@
 	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
+	s.succession.leases = newInheritedLeases(settings.Bounds)
 	if settings.Address != "" {
 		// Until the rank is known, this instance claims after the others.
 		s.succession.setTurn(turnsPerTimeout)
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -29,6 +29,7 @@
 	Incarnation int64  `json:"life"`
 	// Resigned is set when the holder has given up the role.
 	Resigned bool `json:"left,omitempty"`
+	claimLeases
 }
 
 // succession follows the planner's records and decides when to claim the role.
@@ -40,9 +41,13 @@
 	current        claim
 	offset         int64
 	hasClaim       bool
-	// claimSentAt is when the claim at the offset was sent, if this incarnation sent it and
-	// received the answer.
+	// claimSentAt is when the claim at the offset was first sent, if this incarnation sent it
+	// and received the answer.
 	claimSentAt time.Time
+	// attempt is the last claim that this incarnation has sent; leases is what is known of the
+	// leases of the planners that have held the role.
+	attempt claimAttempt
+	leases  inheritedLeases
 	// authority is how long a planner gives orders after its last write.
 	authority time.Duration
 	// claimReadAt is when the current claim was first read. ordersEndedAt is the time after
@@ -96,10 +101,12 @@
 	}
 	next := claim{}
 	if json.Unmarshal(e.Value, &next) != nil {
+		s.recordUnreadableClaim(e.Offset)
 		return
 	}
 	if e.Offset > s.offset {
 		s.claimSentAt = time.Time{}
+		s.recordLeases(next, e.Offset, now)
 		s.recordSuccessor(next, now)
 	}
 	s.current = next
@@ -209,30 +216,35 @@
 	return control.Record{Key: claimKey, Value: value}
 }
 
-// claim claims the role at the end of the topic as this instance has read it. If several
-// instances claim at the same end, the log accepts one of them.
-func (s *succession) claim(ctx context.Context, log Log, end int64) (int64, error) {
+// claim claims the role at the end of the topic as this instance has read it; the topic is known to
+// have reached that end at the given time. If several instances claim at the same end, the log
+// accepts one of them.
+func (s *succession) claim(ctx context.Context, log Log, end int64, reached time.Time) (int64, error) {
 	token := end + 1
-	sent := s.clock.Now()
-	_, err := log.Append(ctx, Plans, []control.Record{s.self.record()}, &Writer{Epoch: token, Seq: s.firstSeq(), ExpectedEnd: end})
+	record, first := s.beginClaim(end, reached, s.clock.Now())
+	_, err := log.Append(ctx, Plans, []control.Record{record}, &Writer{Epoch: token, Seq: s.firstSeq(), ExpectedEnd: end})
 	if err != nil {
+		if first && errors.Is(err, ErrNotDone) {
+			s.forgetAttempt()
+		}
 		return 0, err
 	}
-	s.observe(Entry{Offset: end, Key: claimKey, Value: s.self.record().Value}, s.clock.Now())
-	s.recordClaimSent(end, sent)
+	s.observe(Entry{Offset: end, Key: claimKey, Value: record.Value}, s.clock.Now())
+	s.recordClaimSent(end)
 	return token, nil
 }
 
-// recordClaimSent records when the claim at an offset was sent.
-func (s *succession) recordClaimSent(offset int64, sent time.Time) {
+// recordClaimSent records when the claim at an offset was first sent. If it was sent several times,
+// the first may be the one that was carried out, and a successor may have read it since.
+func (s *succession) recordClaimSent(offset int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.offset == offset {
-		s.claimSentAt = sent
+		s.claimSentAt = s.attempt.sent
 	}
 }
 
-// claimSent returns when the claim that this incarnation holds was sent. It is zero if the
+// claimSent returns when the claim that this incarnation holds was first sent. It is zero if the
 // claim was not answered, since it is then unknown when it was carried out.
 func (s *succession) claimSent() time.Time {
 	s.mu.Lock()
--- a/workload/service/succession_test.go
+++ b/workload/service/succession_test.go
@@ -70,7 +70,7 @@
 	won := 0
 	for i := range int64(5) {
 		s := newSuccession("edge", i+1, testPlannerTimeout, nil)
-		if _, err := s.claim(context.Background(), log, 0); err == nil {
+		if _, err := s.claim(context.Background(), log, 0, time.Time{}); err == nil {
 			won++
 		}
 	}
@@ -84,7 +84,7 @@
 func TestAbandonedClaimIsNotReused(t *testing.T) {
 	log := &memoryLog{}
 	s := newSuccession("edge", 1, testPlannerTimeout, nil)
-	token, err := s.claim(context.Background(), log, 0)
+	token, err := s.claim(context.Background(), log, 0, time.Time{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 	if !s.isClaimDue(time.Now()) {
 		t.Fatal("no new claim is due after the claim was abandoned")
 	}
-	next, err := s.claim(context.Background(), log, 1)
+	next, err := s.claim(context.Background(), log, 1, time.Time{})
 	if err != nil || next <= token {
 		t.Fatalf("the second claim returned token %d after %d, error %v", next, token, err)
 	}
@@ -106,7 +106,7 @@
 func TestRoleIsClaimedAfterSilenceAndSoonAfterAResignation(t *testing.T) {
 	log := &memoryLog{}
 	first, second := newSuccession("a", 1, testPlannerTimeout, nil), newSuccession("b", 2, testPlannerTimeout, nil)
-	if _, err := first.claim(context.Background(), log, 0); err != nil {
+	if _, err := first.claim(context.Background(), log, 0, time.Time{}); err != nil {
 		t.Fatal(err)
 	}
 	log.replayTo(second)
@@ -131,7 +131,7 @@
 func TestInstanceSucceedsItsEarlierIncarnationAtOnce(t *testing.T) {
 	log := &memoryLog{}
 	first, restarted := newSuccession("a", 1, testPlannerTimeout, nil), newSuccession("a", 2, testPlannerTimeout, nil)
-	if _, err := first.claim(context.Background(), log, 0); err != nil {
+	if _, err := first.claim(context.Background(), log, 0, time.Time{}); err != nil {
 		t.Fatal(err)
 	}
 	log.replayTo(restarted)
@@ -190,7 +190,7 @@
 		log := newSharedLog(1 << 20)
 		won := 0
 		for _, instance := range p.instances {
-			if _, err := instance.succession.claim(context.Background(), log, 0); err == nil {
+			if _, err := instance.succession.claim(context.Background(), log, 0, time.Time{}); err == nil {
 				won++
 			}
 		}
--- a/workload/service/term_test.go
+++ b/workload/service/term_test.go
@@ -366,7 +366,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(poolSettings("edge-0", 1, "0"), newSharedLog(poolReadRate), poolDecoder{}, nil, nil, nil).succession
 		began := time.Now()
-		if _, err := s.claim(t.Context(), newSharedLog(poolReadRate), 0); err != nil {
+		if _, err := s.claim(t.Context(), newSharedLog(poolReadRate), 0, time.Time{}); err != nil {
 			t.Fatal(err)
 		}
 		if got := s.claimSent(); !got.Equal(began) {
--- a/workload/service/world_test.go
+++ b/workload/service/world_test.go
@@ -77,7 +77,7 @@
 )
 
 var worldBounds = control.Bounds{
-	Lease: 6 * time.Second, AuthorityPeriod: 6 * time.Second, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
+	Lease: 6 * time.Second, AuthorityPeriod: 6 * time.Second, Horizon: 8 * time.Second, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second,
 	ReclaimWithin: 2700 * time.Millisecond, RemoteFactor: 3, RestoreCost: 100 * time.Millisecond, PollWait: time.Second,
 }
 
