Planner: silent workers are recorded for the successor

Cause: a successor knows nothing of when the leases of unreached workers end, and waits for the horizon after the last write, also for workers that had been silent for most of their leases before all instances were lost.

Change: h/silent holds, for each worker that has runs and has not answered for 1 s, the end of its lease by the planner's clock, and a reading of that clock; heartbeats carry readings too. The direct successor waits for the end less the newest reading, from when it knew the end of the log. A recorded worker gets no longer lease, no new work and no repeated start before a record without it is in the log. Claims say that their holder follows this rule (silent); records of others are not used.

Ruled out: recording at the first call without an answer (a write for each lost answer); taking off the time without any instance, which no clock has counted.

--- a/workload/control/closed.go
+++ b/workload/control/closed.go
@@ -20,7 +20,7 @@
 	closedVacated closedReason = "vacated"
 	// closedCentreSilent: calls to its data centre are not answered.
 	closedCentreSilent closedReason = "centre-silent"
-	// closedSilent: the worker does not answer.
+	// closedSilent: the worker does not answer, or a record in the log still says so.
 	closedSilent closedReason = "silent"
 	// closedRestarted: the worker list shows another incarnation than the one that has answered.
 	closedRestarted closedReason = "restarted"
@@ -42,7 +42,7 @@
 		return closedVacated
 	case c.cutOff(w):
 		return closedCentreSilent
-	case !w.reachable:
+	case !w.reachable || c.isHeld(w):
 		return closedSilent
 	case w.restartSuspected:
 		return closedRestarted
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -52,6 +52,7 @@
 	inheritedLeasesEnd time.Time
 	// lastWrite is when this planner's last successful append was first sent.
 	lastWrite time.Time
+	silent    silentWorkers
 	deposed   bool
 	// tokenRaises counts how often worker tokens were raised.
 	tokenRaises int64
@@ -210,6 +211,7 @@
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
 		stateKinds:         stateKinds,
+		silent:             silentWorkers{inheritedEnds: map[string]time.Time{}, recorded: map[string]int64{}, held: map[string]bool{}},
 		stateKindWrittenAt: map[string]time.Time{},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
@@ -370,6 +372,7 @@
 			delete(c.unpersisted, w)
 		}
 	}
+	c.confirmSilent(now)
 	c.withdrawStarts()
 	var out []StartOrder
 	for _, r := range c.batchStarts {
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -90,6 +90,9 @@
 	// EventStateRestored: a state record of an earlier planner was taken over; detail is its key and
 	// size.
 	EventStateRestored = "state-restored"
+	// EventSilentRecorded: the record of silent workers for a successor has changed; detail is
+	// their number.
+	EventSilentRecorded = "silent-recorded"
 	// EventStrangeRun: a worker runs a task that the planner has not placed there; the run is
 	// stopped.
 	EventStrangeRun = "strange-run"
--- a/workload/control/horizon.go
+++ b/workload/control/horizon.go
@@ -64,9 +64,9 @@
 }
 
 // nextDeadline returns the deadline for the next order. It is not extended while the worker does
-// not answer, so that its lease expires.
+// not answer, so that its lease expires, nor while a successor may rely on a record that it does not.
 func (c *Core) nextDeadline(w *worker, now time.Time) int64 {
-	if w.clockMS == 0 || (w.everReached && !w.reachable) {
+	if w.clockMS == 0 || (w.everReached && !w.reachable) || c.isHeld(w) {
 		return c.lastDeadline(w)
 	}
 	if lease := c.grantableLease(now); lease > 0 {
--- a/workload/control/horizon_test.go
+++ b/workload/control/horizon_test.go
@@ -27,6 +27,13 @@
 		return
 	}
 	p.core.RecordWrite(sim.now)
+	if n := len(sim.planners); n > 0 {
+		previous := sim.planners[n-1]
+		p.core.SetPredecessor(control.Predecessor{Token: previous.token, Reached: sim.lastAppend, ClockMS: previous.core.ClockMS(previous.written)})
+		if value := sim.log["h/silent"]; value != nil {
+			p.core.RestoreState("h/silent", value)
+		}
+	}
 	if !sim.lastAppend.IsZero() {
 		p.core.LimitInheritedLeases(sim.lastAppend.Add(control.LeaseTime(sim.horizon)))
 	}
@@ -96,9 +103,12 @@
 func (sim *simulation) runTerm() {
 	p := sim.planners[len(sim.planners)-1]
 	sim.advance(time.Duration(500+sim.rng.Intn(2500)) * time.Millisecond)
-	if sim.rng.Intn(2) == 0 {
+	for range sim.rng.Intn(4) {
 		sim.unreachableUntil[sim.randomWorker()] = sim.now.Add(time.Duration(sim.rng.Intn(9000)) * time.Millisecond)
 	}
+	if sim.rng.Intn(2) == 0 {
+		sim.advance(time.Duration(1000+sim.rng.Intn(2500)) * time.Millisecond)
+	}
 	p.logLostAt = sim.now
 	if sim.rng.Intn(3) == 0 {
 		p.frozenUntil = sim.now.Add(time.Duration(sim.rng.Intn(7000)) * time.Millisecond)
@@ -143,3 +153,15 @@
 	}
 	t.Fatalf("not detected in %d simulations", mutantSeeds)
 }
+
+// Shows that the same test detects leases that are granted to a worker before the record without it
+// is in the log.
+func TestSimulationDetectsLeasesOfRecordedWorkers(t *testing.T) {
+	for seed := range mutantSeeds {
+		if sim := runLostPlanners(int64(seed), mutant{grantsRecorded: true}); len(sim.violations) > 0 {
+			t.Logf("detected at seed %d: %s", seed, sim.violations[0])
+			return
+		}
+	}
+	t.Fatalf("not detected in %d simulations", mutantSeeds)
+}
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -25,6 +25,8 @@
 	extraLease time.Duration
 	// extraHorizon: planners grant leases beyond the horizon of which their successors know.
 	extraHorizon time.Duration
+	// grantsRecorded: planners grant leases to workers that they have recorded as silent.
+	grantsRecorded bool
 	// trustSilence: an unanswered order counts as refused or carried out.
 	trustSilence bool
 	// losesCrashCounts: crashes are counted only in the planner's memory.
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -212,7 +212,7 @@
 		case c.withdrawIfClosed(r):
 			// The worker may start nothing more or is full, so the run was given up: the repeated
 			// order might be the one that starts it.
-		case !r.worker.reachable:
+		case !r.worker.reachable || c.isHeld(r.worker):
 			// The next answer may come from another incarnation. A start that crashed the
 			// previous one would crash it too, so wait for a lease renewal first.
 			r.retryAt = now.Add(orderRetryPause)
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -26,6 +26,7 @@
 	w.renewalInFlight = false
 	switch answer.Result {
 	case Accepted:
+		w.unansweredSince = time.Time{}
 		c.recordAnswer(w, now)
 		c.handleAccepted(w, order, answer, sent, now)
 	case Fenced:
@@ -36,6 +37,9 @@
 	default:
 		c.recordProblem(w, answer.Problem)
 		c.recordStrayOrder(w, sent)
+		if w.unansweredSince.IsZero() {
+			w.unansweredSince = sent
+		}
 		c.recordNoAnswer(w, sent.Add(order.Wait), now)
 		c.markSilent(w, now)
 		w.nextRenewalAt = now.Add(RenewalRetryPause)
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -338,6 +338,9 @@
 	if !sim.hasAuthority(p) {
 		return
 	}
+	if sim.mutant.grantsRecorded {
+		p.core.ReleaseRecorded()
+	}
 	for _, o := range p.core.RetryOrders(sim.now) {
 		sim.sendStart(p, o)
 	}
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -43,6 +43,9 @@
 	token, lastOrderToken int64
 	// strayOrdersUntil is until when an unanswered order may still be carried out.
 	strayOrdersUntil time.Time
+	// unansweredSince is when the first of the lease renewals was sent that were not answered since
+	// the last answer.
+	unansweredSince time.Time
 }
 
 // maxLeaseTime returns the longest time that a lease can last by the planner's clock.
@@ -111,14 +114,10 @@
 	if w.reachable {
 		return false
 	}
-	if !w.everReached && now.Before(c.inheritedLeasesEnd) {
+	if !w.everReached && now.Before(c.inheritedLeaseEnd(w)) {
 		return false
 	}
-	if w.deadlineMS == 0 {
-		return true
-	}
-	left := time.Duration(w.deadlineMS-w.clockMS) * time.Millisecond
-	return now.After(w.clockAt.Add(maxLeaseTime(left) + lapseSlack))
+	return w.deadlineMS == 0 || now.After(w.leaseEnd())
 }
 
 // handleGone handles an answer that another worker is at an address. It is ignored if the worker
@@ -223,8 +222,9 @@
 	} else {
 		order.DeadlineMS = c.lastDeadline(w)
 	}
-	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd {
-		// Ends that are still listed would be returned at once anyway.
+	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd || c.isHeld(w) {
+		// Ends that are still listed would be returned at once anyway. A lease that may not be
+		// extended yet must be as soon as it may.
 		order.Wait = 0
 	}
 	if len(w.runs) == 0 {
--- a/workload/service/claim_leases.go
+++ b/workload/service/claim_leases.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload/control"
@@ -16,6 +17,14 @@
 	// InheritedMS is how long after the claim the leases of all earlier planners may last. It is
 	// only meaningful beside HorizonMS.
 	InheritedMS int64 `json:"inherited_ms,omitempty"`
+	// RecordsSilent is set if the holder grants nothing to workers that it has recorded as silent.
+	RecordsSilent bool `json:"silent,omitempty"`
+}
+
+// planReading is a reading of a planner's clock in its heartbeats.
+type planReading struct {
+	Token   int64 `json:"t"`
+	ClockMS int64 `json:"c"`
 }
 
 // inheritedLeases is what is known of the leases of earlier planners.
@@ -33,6 +42,11 @@
 	// end is when the leases of all planners before this incarnation's claim must have ended;
 	// zero is unknown.
 	end time.Time
+	// token is that of the current claim; 0 is unknown. reading is the newest of a planner's
+	// clock. predecessor is the planner before this incarnation's claim.
+	token       int64
+	reading     planReading
+	predecessor control.Predecessor
 }
 
 func newInheritedLeases(bounds control.Bounds) inheritedLeases {
@@ -61,7 +75,7 @@
 	}
 	s.self.claimLeases = claimLeases{}
 	if s.leases.horizon > 0 {
-		s.self.claimLeases = claimLeases{HorizonMS: roundUp(s.leases.horizon), InheritedMS: roundUp(inherited)}
+		s.self.claimLeases = claimLeases{HorizonMS: roundUp(s.leases.horizon), InheritedMS: roundUp(inherited), RecordsSilent: true}
 	}
 	return s.self.record(), first
 }
@@ -98,14 +112,19 @@
 // current claim. s.mu must be held.
 func (s *succession) recordLeases(next claim, offset int64, now time.Time) {
 	own := next.Incarnation == s.self.Incarnation && !next.Resigned
-	s.leases.end = time.Time{}
+	s.leases.end, s.leases.predecessor = time.Time{}, control.Predecessor{}
 	if own && s.attempt.end == offset {
 		s.leases.end = s.predecessorLeasesEnd(s.attempt.reached)
+		s.leases.predecessor = s.predecessor(s.attempt.reached)
 	}
 	if next.Resigned && s.hasClaim && !s.current.Resigned && s.current.Incarnation == next.Incarnation {
 		return
 	}
-	s.leases.unreadable = false
+	s.leases.unreadable, s.leases.token = false, offset+1
+	if next.Resigned {
+		// Its claim was not read.
+		s.leases.token = 0
+	}
 	s.leases.beforeCurrentEnd = now.Add(time.Duration(next.InheritedMS) * time.Millisecond)
 }
 
@@ -124,3 +143,60 @@
 	defer s.mu.Unlock()
 	return s.leases.end
 }
+
+// predecessor returns what a record of silent workers by the holder of the current claim is judged
+// by, or zero if that record must not be used. s.mu must be held.
+func (s *succession) predecessor(reached time.Time) control.Predecessor {
+	if s.leases.horizon == 0 || s.leases.unreadable || reached.IsZero() || !s.hasClaim || !s.current.RecordsSilent {
+		return control.Predecessor{}
+	}
+	p := control.Predecessor{Token: s.leases.token, Reached: reached}
+	if s.leases.reading.Token == p.Token {
+		p.ClockMS = s.leases.reading.ClockMS
+	}
+	return p
+}
+
+// observeHeartbeat reads the reading of a heartbeat; older versions leave it out. s.mu must be held.
+func (s *succession) observeHeartbeat(value []byte) {
+	r := planReading{}
+	if json.Unmarshal(value, &r) == nil && (r.Token > s.leases.reading.Token || r.Token == s.leases.reading.Token && r.ClockMS > s.leases.reading.ClockMS) {
+		s.leases.reading = r
+	}
+}
+
+// heartbeat returns a heartbeat with a reading of the planner's clock.
+func (p *planner) heartbeat() control.Record {
+	p.mu.Lock()
+	now := p.s.clock.Now()
+	r := planReading{Token: p.token, ClockMS: p.core.ClockMS(now)}
+	p.heartbeatAt = now
+	p.mu.Unlock()
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return control.Record{Key: planHeartbeatKey, Value: value}
+}
+
+// readingInterval is how old the newest reading in the log may be while workers are recorded as silent.
+// A successor waits for as much longer.
+const readingInterval = 500 * time.Millisecond
+
+// withReading adds a heartbeat to the records of a round if a successor could use its reading.
+func (p *planner) withReading(records []control.Record) []control.Record {
+	p.mu.Lock()
+	due := p.core.HasSilentWorkers() && p.s.clock.Since(p.heartbeatAt) >= readingInterval
+	p.mu.Unlock()
+	if due && len(records) > 0 {
+		records = append(records, p.heartbeat())
+	}
+	return records
+}
+
+// heldPredecessor returns the planner before the claim that this incarnation holds.
+func (s *succession) heldPredecessor() control.Predecessor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leases.predecessor
+}
--- a/workload/service/claim_leases_test.go
+++ b/workload/service/claim_leases_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -247,3 +248,55 @@
 		}
 	})
 }
+
+// Guards against work that waits for leases which the lost planner has not granted: a worker was
+// silent when all instances were lost, and has left. Its work restarts once its lease is over.
+func TestWorkOfASilentWorkerRestartsWithinItsLeaseAfterTheLossOfAllInstances(t *testing.T) {
+	for _, silentFor := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		t.Run(fmt.Sprint(silentFor), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPool(t, 0, 0)
+				p.workers.fleet.Limits.MaxLease = leaseBounds.Lease
+				p.workers.fleet.Work = longWork
+				p.addSlowWorkers(20)
+				var silent atomic.Pointer[string]
+				workers := &partitionedWorkers{p.workers, func(worker string) bool { id := silent.Load(); return id != nil && worker == *id }}
+				names := []string{"edge-0", "edge-1", "edge-2"}
+				for _, name := range names {
+					p.startWithLeases(name, leaseBounds, p.log, workers)
+				}
+				time.Sleep(poolWarmup)
+				p.submit(0, p.instances[0])
+				time.Sleep(time.Second)
+				p.workers.mu.Lock()
+				id := p.workers.starts[0].worker
+				p.workers.mu.Unlock()
+				silent.Store(&id)
+				time.Sleep(silentFor)
+				p.stopAll()
+				time.Sleep(2 * time.Second)
+				p.instances = nil
+				for _, name := range names {
+					p.startWithLeases(name, leaseBounds, p.log, workers)
+				}
+				defer p.stopAll()
+				p.awaitPlanner()
+				began := time.Now()
+				// The last renewal may have been sent at the end of the poll that was not answered. What
+				// passed while there was no instance is known to none.
+				left := control.LeaseTime(leaseBounds.Lease) + leaseBounds.PollWait - silentFor
+				limit := began.Add(left + time.Second)
+				time.Sleep(20 * time.Second)
+				p.workers.mu.Lock()
+				defer p.workers.mu.Unlock()
+				last := p.workers.starts[len(p.workers.starts)-1].at
+				if len(p.workers.starts) <= poolTasksPerJob || last.After(limit) {
+					t.Errorf("%d starts, the last %v after the planner began, want at most %v", len(p.workers.starts), last.Sub(began), limit.Sub(began))
+				}
+				if n := len(p.workers.duplicates); n > 0 {
+					t.Errorf("%d tasks ran twice", n)
+				}
+			})
+		})
+	}
+}
--- a/workload/service/claim_versions_test.go
+++ b/workload/service/claim_versions_test.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,9 +18,9 @@
 	began := time.Unix(1000, 0)
 	horizon, old := control.LeaseTime(leaseBounds.Horizon), leaseBounds.AuthorityPeriod+control.LeaseTime(leaseBounds.Lease)
 	holder := func(incarnation, horizonMS, inheritedMS int64) string {
-		return string(claim{Holder: "a", Incarnation: incarnation, claimLeases: claimLeases{horizonMS, inheritedMS}}.record().Value)
+		return string(claim{Holder: "a", Incarnation: incarnation, claimLeases: claimLeases{HorizonMS: horizonMS, InheritedMS: inheritedMS}}.record().Value)
 	}
-	resigned := claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: claimLeases{horizonMS, 20_000}}
+	resigned := claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: claimLeases{HorizonMS: horizonMS, InheritedMS: 20_000}}
 	for name, c := range map[string]struct {
 		seen []string
 		// at is when each claim was read, reached when the topic had reached its end.
@@ -121,3 +122,46 @@
 		t.Errorf("the claim gives authority from %v, want %v", got, clock)
 	}
 }
+
+// Guards against a short wait for leases by the record of a planner that does not keep its rule, or
+// that was not the last one, and against a reading of another planner's clock.
+func TestSilentWorkersAreTakenOverFromTheLastPlannerOnly(t *testing.T) {
+	rules := claimLeases{HorizonMS: 13_000, RecordsSilent: true}
+	heartbeat := func(token, clockMS int64) Entry {
+		return Entry{Key: planHeartbeatKey, Value: fmt.Appendf(nil, `{"t":%d,"c":%d}`, token, clockMS)}
+	}
+	held := func(c claim) Entry { return Entry{Key: claimKey, Value: c.record().Value} }
+	began := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		seen    []Entry
+		reached time.Time
+		want    control.Predecessor
+	}{
+		"its heartbeats":           {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), heartbeat(1, 250), heartbeat(1, 500)}, began, control.Predecessor{Token: 1, Reached: began, ClockMS: 500}},
+		"heartbeats of another":    {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), heartbeat(1, 250), held(claim{Holder: "b", Incarnation: 2, claimLeases: rules})}, began, control.Predecessor{Token: 3, Reached: began}},
+		"an older version":         {[]Entry{held(claim{Holder: "a", Incarnation: 1}), {Key: planHeartbeatKey, Value: []byte("{}")}}, began, control.Predecessor{}},
+		"the first rule only":      {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: claimLeases{HorizonMS: 13_000}})}, began, control.Predecessor{}},
+		"an unreadable claim":      {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), {Key: claimKey, Value: []byte("{")}}, began, control.Predecessor{}},
+		"resigned":                 {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), held(claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: rules})}, began, control.Predecessor{Token: 1, Reached: began}},
+		"resigned, claim not read": {[]Entry{held(claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: rules})}, began, control.Predecessor{Reached: began}},
+		"no planner":               {nil, began, control.Predecessor{}},
+		"an unknown end":           {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules})}, time.Time{}, control.Predecessor{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccession("me", 9, testPlannerTimeout, nil)
+			s.leases = newInheritedLeases(leaseBounds)
+			log := &memoryLog{}
+			for i, e := range c.seen {
+				e.Offset = int64(i)
+				s.observe(e, began)
+				log.records = append(log.records, e)
+			}
+			if _, err := s.claim(t.Context(), log, int64(len(c.seen)), c.reached); err != nil {
+				t.Fatal(err)
+			}
+			if got := s.heldPredecessor(); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/workload/service/plan_writes.go
+++ b/workload/service/plan_writes.go
@@ -22,7 +22,7 @@
 // write appends records to the log, in as many calls as the size limits require.
 func (p *planner) write(ctx context.Context, records []control.Record) error {
 	if len(records) == 0 {
-		records = []control.Record{{Key: planHeartbeatKey, Value: []byte("{}")}}
+		records = []control.Record{p.heartbeat()}
 	}
 	for len(records) > 0 {
 		n := batchSize(records)
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -47,7 +47,9 @@
 	mu   sync.Mutex
 	core *control.Core
 	// lastWrite is when the last successful append was first sent.
-	lastWrite     time.Time
+	lastWrite time.Time
+	// heartbeatAt is when the last heartbeat was made.
+	heartbeatAt   time.Time
 	listRead      bool
 	configVersion int64
 	listings      map[string]control.Listing
@@ -102,6 +104,7 @@
 	p.core.RecordWrite(claimed)
 	s.lastPlanWrite.Store(&claimed)
 	s.planning.Store(true)
+	p.core.SetPredecessor(s.succession.heldPredecessor())
 	s.planState.each(func(e Entry) { p.core.RestoreState(e.Key, e.Value) })
 	s.book.TakeChanged()
 	s.book.ForEach(p.core.Adopt)
@@ -173,7 +176,7 @@
 	notify(p.wakeOrders)
 	if len(records) > 0 || p.s.clock.Since(p.lastWrite) > p.s.settings.PlannerTimeout/4 {
 		began := time.Now()
-		if err := p.write(ctx, records); err != nil {
+		if err := p.write(ctx, p.withReading(records)); err != nil {
 			return err.Error()
 		}
 		if err := p.renewAuthority(ctx); err != nil {
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -96,6 +96,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silentSince = now
+	if e.Key == planHeartbeatKey {
+		s.observeHeartbeat(e.Value)
+	}
 	if e.Key != claimKey || e.Offset < s.offset {
 		return
 	}
