--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -51,7 +51,10 @@
 	// inheritedLeasesEnd is when leases given by earlier planners to workers that have not
 	// answered yet must have expired.
 	inheritedLeasesEnd time.Time
-	deposed            bool
+	// lastWrite is when this planner's last successful append was first sent.
+	lastWrite time.Time
+	silent    silentWorkers
+	deposed   bool
 	// tokenRaises counts how often worker tokens were raised.
 	tokenRaises int64
 	centres     map[string]*centre
@@ -209,6 +212,7 @@
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
 		stateKinds:         stateKinds,
+		silent:             silentWorkers{inheritedEnds: map[string]time.Time{}, recorded: map[string]int64{}, held: map[string]bool{}},
 		stateKindWrittenAt: map[string]time.Time{},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
@@ -216,22 +220,6 @@
 	}
 }
 
-// leasesEnd returns when all leases must have expired if no order was sent after the given time.
-func leasesEnd(since time.Time, bounds Bounds) time.Time {
-	return since.Add(maxLeaseTime(bounds.Lease) + lapseSlack)
-}
-
-// SetPredecessorSilentSince records that no earlier planner has sent an order after the given time.
-func (c *Core) SetPredecessorSilentSince(since time.Time) {
-	if end := leasesEnd(since, c.bounds); end.Before(c.inheritedLeasesEnd) {
-		c.inheritedLeasesEnd = end
-	}
-}
-
-// InheritedLeasesEnd returns when leases that earlier planners gave to workers which have not
-// answered yet must have expired.
-func (c *Core) InheritedLeasesEnd() time.Time { return c.inheritedLeasesEnd }
-
 // Deposed reports whether a worker or host has refused this planner's token.
 func (c *Core) Deposed() bool { return c.deposed }
 
@@ -385,6 +373,7 @@
 			delete(c.unpersisted, w)
 		}
 	}
+	c.confirmSilent(now)
 	c.withdrawStarts()
 	var out []StartOrder
 	for _, r := range c.batchStarts {
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -43,6 +43,9 @@
 	token, lastOrderToken int64
 	// strayOrdersUntil is until when an unanswered order may still be carried out.
 	strayOrdersUntil time.Time
+	// unansweredSince is when the first of the lease renewals was sent that were not answered since
+	// the last answer.
+	unansweredSince time.Time
 }
 
 // maxLeaseTime returns the longest time that a lease can last by the planner's clock.
@@ -105,30 +108,16 @@
 	return w.clockMS + int64(float64(elapsed.Milliseconds())*(1-clockDrift))
 }
 
-// nextDeadline returns the deadline for the next order. It is not extended while the worker does
-// not answer, so that its lease expires.
-func (c *Core) nextDeadline(w *worker, now time.Time) int64 {
-	if w.clockMS == 0 || (w.everReached && !w.reachable) {
-		return w.deadlineMS
-	}
-	w.deadlineMS = max(w.deadlineMS, w.clockLowerBound(now)+c.bounds.Lease.Milliseconds())
-	return w.deadlineMS
-}
-
 // hasLapsed reports whether all runs on an unreachable worker must have been killed at the end of
 // its lease.
 func (c *Core) hasLapsed(w *worker, now time.Time) bool {
 	if w.reachable {
 		return false
 	}
-	if !w.everReached && now.Before(c.inheritedLeasesEnd) {
+	if !w.everReached && now.Before(c.inheritedLeaseEnd(w)) {
 		return false
 	}
-	if w.deadlineMS == 0 {
-		return true
-	}
-	left := time.Duration(w.deadlineMS-w.clockMS) * time.Millisecond
-	return now.After(w.clockAt.Add(maxLeaseTime(left) + lapseSlack))
+	return w.deadlineMS == 0 || now.After(w.leaseEnd())
 }
 
 // handleGone handles an answer that another worker is at an address. It is ignored if the worker
@@ -231,10 +220,11 @@
 		order.DeadlineMS = c.nextDeadline(w, now)
 		order.Wait = c.boundPollWait(w, c.bounds.PollWait)
 	} else {
-		order.DeadlineMS = w.deadlineMS
+		order.DeadlineMS = c.lastDeadline(w)
 	}
-	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd {
-		// Ends that are still listed would be returned at once anyway.
+	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd || c.isHeld(w) {
+		// Ends that are still listed would be returned at once anyway. A lease that may not be
+		// extended yet must be as soon as it may.
 		order.Wait = 0
 	}
 	if len(w.runs) == 0 {
