Planner: state records for a successor

Change: keys that begin with control.StatePrefix in the plans topic hold such state. control.stateKinds is the one place where a kind is registered, with the functions that return its changed parts and restore one. Core.Changes appends what is due: one record of a kind per second at most, a state record alone only a second after the last one of any kind, urgent kinds at once. service.planState keeps the newest record of each key by offset, deleted keys included, and passes them to Core.RestoreState before Adopt. A record that is unknown, of another form, or with a token that is not below the planner's own is ignored with the event state-ignored and stays in the log.

Ruled out: a topic of its own (one more topic for each standby to read, and no atomic write with the round's records).

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -84,6 +84,11 @@
 	loadReportedAt time.Time
 	// adviceInFlight is set while a call for advice is in flight.
 	adviceInFlight bool
+	// stateKinds are the kinds of state for a successor. stateWrittenAt is when a record of any was
+	// last due, stateKindWrittenAt when one of each kind was.
+	stateKinds         []stateKind
+	stateWrittenAt     time.Time
+	stateKindWrittenAt map[string]time.Time
 	// wallMS is the wall-clock time of the last round, roundAt its monotonic time.
 	wallMS  int64
 	roundAt time.Time
@@ -202,6 +207,8 @@
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
+		stateKinds:         stateKinds,
+		stateKindWrittenAt: map[string]time.Time{},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
 		inheritedLeasesEnd: leasesEnd(now.Add(bounds.AuthorityPeriod), bounds),
@@ -355,7 +362,7 @@
 		}
 		out = append(out, Record{Key: workload.ProgressKey(id), Value: value})
 	}
-	out = c.addWaveRecords(out)
+	out = c.addStateRecords(c.addWaveRecords(out))
 	c.dirty = map[workload.JobID]bool{}
 	c.batchStarts = c.pendingStarts
 	c.pendingStarts = nil
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -84,6 +84,12 @@
 	EventStartRefused = "start-refused"
 	// EventStartUnanswered: a start order was not answered; it is repeated.
 	EventStartUnanswered = "start-unanswered"
+	// EventStateIgnored: a state record of an earlier planner can't be used, or one of this planner
+	// could not be encoded; why is the problem, detail the key and size.
+	EventStateIgnored = "state-ignored"
+	// EventStateRestored: a state record of an earlier planner was taken over; detail is its key and
+	// size.
+	EventStateRestored = "state-restored"
 	// EventStrangeRun: a worker runs a task that the planner has not placed there; the run is
 	// stopped.
 	EventStrangeRun = "strange-run"
--- a/workload/service/meter.go
+++ b/workload/service/meter.go
@@ -52,6 +52,7 @@
 	{workload.CancelledKey(""), "cancellation"},
 	{workload.ProgressKey(""), "progress"},
 	{workload.StatusKey(""), "statement"},
+	{control.StatePrefix, "state"},
 	{statesHeartbeatKey, "head"},
 	{planHeartbeatKey, "sign"},
 	{claimKey, "claim"},
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -104,6 +104,7 @@
 	}
 	s.lastPlanWrite.Store(&claimed)
 	s.planning.Store(true)
+	s.planState.each(func(e Entry) { p.core.RestoreState(e.Key, e.Value) })
 	s.book.TakeChanged()
 	s.book.ForEach(p.core.Adopt)
 	p.logBegin()
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -72,6 +72,7 @@
 	declarations *follower
 	directory    atomic.Pointer[Directory]
 	waves        *maintenanceWaves
+	planState    *planState
 	evacuations  *evacuations
 	logRecovered *broadcast
 	planning     atomic.Bool
@@ -89,7 +90,7 @@
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
 	if settings.Address != "" {
@@ -199,13 +200,15 @@
 	s.storePlanRecord(e)
 }
 
-// storePlanRecord stores a planner's record of a maintenance wave or a job. It ignores claims and
+// storePlanRecord stores a planner's record of a maintenance wave, its state or a job. It ignores claims and
 // heartbeats.
 func (s *Service) storePlanRecord(e Entry) {
 	switch {
 	case e.Key == claimKey || e.Key == planHeartbeatKey:
 	case control.IsWaveKey(e.Key):
 		s.waves.record(e)
+	case control.IsStateKey(e.Key):
+		s.planState.record(e)
 	default:
 		s.applyJobRecord(e)
 	}
--- a/workload/service/standby.go
+++ b/workload/service/standby.go
@@ -139,6 +139,7 @@
 			stop()
 			stop = nil
 			s.book.DropDetails()
+			s.planState.clear()
 			s.events.Info(events.DetailsDropped, events.Fields{})
 			s.roleMu.Unlock()
 		}
