--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/workload/share"
 )
 
 // order returns the waiting jobs in the order in which they are considered: urgent jobs
@@ -104,8 +105,9 @@
 func (c *cycle) weight(id domain.AccountID) int { return c.Accounts[id].Weight }
 
 func (c *cycle) weightedShare(w *WaitingJob) float64 {
-	share := float64(w.Job.Shape.Accelerators()) / float64(max(1, c.usage.Capacity.Accelerators))
-	return share / float64(max(1, c.weight(w.Job.Account)))
+	used := share.Resources{Accelerators: int64(w.Job.Shape.Accelerators())}
+	capacity := share.Resources{Accelerators: int64(max(1, c.usage.Capacity.Accelerators))}
+	return share.Weighted(share.Dominant(used, capacity), float64(max(1, c.weight(w.Job.Account))))
 }
 
 func (c *cycle) nextQueue(queues []*accountQueue, charged map[domain.AccountID]float64) *accountQueue {
--- a/scheduler/quota/quota.go
+++ b/scheduler/quota/quota.go
@@ -5,6 +5,7 @@
 
 import (
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/workload/share"
 )
 
 // Usage holds what each account and team uses in one data centre.
@@ -43,18 +44,11 @@
 // DominantShare returns the account's largest share of any resource, divided by its
 // weight. The account with the lowest value goes first.
 func (u *Usage) DominantShare(id domain.AccountID, weight int) float64 {
-	used := u.accounts[id]
-	share := ratio(used.Accelerators, u.Capacity.Accelerators)
-	share = max(share, ratio(used.CPU, u.Capacity.CPU))
-	share = max(share, ratio(used.MemoryMiB, u.Capacity.MemoryMiB))
-	return share / float64(max(1, weight))
+	return share.Weighted(share.Dominant(shareResources(u.accounts[id]), shareResources(u.Capacity)), float64(max(1, weight)))
 }
 
-func ratio(part, whole int) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
+func shareResources(r domain.Resources) share.Resources {
+	return share.Resources{CPU: int64(r.CPU), Memory: int64(r.MemoryMiB), Accelerators: int64(r.Accelerators)}
 }
 
 // Exceeded describes a limit that a job would exceed.
