Decide: work beyond guarantees is ordered by weighted shares

Cause: units were ordered by guaranteed, lateness, priority, latest start and width only, so an account that submits most of the work took most of the capacity beyond guarantees.

Change: mechanism fair-shares. After guaranteed, lateness and priority and before the latest start, units beyond guarantees of accounts in lower steps of use over weight go first. A unit is charged to its account as if it had started. Use below the fair part counts as equal.

Ruled out: steps down to a sixteenth of the fair part.

Tests: go test ./workload/decide ./workload/share; in ./workload/replay TestEachMechanism, TestEmbedded, TestLatest and TestSameSeed pass.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -9,6 +9,7 @@
 
 	"github.com/cobalttide/cobalttide/workload"
 	"github.com/cobalttide/cobalttide/workload/decide"
+	"github.com/cobalttide/cobalttide/workload/share"
 )
 
 // Core is the planner's state machine. It is not safe for concurrent use.
@@ -47,6 +48,8 @@
 	arrivals arrivals
 	// urgency is the share of the first priority's units that can't wait for a stop.
 	urgency urgency
+	// shares are the accounts' shares of the pool beyond their guarantees.
+	shares accountShares
 	// inheritedLeasesEnd is when leases given by earlier planners to workers that have not
 	// answered yet must have expired.
 	inheritedLeasesEnd time.Time
@@ -207,6 +210,7 @@
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
+		shares:             newAccountShares(),
 		stateKinds:         stateKinds,
 		stateKindWrittenAt: map[string]time.Time{},
 		dirty:              map[workload.JobID]bool{},
@@ -238,7 +242,10 @@
 func (c *Core) Jobs() int { return len(c.jobs) }
 
 // Configure sets the configuration.
-func (c *Core) Configure(config Configuration) { c.config = config }
+func (c *Core) Configure(config Configuration) {
+	c.config = config
+	c.shares.weights = share.NewWeights(config.Weights, config.Guaranteed)
+}
 
 // Events returns the events since the last call.
 func (c *Core) Events() []Event {
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -80,6 +80,7 @@
 	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout, RemoteFactor: c.bounds.RemoteFactor, Disabled: c.bounds.Disabled}
 	guaranteed := c.guaranteedJobs()
 	c.addRunning(s, guaranteed, now)
+	c.updateShares(s, now)
 	units := c.addWaiting(s, guaranteed, now, wallMS)
 	if len(units) > 0 {
 		// The workers are only needed if something may start.
@@ -213,7 +214,7 @@
 	if !o.IsStepReady(j.Job, step) {
 		return decide.Unit{}, false
 	}
-	u := decide.Unit{Key: key, Step: spec, Guaranteed: guaranteed}
+	u := decide.Unit{Key: key, Account: j.Account, Step: spec, Guaranteed: guaranteed}
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != workload.Waiting {
 			continue
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -51,6 +51,8 @@
 	Queues  map[string]workload.QueueSettings
 	// Guaranteed is the number of guaranteed accelerators per client account.
 	Guaranteed map[domain.AccountID]int64
+	// Weights are the weights of client accounts that are set.
+	Weights map[domain.AccountID]float64
 }
 
 // Listing is a worker's entry in the platform's list.
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -10,7 +10,9 @@
 import (
 	"time"
 
+	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/share"
 )
 
 // Worker is a worker that may be given tasks.
@@ -60,8 +62,10 @@
 // Unit is work that waits to start: a whole gang, or those tasks of a step that may start one by
 // one.
 type Unit struct {
-	Key  UnitKey
-	Step *workload.Step
+	Key UnitKey
+	// Account is the client account of the job.
+	Account domain.AccountID
+	Step    *workload.Step
 	// Service is the pool whose workers run the queue's tasks.
 	Service string
 	// Indexes are the tasks of the step that are to start.
@@ -148,6 +152,9 @@
 	// RemoteFactor is the factor by which a task runs longer away from its data, or in a gang that
 	// spans racks although it prefers one; 0 means no longer.
 	RemoteFactor float64
+	// Shares are the accounts' uses of the pool beyond their guarantees; nil if capacity is not
+	// divided by them.
+	Shares *share.Levels
 	// Disabled is the set of disabled mechanisms.
 	Disabled DisabledMechanisms
 }
@@ -301,8 +308,8 @@
 		capacity = capacity.Add(workers[i].Capacity)
 		free = free.Add(workers[i].Free)
 	}
-	accelerators := share(capacity.Accelerators-free.Accelerators, capacity.Accelerators)
-	cpu := share(capacity.MilliCPU-free.MilliCPU, capacity.MilliCPU)
+	accelerators := usedShare(capacity.Accelerators-free.Accelerators, capacity.Accelerators)
+	cpu := usedShare(capacity.MilliCPU-free.MilliCPU, capacity.MilliCPU)
 	return min(accelerators, cpu), max(accelerators, cpu)
 }
 
@@ -317,7 +324,7 @@
 	return most < starvationShare
 }
 
-func share(part, whole int64) float64 {
+func usedShare(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
 	}
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -36,10 +36,12 @@
 	// IsolateSuspects isolates tasks under which a worker has crashed from one another and from
 	// other runs that have just started.
 	IsolateSuspects Mechanism = "suspects-apart"
+	// FairShares orders work beyond guarantees by its account's weighted share of the pool.
+	FairShares Mechanism = "fair-shares"
 )
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, FairShares}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
--- /dev/null
+++ b/workload/decide/shares_test.go
@@ -0,0 +1,109 @@
+package decide
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/share"
+)
+
+// unequalShares returns shares of a pool in which heavy uses four times its fair part.
+func unequalShares() *share.Levels {
+	w := share.NewWeights(nil, map[domain.AccountID]int64{"heavy": 80, "light": 20, "other": 20})
+	return &share.Levels{Weights: w, Use: map[domain.AccountID]float64{"heavy": 4 * w.Of("heavy")}, Capacity: share.Resources{Accelerators: 1000}}
+}
+
+// drawSharedSnapshot draws a snapshot whose units belong to three accounts.
+func drawSharedSnapshot(t *rapid.T) *Snapshot {
+	s := drawSnapshot(t)
+	for i := range s.Waiting {
+		s.Waiting[i].Account = rapid.SampledFrom([]domain.AccountID{"heavy", "light", "other"}).Draw(t, "account")
+	}
+	s.Shares = unequalShares()
+	return s
+}
+
+// Guards against a mechanism that acts where it is disabled, or where all accounts use equal parts.
+func TestPlansWithoutUnequalSharesAreTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSharedSnapshot(t)
+		without := *s
+		without.Shares = nil
+		disabled := *s
+		disabled.Disabled = DisabledMechanisms{FairShares: true}
+		unused := *s
+		unused.Shares = &share.Levels{Weights: s.Shares.Weights, Capacity: share.Resources{Accelerators: 1_000_000}}
+		for name, other := range map[string]*Snapshot{"disabled": &disabled, "nothing used": &unused} {
+			if !slices.Equal(order(other), order(&without)) || !reflect.DeepEqual(MakePlan(other), MakePlan(&without)) {
+				t.Fatalf("%s: order %v, without shares %v", name, order(other), order(&without))
+			}
+		}
+	})
+}
+
+// Guards against shares that put late work before work in time, a lower priority before a higher one
+// or anything before guaranteed work, and against a changed order of guaranteed work.
+func TestSharesOnlyReorderUnitsOfOneRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSharedSnapshot(t)
+		with := order(s)
+		without := *s
+		without.Shares = nil
+		for at, i := range order(&without) {
+			a, b := &s.Waiting[i], &s.Waiting[with[at]]
+			if !isSameRank(now, a, b) || (a.Guaranteed && i != with[at]) {
+				t.Fatalf("place %d has %+v, without shares %+v", at, b, a)
+			}
+		}
+		sorted := slices.Sorted(slices.Values(with))
+		if !slices.Equal(sorted, indexes(len(s.Waiting))) {
+			t.Fatalf("the order %v is no permutation", with)
+		}
+	})
+}
+
+// Guards against a light account's small job that waits behind a heavy account's backlog.
+func TestLightAccountIsNotBehindAHeavyAccountsBacklog(t *testing.T) {
+	s := &Snapshot{Now: now, Workers: racks([]int64{8}), Shares: unequalShares()}
+	for range 50 {
+		u := singles(8, 1)
+		u.Account, u.Priority = "heavy", 2
+		s.Waiting = append(s.Waiting, u)
+	}
+	u := singles(1, 1)
+	u.Key.Job, u.Account, u.Priority = workload.JobID("small"), "light", 2
+	u.LatestStart = now.Add(time.Minute)
+	s.Waiting = append(s.Waiting, u)
+	if first := order(s)[0]; first != 50 {
+		t.Fatalf("unit %d is first", first)
+	}
+	s.Waiting[50].LatestStart, s.Waiting[50].WorthlessAfter = now.Add(-2*time.Second), now.Add(time.Second)
+	if last := order(s)[50]; last != 50 {
+		t.Fatalf("late work is before work in time: unit %d is last", last)
+	}
+}
+
+// Guards against an account that gets all capacity that is freed at once because its use counts only
+// from the next round on.
+func TestUnitsAreChargedWithinOneOrder(t *testing.T) {
+	s := &Snapshot{Now: now, Shares: unequalShares()}
+	s.Shares.Use = nil
+	s.Shares.Capacity = share.Resources{Accelerators: 16}
+	for i := range 20 {
+		u := singles(1, 4)
+		u.Account, u.LatestStart = "light", now.Add(time.Second)
+		if i >= 10 {
+			u.Account, u.LatestStart = "other", now.Add(2*time.Second)
+		}
+		s.Waiting = append(s.Waiting, u)
+	}
+	if first := order(s)[:10]; !slices.ContainsFunc(first, func(i int) bool { return s.Waiting[i].Account == "other" }) {
+		t.Fatalf("the first units %v are all of one account", first)
+	}
+}
--- a/workload/replay/replay_test.go
+++ b/workload/replay/replay_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -92,6 +94,9 @@
 	return out
 }
 
+// worstAccount is the credit of the client account that was served worst.
+func worstAccount(r *Result) float64 { return slices.Min(slices.Collect(maps.Values(r.Accounts))) }
+
 func urgentInTime(r *Result) float64 { return r.Classes[0].InTimeShare() }
 
 // Each mechanism must improve its figure by a factor under the load that it is meant for, on fixed
@@ -110,6 +115,7 @@
 		{decide.ReserveRacks, "burst-urgent", urgentInTime, 1.03, decide.WorkerSpeeds},
 		{decide.WaitForLocality, "large-gangs", urgentInTime, 1.04, ""},
 		{decide.WorkerSpeeds, "two-speeds", urgentInTime, 1.08, ""},
+		{decide.FairShares, "unequal-accounts", worstAccount, 1.08, ""},
 	} {
 		t.Run(string(c.mechanism), func(t *testing.T) {
 			t.Parallel()
--- a/workload/share/share.go
+++ b/workload/share/share.go
@@ -16,6 +16,11 @@
 	CPU, Memory, Accelerators int64
 }
 
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
+}
+
 // Dominant returns the largest share that used has of any resource of the capacity. A resource that
 // the pool does not have counts as 0.
 func Dominant(used, capacity Resources) float64 {
@@ -149,10 +154,11 @@
 	return Weighted(l.Use[id]+extra, l.Weights.Of(id))
 }
 
-// lowestStep is the step of all accounts that use less than a sixteenth of their fair part. They
-// count as equal: below it a single task decides the level. Since no step is lower, an account that
-// gets nothing reaches it (ReachesLowestWithin), and then its oldest unit is first.
-const lowestStep = -4
+// lowestStep is the step of all accounts that use less than their fair part. They count as equal:
+// with steps down to a sixteenth of it, single tasks reordered accounts that take nothing from
+// others, and less work was served in time. Since no step is lower, an account that gets nothing
+// reaches it (ReachesLowestWithin), and from then on its oldest unit is first.
+const lowestStep = -1
 
 // Step returns the coarse step of a level, a factor of 2 each. Accounts in lower steps go first.
 func Step(level float64) int {
--- a/workload/share/share_test.go
+++ b/workload/share/share_test.go
@@ -66,7 +66,7 @@
 
 // Guards against steps that are finer than a factor of 2, or that differ below the lowest one.
 func TestStepsAreAFactorOfTwo(t *testing.T) {
-	for level, want := range map[float64]int{0: -4, 0.001: -4, 1. / 16: -4, 0.07: -4, 0.13: -3, 0.99: -1, 1: 0, 1.99: 0, 2: 1, 100: 6, math.NaN(): -4} {
+	for level, want := range map[float64]int{0: -1, 0.001: -1, 0.49: -1, 0.5: -1, 0.99: -1, 1: 0, 1.99: 0, 2: 1, 100: 6, math.NaN(): -1} {
 		if got := Step(level); got != want {
 			t.Errorf("step of %v is %d, want %d", level, got, want)
 		}
@@ -76,7 +76,7 @@
 		if a <= b && Step(a) > Step(b) {
 			t.Fatalf("step of %v is above that of %v", a, b)
 		}
-		if a >= 2*b && a > 0.125 && Step(a) <= Step(b) {
+		if a >= 2*b && a >= 1 && Step(a) <= Step(b) {
 			t.Fatalf("steps of %v and %v are equal", a, b)
 		}
 	})
--- a/workload/share/usage.go
+++ b/workload/share/usage.go
@@ -89,6 +89,6 @@
 // its use, at most half of the pool once nothing is held, halves with each half-life. It depends on
 // the account's fair part, and neither on other accounts nor on the load.
 func (w Weights) ReachesLowestWithin(id domain.AccountID, halfLife time.Duration) time.Duration {
-	halvings := math.Log2(0.5/w.Of(id)) - lowestStep
+	halvings := math.Log2(0.5/w.Of(id)) - (lowestStep + 1)
 	return time.Duration(max(0, halvings) * float64(halfLife))
 }
