--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -39,10 +39,12 @@
 	// KeepSpeeds keeps what a planner has learnt of workers' speeds for its successor, and for the
 	// next incarnation of a worker.
 	KeepSpeeds Mechanism = "keep-speeds"
+	// FairShares orders work beyond guarantees by its account's weighted share of the pool.
+	FairShares Mechanism = "fair-shares"
 )
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, FairShares}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
