Control: departures are planned for whole units

Cause: each run was judged by its own remaining time. A gang ends with its slowest member, so a member at 100 percent on a leaving worker was not stopped and its gang was lost; where the leaving member was stopped, it was stopped alone, and the others ended as broken with what they had saved at their last checkpoint.

Change: decide.DecideDeparture chooses between letting a unit end, saving all members together at the last safe moment and stopping all of them now, by the work that each is expected to lose. Planner and maintenance stop all members of a gang in one round, with one event unit-departs. How much longer than announced workers stay is learned. Progress saved by a stop is not replaced by the older checkpoint of a member that ended as broken. Capacity for the next run is reserved from one stop time before the stop until all members have ended. A successor stops the rest of a gang of which a member waits. Enabled by bounds.notice_ms; the mechanism unit-departures disables it.

Tests: the new ones pass; reservation, merge of progress, gangs with a waiting member and joint stops were each removed in turn, and the tests that guard them failed. ./workload/decide, ./platform, ./events/... pass.

--- a/events/log.go
+++ b/events/log.go
@@ -149,7 +149,7 @@
 // reasonFields maps events that carry a reason to the field that contains it. Reasons
 // are codes of a closed set.
 var reasonFields = map[Name]string{
-	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why",
+	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why", "unit-departs": "why",
 	RecordUnreadable: "reason", "run-lost": "why", "unit-waits": "why", "job-completed": "why", "job-failed": "why", "worker-gone": "why", "duty-answered": "why", "end-unknown": "why",
 }
 
--- a/workload/control/adopt.go
+++ b/workload/control/adopt.go
@@ -37,6 +37,7 @@
 	c.arrivals.record()
 	c.addJob(j)
 	c.adoptPlacedTasks(j)
+	c.stopIncompleteGangs(j)
 	if progress.State.IsFinal() {
 		// The job's end is in the log, but the resulting stop orders may never have been sent.
 		c.stopAllRuns(j)
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -79,7 +79,8 @@
 	unpersistedDuties   []DutyOrder
 	dutiesAllowedFrom   time.Time
 	// startedAt is when this planner started.
-	startedAt time.Time
+	startedAt  time.Time
+	departures departures
 	// loadReportedAt is when the pool's load was last emitted.
 	loadReportedAt time.Time
 	// adviceInFlight is set while a call for advice is in flight.
@@ -112,6 +113,8 @@
 	// completedTime is the run time of each completed step, failedTime the total run time of its
 	// failed runs.
 	completedTime, failedTime map[int]time.Duration
+	// savedRuns is the last run of each gang that has saved its progress by a stop.
+	savedRuns map[decide.UnitKey]int64
 	// crashedAt is when a worker last crashed while running one of its tasks.
 	crashedAt time.Time
 	// waitedUnsettledAt is when one of its tasks last waited because the pool was unstable.
@@ -130,6 +133,10 @@
 	worker *worker
 	run    int64
 	saved  string
+	// savedAt is when its worker last reported newly saved progress.
+	savedAt time.Time
+	// departing is set if it is being stopped because of a departure, or is about to be.
+	departing bool
 	// ordered is set if this planner sent the start order. Otherwise the run was adopted or its
 	// order is not sent yet.
 	ordered    bool
@@ -178,7 +185,8 @@
 // unreachable workers elsewhere only after the leases that its predecessor gave must have
 // expired.
 func New(bounds Bounds, token int64, now time.Time) *Core {
-	if bounds.Plan == nil {
+	canReserve := bounds.Plan == nil
+	if canReserve {
 		bounds.Plan = decide.MakePlan
 	}
 	return &Core{
@@ -202,6 +210,7 @@
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
+		departures:         departures{overstay: stopMargin, canReserve: canReserve},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
 		inheritedLeasesEnd: leasesEnd(now.Add(bounds.AuthorityPeriod), bounds),
--- a/workload/control/departures.go
+++ b/workload/control/departures.go
@@ -10,14 +10,21 @@
 const stopMargin = 500 * time.Millisecond
 
 // updateLeavesAt updates the earliest time at which a draining worker may leave.
-func (w *worker) updateLeavesAt(l Listing, now time.Time) {
+func (c *Core) updateLeavesAt(w *worker, l Listing, now time.Time) {
 	if !l.Draining {
 		w.leavesAt = time.Time{}
 		return
 	}
-	if w.leavesAt.IsZero() || l.RemainingMS != w.RemainingMS {
-		w.leavesAt = now.Add(time.Duration(l.RemainingMS) * time.Millisecond)
+	if !w.leavesAt.IsZero() && l.RemainingMS == w.RemainingMS {
+		return
+	}
+	leavesAt := now.Add(time.Duration(l.RemainingMS) * time.Millisecond)
+	if c.plansUnitDepartures() && !w.leavesAt.IsZero() && leavesAt.After(w.leavesAt) && leavesAt.Sub(w.leavesAt) < stopMargin {
+		// An entry that was read later than the one before shows the same departure. Only a larger
+		// difference is a longer notice.
+		return
 	}
+	w.leavesAt = leavesAt
 }
 
 // stopOnLeavingWorkers stops runs that would not end before their worker leaves, so that they
@@ -27,6 +34,10 @@
 	if c.bounds.Disabled[decide.StopBeforeDeparture] {
 		return
 	}
+	if c.plansUnitDepartures() {
+		c.planDepartures(now)
+		return
+	}
 	for _, r := range c.allRuns() {
 		w := r.worker
 		if !w.Draining || w.leavesAt.IsZero() || r.stopping || r.settled || !r.confirmed {
--- a/workload/control/departures_test.go
+++ b/workload/control/departures_test.go
@@ -110,11 +110,18 @@
 			t.Fatal(err)
 		}
 	}
-	for name, faulty := range map[string]bool{"without other faults": false, "with other faults": true} {
+	for name, c := range map[string]struct {
+		faulty bool
+		notice time.Duration
+	}{
+		"without other faults": {}, "with other faults": {faulty: true},
+		"planned for whole units": {notice: simNotice}, "planned for whole units, with other faults": {faulty: true, notice: simNotice},
+	} {
 		t.Run(name, func(t *testing.T) {
 			sims := make([]*simulation, count)
 			violations := simulationViolations(count, func(seed int64) *simulation {
-				sims[seed] = newDepartureSimulation(seed, faulty)
+				sims[seed] = newDepartureSimulation(seed, c.faulty)
+				sims[seed].notice = c.notice
 				return sims[seed]
 			})
 			if len(violations) > 0 {
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -89,6 +89,11 @@
 	EventStrangeRun = "strange-run"
 	// EventTokenRefused: a worker has seen the token of a newer planner; this planner stops.
 	EventTokenRefused = "token-refused"
+	// EventUnitDeparts: a worker of a running gang or task leaves; why is what is done with all
+	// members (let-end, save, stop), detail their number, the time left, the expected time to the
+	// end, how long they have been running, the work in core-seconds that is expected to be lost,
+	// and the time until they are stopped. It is emitted with the first decision and with the stop.
+	EventUnitDeparts = "unit-departs"
 	// EventUnitStarted: tasks of a step were placed; detail has index:run@worker of each, why the
 	// values behind the decision.
 	EventUnitStarted = "unit-started"
--- a/workload/control/maintenance.go
+++ b/workload/control/maintenance.go
@@ -297,8 +297,8 @@
 	if w != nil {
 		slack := c.slack(v, now)
 		for _, r := range w.sortedRuns() {
-			if !r.stopping && !r.settled && c.remainingTime(r, now) > slack && budget.take(r) {
-				c.stop(r, "maintenance")
+			if !r.stopping && !r.settled && c.outlasts(r, slack, now) && budget.take(r) {
+				c.stopForMaintenance(r, now)
 			}
 		}
 	}
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -81,6 +81,9 @@
 	w.listed = false
 	w.unlistedAt = now
 	w.departed = c.hasLeft(w, now)
+	if w.departed {
+		c.observeOverstay(w, now)
+	}
 	c.listedCount--
 	c.releaseAddress(w)
 	c.emit(Event{Name: EventWorkerUnlisted, Worker: id, Detail: w.removalDetail(now)})
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -154,6 +154,9 @@
 		r.progressedAt = now
 	}
 	if row.Checkpoint != "" {
+		if row.Checkpoint != r.saved {
+			r.savedAt = now
+		}
 		r.saved = row.Checkpoint
 	}
 	r.updateRating()
@@ -255,9 +258,13 @@
 	}
 	r.settled = true
 	c.markDirty(j)
+	savedByStop := saved != "" && end == EndStopped
 	if saved == "" {
 		saved = r.saved
 	}
+	if r.step.Checkpoint && !c.takesProgress(r, savedByStop) {
+		saved = ""
+	}
 	if end == EndDone && !r.step.Perpetual {
 		c.completeTask(r)
 		return
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -88,6 +88,9 @@
 	s.NoRecentArrivals = c.arrivals.isQuiet(now)
 	s.Headroom = c.headroom.observe(c.topPriorityDemand(s), s.NoRecentArrivals, now)
 	s.UrgentShare = c.urgency.share
+	if len(units) > 0 {
+		c.addReservations(s, guaranteed, now, wallMS)
+	}
 	return s, units
 }
 
@@ -108,7 +111,7 @@
 			if !r.step.Checkpoint && c.queueSettings(r.job).Priority > 0 {
 				out.NonCheckpointed += need.Accelerators
 			}
-			if r.stopping || r.settled {
+			if r.stopping || r.settled || r.departing {
 				out.Freeing = out.Freeing.Add(need)
 			}
 		}
@@ -133,7 +136,7 @@
 		g.Add(r.worker.ID, r.step.CapacityNeed())
 		g.LostWork += c.lostWork(r, now)
 		g.RemainingTime = max(g.RemainingTime, r.remainingByProgress(now))
-		g.Stopping = g.Stopping || r.stopping || r.settled
+		g.Stopping = g.Stopping || r.stopping || r.settled || r.departing
 		g.NonPreemptible = g.NonPreemptible || !budget.take(r)
 	}
 }
@@ -239,6 +242,14 @@
 		j.waitingSince[u.Key] = now
 	}
 	u.ReadySince = j.waitingSince[u.Key]
+	c.describeTerms(u, j, o, now, wallMS)
+	if first && u.Priority == 0 {
+		c.urgency.observe(decide.IsUrgent(u.LatestStart.Sub(now), c.bounds.StopTimeout))
+	}
+}
+
+// describeTerms sets the terms of a unit's queue and its latest starts.
+func (c *Core) describeTerms(u *decide.Unit, j *job, o *workload.Occurrence, now time.Time, wallMS int64) {
 	terms := c.queueSettings(j)
 	u.Priority = terms.Priority
 	u.Service = terms.Service
@@ -248,9 +259,6 @@
 	objective := time.Duration(terms.Stretch*float64(expectedTotal)) + time.Duration(terms.TargetMS)*time.Millisecond
 	u.RunTime = c.estimates.expected(j, u.Key.Step)
 	u.LatestStart = due.Add(objective - expectedRest)
-	if first && u.Priority == 0 {
-		c.urgency.observe(decide.IsUrgent(u.LatestStart.Sub(now), c.bounds.StopTimeout))
-	}
 	u.WorthlessAfter = due.Add(lateFactor*objective - expectedRest)
 	if u.Step.PerWorker > 0 {
 		u.Placed = j.runsPerWorker(u.Key)
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -44,6 +44,8 @@
 	planners         []*planner
 	deliveries       []delivery
 	unreachableUntil map[string]time.Time
+	// notice is the planners' Bounds.Notice.
+	notice time.Duration
 	// drainRemainingMS is how long each draining worker still runs.
 	drainRemainingMS map[string]int64
 	faulty           bool
@@ -529,6 +531,7 @@
 // bounds returns the planners' bounds, altered by the mutant.
 func (sim *simulation) bounds() control.Bounds {
 	b := simBounds
+	b.Notice = sim.notice
 	b.Lease -= sim.mutant.extraLease
 	if sim.mutant.heartbeatFactor > 0 {
 		b.Heartbeat *= sim.mutant.heartbeatFactor
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -36,6 +36,9 @@
 	// PollWait is how long a worker may delay the answer to a lease renewal while it has nothing to
 	// report.
 	PollWait time.Duration
+	// Notice is the time between the announcement of a planned departure and the departure; 0 is
+	// unknown, and departures are then not planned for whole units.
+	Notice time.Duration
 	// Disabled are the disabled mechanisms of the policy.
 	Disabled decide.DisabledMechanisms
 	// Plan replaces decide.MakePlan, for measurements; nil is decide.MakePlan.
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -64,7 +64,7 @@
 	}
 	resized := w.Capacity != l.Capacity && w.Address != ""
 	c.checkListedStart(w, l, now)
-	w.updateLeavesAt(l, now)
+	c.updateLeavesAt(w, l, now)
 	w.updateWarmup(l, now)
 	if w.labels == nil || !slices.Equal(w.Labels, l.Labels) {
 		w.labels = labelSet(l.Labels)
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -74,6 +74,9 @@
 	Suspect bool
 	// Exclusive reports whether the unit may only run on a worker without runs of other jobs.
 	Exclusive bool
+	// Departing reports whether the unit is still running and is stopped because a worker leaves.
+	// Nothing starts; capacity for its next run is reserved.
+	Departing bool
 	// Priority is the priority of the queue; lower values go first.
 	Priority int
 	// Guaranteed reports whether the unit is within its account's guarantee.
@@ -361,6 +364,10 @@
 func (p *planner) place(i int) {
 	u := &p.snapshot.Waiting[i]
 	p.skipsReserved = p.avoidsReserved(u)
+	if u.Departing {
+		p.reserveGang(u, freeingCapacity)
+		return
+	}
 	if u.Step.Gang {
 		p.placeGang(i, u)
 		return
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -33,13 +33,15 @@
 	TreatColdAsSlow Mechanism = "mind-cold"
 	// StopBeforeDeparture stops runs that would not end before their worker leaves.
 	StopBeforeDeparture Mechanism = "leave-early"
+	// UnitDepartures decides for whole units what is done when a worker leaves.
+	UnitDepartures Mechanism = "unit-departures"
 	// IsolateSuspects isolates tasks under which a worker has crashed from one another and from
 	// other runs that have just started.
 	IsolateSuspects Mechanism = "suspects-apart"
 )
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, UnitDepartures}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
