--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -33,6 +33,8 @@
 	TreatColdAsSlow Mechanism = "mind-cold"
 	// StopBeforeDeparture stops runs that would not end before their worker leaves.
 	StopBeforeDeparture Mechanism = "leave-early"
+	// UnitDepartures decides for whole units what is done when a worker leaves.
+	UnitDepartures Mechanism = "unit-departures"
 	// IsolateSuspects isolates tasks under which a worker has crashed from one another and from
 	// other runs that have just started.
 	IsolateSuspects Mechanism = "suspects-apart"
@@ -44,7 +46,7 @@
 )
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, FairShares}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, FairShares, UnitDepartures}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
