Admission: Retry-After is computed from the outage instead of being one second

Cause: every refusal for an unavailable log, and every refusal before the first configuration, sent a Retry-After of 1 s, however long the outage had lasted and however many callers were waiting.

The meter of the log's calls records which were served.

Ruled out: the delay from Waiting and the hash alone.

No test fixed a Retry-After of one second. TestEveryRefusalReason... calls Refuse in place of LogRefusal, which now returns the refusal as well.

--- a/workload/service/freshness.go
+++ b/workload/service/freshness.go
@@ -14,7 +14,7 @@
 // restarted instance reads it long before all jobs.
 func (s *Service) CheckConfigured() error {
 	if s.directory.Load() == nil {
-		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later").WithRetryAfter(time.Second)
+		return domain.Refuse(domain.ReasonNotReady, "", "no configuration has been read yet", "come back later")
 	}
 	now := s.clock.Now()
 	age := s.declarations.age(now)
@@ -51,7 +51,7 @@
 }
 
 func logUnreachable() error {
-	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance can't reach the log", "try another instance, or come back later").WithRetryAfter(time.Second)
+	return domain.Refuse(domain.ReasonLogUnavailable, "", "this instance can't reach the log", "try another instance, or come back later")
 }
 
 // isRecent reports whether what was read can be acted on, given the ages of several topics:
--- a/workload/service/meter.go
+++ b/workload/service/meter.go
@@ -23,6 +23,8 @@
 type meter struct {
 	Log
 	metrics *telemetry.Metrics
+	// calls records which calls the log has served.
+	calls *sentAway
 
 	mu   sync.Mutex
 	uses map[Topic]*topicUse
@@ -41,8 +43,8 @@
 // meterInterval is how often the use is logged.
 const meterInterval = 10 * time.Second
 
-func newMeter(log Log, metrics *telemetry.Metrics) *meter {
-	return &meter{Log: log, metrics: metrics, uses: map[Topic]*topicUse{}}
+func newMeter(log Log, metrics *telemetry.Metrics, calls *sentAway) *meter {
+	return &meter{Log: log, metrics: metrics, calls: calls, uses: map[Topic]*topicUse{}}
 }
 
 // keyKinds maps key prefixes to kinds of records. Other records have the name of their topic as
@@ -102,7 +104,9 @@
 
 // Append implements Log.
 func (m *meter) Append(ctx context.Context, topic Topic, records []control.Record, writer *Writer) (int64, error) {
+	sent := m.calls.clock.Now()
 	offset, err := m.Log.Append(ctx, topic, records, writer)
+	m.calls.recordAppend(ctx, topic, sent, err)
 	entries := make([]Entry, len(records))
 	for i, r := range records {
 		entries[i] = Entry{Key: r.Key, Value: r.Value}
@@ -113,14 +117,18 @@
 
 // Read implements Log.
 func (m *meter) Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error) {
+	sent := m.calls.clock.Now()
 	page, err := m.Log.Read(ctx, topic, from, wait)
+	m.calls.recordRead(ctx, sent, err)
 	m.count(topic, telemetry.LogRead, err, page.Entries)
 	return page, err
 }
 
 // Newest implements Log.
 func (m *meter) Newest(ctx context.Context, topic Topic, after string) (NewestPage, error) {
+	sent := m.calls.clock.Now()
 	page, err := m.Log.Newest(ctx, topic, after)
+	m.calls.recordRead(ctx, sent, err)
 	m.count(topic, telemetry.LogNewest, err, page.Entries)
 	return page, err
 }
--- a/workload/service/refusal_test.go
+++ b/workload/service/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http/httptest"
 	"os"
@@ -41,7 +42,7 @@
 	log := events.New(out, events.Fields{"instance": "a"}, metrics.CountEvent)
 	s := New(Settings{Instance: "a"}, &partialLog{}, nil, nil, log, metrics)
 	for i, reason := range list {
-		s.LogRefusal(workload.JobID(fmt.Sprintf("%016x", i)), domain.Refuse(reason, "", "message", "remedy"))
+		_ = s.Refuse(context.Background(), workload.JobID(fmt.Sprintf("%016x", i)), domain.Refuse(reason, "", "message", "remedy"))
 	}
 	log.Close(time.Second)
 	answer := httptest.NewRecorder()
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -59,6 +59,7 @@
 	clock        clock.Clock
 	log          Log
 	meter        *meter
+	sentAway     *sentAway
 	decoder      Decoder
 	workers      Workers
 	events       *events.Log
@@ -88,8 +89,9 @@
 
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
-	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	away := newSentAway(settings)
+	metered := newMeter(log, metrics, away)
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
 	if settings.Address != "" {
@@ -252,11 +254,11 @@
 		return nil
 	}
 	if err := job.Validate(); err != nil {
-		return s.refuse(job.ID, err)
+		return s.refuse(ctx, job.ID, err)
 	}
 	value, err := json.Marshal(job)
 	if err != nil {
-		return s.refuse(job.ID, err)
+		return s.refuse(ctx, job.ID, err)
 	}
 	record := control.Record{Key: workload.AcceptedKey(job.ID), Value: value}
 	began := s.clock.Now()
@@ -270,7 +272,7 @@
 	if _, known := s.book.Get(job.ID); known {
 		return nil
 	}
-	return s.refuse(job.ID, logErrorRefusal(err))
+	return s.refuse(ctx, job.ID, logErrorRefusal(err))
 }
 
 // maxLoggedShapeBytes limits the size of a job's steps in an event.
@@ -286,15 +288,6 @@
 	return string(text)
 }
 
-// LogRefusal logs a request that was refused before it reached Submit.
-func (s *Service) LogRefusal(id workload.JobID, err error) { _ = s.refuse(id, err) }
-
-func (s *Service) refuse(id workload.JobID, err error) error {
-	refusal := domain.AsRefusal(err)
-	s.events.Info(events.JobRefused, events.Fields{"job": id, "reason": refusal.Reason, "outcome": refusal.Outcome, "cause": refusal.Message, "version": s.configurationVersion(), "log_age_ms": s.statesAge(s.clock.Now()).Milliseconds()})
-	return refusal
-}
-
 // commit writes a record. It gives up while the caller still has time to try another instance,
 // since only this one may be disconnected.
 func (s *Service) commit(ctx context.Context, id workload.JobID, record control.Record) error {
@@ -314,7 +307,7 @@
 	if errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, ErrNotDone) {
 		return domain.OutcomeUnknown(domain.ReasonLogUnavailable, err.Error())
 	}
-	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later").WithRetryAfter(time.Second)
+	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later")
 }
 
 func (s *Service) configurationVersion() int64 {
@@ -331,7 +324,7 @@
 	if err == nil && state.IsFinal() {
 		s.recordReportedEnd(id, state)
 	}
-	return state, err
+	return state, s.withRetryAfter(ctx, id, err)
 }
 
 // maxReportedEnds limits reportedEnds; at the limit the set is cleared.
@@ -386,14 +379,14 @@
 func (s *Service) Cancel(ctx context.Context, id workload.JobID) error {
 	e, err := s.findJob(ctx, id)
 	if err != nil {
-		return err
+		return s.withRetryAfter(ctx, id, err)
 	}
 	if e.Cancelled || e.State.IsFinal() {
 		return nil
 	}
 	record := control.Record{Key: workload.CancelledKey(id), Value: []byte("{}")}
 	if err := s.commit(ctx, id, record); err != nil {
-		return s.refuse(id, logErrorRefusal(err))
+		return s.refuse(ctx, id, logErrorRefusal(err))
 	}
 	s.applyJobRecord(Entry{Key: record.Key, Value: record.Value})
 	s.events.Info(events.JobCancelled, events.Fields{"job": id})
@@ -401,9 +394,9 @@
 }
 
 // Pending returns the number of accepted jobs of a queue that have not started.
-func (s *Service) Pending(queue string) (int, error) {
+func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
 	if err := s.CheckCurrent(); err != nil {
-		return 0, err
+		return 0, s.withRetryAfter(ctx, "", err)
 	}
 	return s.book.Pending(queue), nil
 }
