Admission: the planner publishes the pool and every instance decides on it

Cause: instances that do not plan know nothing of the workers, so they could refuse nothing that depends on them.

Change: the planner writes a summary of the pool (key `pool`, under 1 KB) with its states when it has changed by more than a tenth, at most once a second, and at least every 2 s. Before a refusal the acceptances are read to their end: the caller's earlier try may have been accepted by another instance, and if that can't be read the job is accepted. `job-refused` has the input of the decision. Never-runnable jobs get the status 422, as at the first interface. `-without admission` turns refusals and summaries off. It is a setting of the service and no entry of decide.Mechanisms, since each of these needs a replay pattern and a replay has no instances that admit.

Ruled out: confirming a summary by the planner's heartbeat in place of writing it again, since heartbeats go on while the worker list can't be read.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
@@ -82,6 +83,9 @@
 	startedAt time.Time
 	// loadReportedAt is when the pool's load was last emitted.
 	loadReportedAt time.Time
+	// backlogs are the work that waits or runs, by service, as measured at backlogsAt.
+	backlogs   map[string]*[admission.Classes]admission.Backlog
+	backlogsAt time.Time
 	// adviceInFlight is set while a call for advice is in flight.
 	adviceInFlight bool
 	// wallMS is the wall-clock time of the last round, roundAt its monotonic time.
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
@@ -35,6 +36,7 @@
 	c.applyStarts(s, units, plan.Starts, now)
 	c.emitWaitReasons(s, units, plan.Deferred)
 	c.emitLoad(plan, s, now)
+	c.measureBacklogs(plan, s, now)
 }
 
 // loadInterval is how often the pool's load is emitted.
@@ -259,7 +261,7 @@
 }
 
 // lateFactor is the multiple of its objective up to which a job is still worth something.
-const lateFactor = 3
+const lateFactor = admission.LateFactor
 
 func (j *job) runsPerWorker(key decide.UnitKey) map[string]int {
 	out := map[string]int{}
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -38,6 +38,11 @@
 	IsolateSuspects Mechanism = "suspects-apart"
 )
 
+// Admission refuses jobs that can never run or would start too late. Instances apply it before a
+// job reaches the planner, so it is no mechanism of the policy and has no pattern in a replay; it
+// is only disabled in the same way.
+const Admission Mechanism = "admission"
+
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects}
 
@@ -55,8 +60,8 @@
 		if name = strings.TrimSpace(name); name == "" {
 			continue
 		}
-		if !slices.Contains(Mechanisms, Mechanism(name)) {
-			return nil, fmt.Errorf("unknown mechanism %q: name some of %v", name, Mechanisms)
+		if name != string(Admission) && !slices.Contains(Mechanisms, Mechanism(name)) {
+			return nil, fmt.Errorf("unknown mechanism %q: name some of %v, or %s", name, Mechanisms, Admission)
 		}
 		out[Mechanism(name)] = true
 	}
--- a/workload/service/follower.go
+++ b/workload/service/follower.go
@@ -349,6 +349,13 @@
 	return now.Sub(f.readToEndAt)
 }
 
+// lastReadToEnd returns when the topic was last known to be read to its end; zero is never.
+func (f *follower) lastReadToEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readToEndAt
+}
+
 func (f *follower) reportConnection(ok bool, cause string) {
 	f.mu.Lock()
 	differs := f.healthy != ok || !f.reported
--- a/workload/service/meter.go
+++ b/workload/service/meter.go
@@ -55,6 +55,7 @@
 	{workload.ProgressKey(""), "progress"},
 	{workload.StatusKey(""), "statement"},
 	{statesHeartbeatKey, "head"},
+	{poolKey, "pool"},
 	{planHeartbeatKey, "sign"},
 	{claimKey, "claim"},
 }
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -51,6 +51,7 @@
 	// lastWrite is when the last successful append was sent.
 	lastWrite     time.Time
 	listRead      bool
+	pool          publishedPool
 	configVersion int64
 	listings      map[string]control.Listing
 	// unreadable holds the last logged problem of each entry of the worker list that can't be
@@ -97,7 +98,7 @@
 	p := &planner{
 		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, ExpectedEnd: -1},
 		wakeRound: make(chan struct{}, 1), wakeOrders: make(chan struct{}, 1), statesChanged: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
-		lastWrite: claimed, listings: map[string]control.Listing{}, unreadable: map[string]string{}, changedListings: map[string]bool{},
+		lastWrite: claimed, pool: s.newPublishedPool(now), listings: map[string]control.Listing{}, unreadable: map[string]string{}, changedListings: map[string]bool{},
 	}
 	if ended := s.succession.ordersEnded(); !ended.IsZero() {
 		p.core.SetPredecessorSilentSince(ended)
--- a/workload/service/sent_away.go
+++ b/workload/service/sent_away.go
@@ -98,26 +98,31 @@
 	return max(a.reads.Lasted(now), a.appends.Lasted(now)), max(a.reads.Longest(), a.appends.Longest())
 }
 
-// delay returns when a caller should come back if requests can be served again after rest, and
-// notes that it will.
-func (a *sentAway) delay(id workload.JobID, caller Caller, rest func(now time.Time) time.Duration) (time.Duration, string) {
+// expectation returns the expected time until requests can be served again, and how many callers
+// can be served in a second from then on.
+type expectation func(now time.Time) (rest time.Duration, perSecond float64)
+
+// delay returns when a caller should come back, and notes that it will. input describes what the
+// decision rests on.
+func (a *sentAway) delay(id workload.JobID, caller Caller, expected expectation) (after time.Duration, input string) {
 	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	retry := admission.Retry{Job: id, Priority: caller.Priority, Rest: rest(now), Waiting: a.returns.Waiting(now), PerSecond: a.perSecond}
+	retry := admission.Retry{Job: id, Priority: caller.Priority, Waiting: a.returns.Waiting(now)}
+	retry.Rest, retry.PerSecond = expected(now)
 	if !caller.Deadline.IsZero() {
 		retry.Remaining = max(1, time.Until(caller.Deadline))
 	}
-	after := admission.RetryAfter(retry)
+	after = admission.RetryAfter(retry)
 	a.returns.Add(now, caller.Priority, after)
 	lasted, longest := a.outage(now)
-	return after, fmt.Sprintf("priority=%d remaining_ms=%d expected_ms=%d outage_ms=%d longest_outage_ms=%d waiting=%v per_second=%.0f",
-		caller.Priority, retry.Remaining.Milliseconds(), retry.Rest.Milliseconds(), lasted.Milliseconds(), longest.Milliseconds(), retry.Waiting.ByClass, a.perSecond)
+	return after, fmt.Sprintf("priority=%d remaining_ms=%d expected_ms=%d outage_ms=%d longest_outage_ms=%d waiting=%v per_second=%.1f",
+		caller.Priority, retry.Remaining.Milliseconds(), retry.Rest.Milliseconds(), lasted.Milliseconds(), longest.Milliseconds(), retry.Waiting.ByClass, retry.PerSecond)
 }
 
-// outageRest returns the expected rest of the log's current outage.
-func (a *sentAway) outageRest(now time.Time) time.Duration {
-	return admission.ExpectedRest(a.outage(now))
+// afterOutage is the expectation while the log is unavailable.
+func (a *sentAway) afterOutage(now time.Time) (time.Duration, float64) {
+	return admission.ExpectedRest(a.outage(now)), a.perSecond
 }
 
 // withRetryAfter adds to a refusal of this instance when its caller should come back. Other
@@ -136,7 +141,7 @@
 	if refusal.Outcome != domain.NotRun || (refusal.Reason != domain.ReasonLogUnavailable && refusal.Reason != domain.ReasonNotReady) {
 		return refusal, ""
 	}
-	after, input := s.sentAway.delay(id, callerOf(ctx), s.sentAway.outageRest)
+	after, input := s.sentAway.delay(id, callerOf(ctx), s.sentAway.afterOutage)
 	return refusal.WithRetryAfter(after), input
 }
 
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -44,6 +44,8 @@
 	Standbys int
 	// Hosts is the platform's service for maintenance; nil if there is none.
 	Hosts Hosts
+	// AdmissionDisabled turns off refusals of jobs that can never run or would start too late.
+	AdmissionDisabled bool
 	// Clock measures ages; nil is the runtime's clock, which stops during a suspension.
 	Clock clock.Clock
 	// OnResume is called after a suspension of this instance; nil is allowed.
@@ -72,6 +74,7 @@
 	plans        *follower
 	declarations *follower
 	directory    atomic.Pointer[Directory]
+	pool         atomic.Pointer[knownPool]
 	waves        *maintenanceWaves
 	evacuations  *evacuations
 	logRecovered *broadcast
@@ -250,12 +253,18 @@
 // outcome not-run means that it never will be.
 func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
 	if _, known := s.book.Get(job.ID); known {
-		s.events.Info(events.JobRepeated, events.Fields{"job": job.ID})
+		s.logRepeated(job.ID)
 		return nil
 	}
 	if err := job.Validate(); err != nil {
 		return s.refuse(ctx, job.ID, err)
 	}
+	if known, refused := s.admit(ctx, job); known || refused != nil {
+		if known {
+			s.logRepeated(job.ID)
+		}
+		return refused
+	}
 	value, err := json.Marshal(job)
 	if err != nil {
 		return s.refuse(ctx, job.ID, err)
--- a/workload/service/states.go
+++ b/workload/service/states.go
@@ -18,6 +18,9 @@
 // statesHeartbeatKey is the key of the planner's heartbeat in the states.
 const statesHeartbeatKey = "head"
 
+// poolKey is the key of the summary of the pool in the states.
+const poolKey = "pool"
+
 // statesHeartbeat is the planner's heartbeat in the states.
 type statesHeartbeat struct {
 	Holder string `json:"holder"`
@@ -46,14 +49,25 @@
 	catchUpTimeout = 300 * time.Millisecond
 )
 
+// applyStates applies a snapshot. A summary of the pool in it may have any age.
 func (s *Service) applyStates(entries []Entry) {
 	for _, e := range entries {
+		if e.Key == poolKey {
+			s.applyPool(e, time.Time{})
+			continue
+		}
 		s.applyState(e)
 	}
 }
 
 func (s *Service) applyState(e Entry) {
-	if e.Key != statesHeartbeatKey {
+	switch e.Key {
+	case poolKey:
+		// The record was not there at the last read to the end.
+		s.applyPool(e, s.states.lastReadToEnd())
+		return
+	case statesHeartbeatKey:
+	default:
 		s.applyJobRecord(e)
 		return
 	}
@@ -116,18 +130,25 @@
 		offsets := p.s.acceptances.offsets()
 		states, all := p.s.book.UnpublishedStatuses(maxStatesBatch)
 		dropped := p.takeDroppedStates()
-		if len(states)+len(dropped) == 0 && p.s.clock.Since(published) < p.s.settings.PlannerTimeout/4 {
+		pool := p.summarizePool()
+		if len(states)+len(dropped)+len(pool) == 0 && p.s.clock.Since(published) < p.s.settings.PlannerTimeout/4 {
 			continue
 		}
 		if all {
 			heartbeat.Accepted = offsets
 		}
-		records := append(dropped, stateRecords(states, heartbeat)...)
-		if _, err := p.appendTo(ctx, States, &writer, records); err != nil {
+		records := append(append(dropped, pool...), stateRecords(states, heartbeat)...)
+		summarized := p.s.clock.Now()
+		first, err := p.appendTo(ctx, States, &writer, records)
+		if err != nil {
 			return
 		}
 		published = p.s.clock.Now()
-		for _, r := range records[:len(records)-1] {
+		for i, r := range records[:len(records)-1] {
+			if r.Key == poolKey {
+				p.s.applyPool(Entry{Offset: first + int64(i), Key: r.Key, Value: r.Value}, summarized)
+				continue
+			}
 			p.s.applyJobRecord(Entry{Key: r.Key, Value: r.Value})
 		}
 		p.s.standby.resetSilence(published)
