Admission: the expected wait and whole seconds exist once for both interfaces

Cause: the gate of the first interface and Retry-After of the second each computed a wait from requests ahead and a rate, and both HTTP fronts rounded delays to seconds by themselves.

Ruled out: one feasibility check. scheduler/admission places a shape of the first interface on listed workers by adjacency; workload/admission compares steps with a summary. They share neither the types nor the input, only the refusal's reason and form, which domain has.

--- a/instance/http.go
+++ b/instance/http.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -193,8 +192,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if refusal.RetryAfter > 0 {
-		seconds := int(math.Ceil(refusal.RetryAfter.Std().Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", strconv.FormatInt(domain.WholeSeconds(refusal.RetryAfter.Std()), 10))
 	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(refusal) // the caller detects a closed connection
--- a/requests/limit/gate.go
+++ b/requests/limit/gate.go
@@ -153,7 +153,7 @@
 			ahead++
 		}
 	}
-	return g.meanServiceTime * time.Duration(ahead+1) / time.Duration(slots)
+	return domain.ExpectedWait(ahead+1, g.meanServiceTime, float64(slots))
 }
 
 // marginServiceTimes is the number of mean service times that must remain before
--- a/workload/admission/retry.go
+++ b/workload/admission/retry.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/workload"
 )
 
@@ -42,7 +43,7 @@
 // seconds of its class, a hash of the job spreads them; a second that is taken is passed over.
 func RetryAfter(r Retry) time.Duration {
 	limit := maxRetrySeconds(r.Remaining)
-	second := min(max(1, ceilSeconds(r.Rest)), limit) + r.slot()
+	second := min(max(1, domain.WholeSeconds(r.Rest)), limit) + r.slot()
 	for second < limit && float64(r.Waiting.BySecond[second]) >= max(1, r.PerSecond) {
 		second++
 	}
@@ -73,22 +74,7 @@
 // secondsFor returns the number of seconds that it takes to serve n callers, up to the largest
 // delay.
 func secondsFor(n int, perSecond float64) int64 {
-	if n <= 0 {
-		return 0
-	}
-	limit := float64(MaxRetryAfter / time.Second)
-	seconds := float64(n) / max(1, perSecond)
-	if !(seconds < limit) {
-		return int64(limit)
-	}
-	return ceilSeconds(time.Duration(seconds * float64(time.Second)))
-}
-
-func ceilSeconds(d time.Duration) int64 {
-	if d <= 0 {
-		return 0
-	}
-	return int64((d + time.Second - 1) / time.Second)
+	return domain.WholeSeconds(min(domain.ExpectedWait(n, time.Second, perSecond), MaxRetryAfter))
 }
 
 func hashOf(id workload.JobID) uint32 {
--- a/workload/admission/returns.go
+++ b/workload/admission/returns.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobalttide/cobalttide/domain"
+)
 
 const returnSlots = int(MaxRetryAfter/time.Second) + 1
 
@@ -23,7 +27,7 @@
 // Add records that a caller was told to come back after a delay.
 func (r *Returns) Add(now time.Time, priority int, after time.Duration) {
 	r.advance(now)
-	r.slots[r.slot(int(ceilSeconds(min(after, MaxRetryAfter))))][ClassOf(priority)]++
+	r.slots[r.slot(int(domain.WholeSeconds(min(after, MaxRetryAfter))))][ClassOf(priority)]++
 }
 
 // Waiting returns the callers that are still to come back.
