--- a/workload/control/round_bench_test.go
+++ b/workload/control/round_bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/control"
 )
 
@@ -176,3 +177,19 @@
 		})
 	}
 }
+
+// BenchmarkSummarizePool measures the summary that the planner makes once a second, with what it
+// remembers of the pool.
+func BenchmarkSummarizePool(b *testing.B) {
+	for _, workers := range []int{350, 18_000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := newLoadedPool(workers)
+			memory := admission.NewMemory(nil, p.now)
+			for b.Loop() {
+				services, readable := p.core.SummarizePool(p.now)
+				pool := memory.Observe(services, readable, p.now)
+				pool.Encode()
+			}
+		})
+	}
+}
