--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/decide"
 	"github.com/cobalttide/cobalttide/workload/share"
 )
@@ -90,6 +91,9 @@
 	departures departures
 	// loadReportedAt is when the pool's load was last emitted.
 	loadReportedAt time.Time
+	// backlogs are the work that waits or runs, by service, as measured at backlogsAt.
+	backlogs   map[string]*[admission.Classes]admission.Backlog
+	backlogsAt time.Time
 	// adviceInFlight is set while a call for advice is in flight.
 	adviceInFlight bool
 	// stateKinds are the kinds of state for a successor. stateWrittenAt is when a record of any was
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
@@ -36,6 +37,7 @@
 	c.emitWaitReasons(s, units, plan.Deferred)
 	c.emitLoad(plan, s, now)
 	c.reportShares(s, now)
+	c.measureBacklogs(plan, s, now)
 }
 
 // loadInterval is how often the pool's load is emitted.
@@ -269,7 +271,7 @@
 }
 
 // lateFactor is the multiple of its objective up to which a job is still worth something.
-const lateFactor = 3
+const lateFactor = admission.LateFactor
 
 func (j *job) runsPerWorker(key decide.UnitKey) map[string]int {
 	out := map[string]int{}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -44,6 +44,8 @@
 	Standbys int
 	// Hosts is the platform's service for maintenance; nil if there is none.
 	Hosts Hosts
+	// AdmissionDisabled turns off refusals of jobs that can never run or would start too late.
+	AdmissionDisabled bool
 	// Clock measures ages; nil is the runtime's clock, which stops during a suspension.
 	Clock clock.Clock
 	// OnResume is called after a suspension of this instance; nil is allowed.
@@ -59,6 +61,7 @@
 	clock        clock.Clock
 	log          Log
 	meter        *meter
+	sentAway     *sentAway
 	decoder      Decoder
 	workers      Workers
 	events       *events.Log
@@ -71,6 +74,7 @@
 	plans        *follower
 	declarations *follower
 	directory    atomic.Pointer[Directory]
+	pool         atomic.Pointer[knownPool]
 	waves        *maintenanceWaves
 	planState    *planState
 	evacuations  *evacuations
@@ -89,8 +93,9 @@
 
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
-	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	away := newSentAway(settings)
+	metered := newMeter(log, metrics, away)
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
 	s.succession.leases = newInheritedLeases(settings.Bounds)
@@ -252,15 +257,21 @@
 // outcome not-run means that it never will be.
 func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
 	if _, known := s.book.Get(job.ID); known {
-		s.events.Info(events.JobRepeated, events.Fields{"job": job.ID})
+		s.logRepeated(job.ID)
 		return nil
 	}
 	if err := job.Validate(); err != nil {
-		return s.refuse(job.ID, err)
+		return s.refuse(ctx, job.ID, err)
+	}
+	if known, refused := s.admit(ctx, job); known || refused != nil {
+		if known {
+			s.logRepeated(job.ID)
+		}
+		return refused
 	}
 	value, err := json.Marshal(job)
 	if err != nil {
-		return s.refuse(job.ID, err)
+		return s.refuse(ctx, job.ID, err)
 	}
 	record := control.Record{Key: workload.AcceptedKey(job.ID), Value: value}
 	began := s.clock.Now()
@@ -274,7 +285,7 @@
 	if _, known := s.book.Get(job.ID); known {
 		return nil
 	}
-	return s.refuse(job.ID, logErrorRefusal(err))
+	return s.refuse(ctx, job.ID, logErrorRefusal(err))
 }
 
 // maxLoggedShapeBytes limits the size of a job's steps in an event.
@@ -290,15 +301,6 @@
 	return string(text)
 }
 
-// LogRefusal logs a request that was refused before it reached Submit.
-func (s *Service) LogRefusal(id workload.JobID, err error) { _ = s.refuse(id, err) }
-
-func (s *Service) refuse(id workload.JobID, err error) error {
-	refusal := domain.AsRefusal(err)
-	s.events.Info(events.JobRefused, events.Fields{"job": id, "reason": refusal.Reason, "outcome": refusal.Outcome, "cause": refusal.Message, "version": s.configurationVersion(), "log_age_ms": s.statesAge(s.clock.Now()).Milliseconds()})
-	return refusal
-}
-
 // commit writes a record. It gives up while the caller still has time to try another instance,
 // since only this one may be disconnected.
 func (s *Service) commit(ctx context.Context, id workload.JobID, record control.Record) error {
@@ -318,7 +320,7 @@
 	if errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, ErrNotDone) {
 		return domain.OutcomeUnknown(domain.ReasonLogUnavailable, err.Error())
 	}
-	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later").WithRetryAfter(time.Second)
+	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later")
 }
 
 func (s *Service) configurationVersion() int64 {
@@ -335,7 +337,7 @@
 	if err == nil && state.IsFinal() {
 		s.recordReportedEnd(id, state)
 	}
-	return state, err
+	return state, s.withRetryAfter(ctx, id, err)
 }
 
 // maxReportedEnds limits reportedEnds; at the limit the set is cleared.
@@ -390,14 +392,14 @@
 func (s *Service) Cancel(ctx context.Context, id workload.JobID) error {
 	e, err := s.findJob(ctx, id)
 	if err != nil {
-		return err
+		return s.withRetryAfter(ctx, id, err)
 	}
 	if e.Cancelled || e.State.IsFinal() {
 		return nil
 	}
 	record := control.Record{Key: workload.CancelledKey(id), Value: []byte("{}")}
 	if err := s.commit(ctx, id, record); err != nil {
-		return s.refuse(id, logErrorRefusal(err))
+		return s.refuse(ctx, id, logErrorRefusal(err))
 	}
 	s.applyJobRecord(Entry{Key: record.Key, Value: record.Value})
 	s.events.Info(events.JobCancelled, events.Fields{"job": id})
@@ -405,9 +407,9 @@
 }
 
 // Pending returns the number of accepted jobs of a queue that have not started.
-func (s *Service) Pending(queue string) (int, error) {
+func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
 	if err := s.CheckCurrent(); err != nil {
-		return 0, err
+		return 0, s.withRetryAfter(ctx, "", err)
 	}
 	return s.book.Pending(queue), nil
 }
