Planner: shares are updated twice a second while nothing waits

Change: while no unit waits, use is updated every 500 ms in place of each round. What an account holds for less than that while nobody waits costs nobody anything.

Tests: go test ./workload/control -run 'Share|Use|State|Accounts' passes.

--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -81,12 +81,12 @@
 	s := &decide.Snapshot{Now: now, ReclaimWithin: c.bounds.ReclaimWithin, StopTimeout: c.bounds.StopTimeout, RemoteFactor: c.bounds.RemoteFactor, Disabled: c.bounds.Disabled}
 	guaranteed := c.guaranteedJobs()
 	c.addRunning(s, guaranteed, now)
-	c.updateShares(s, now)
 	units := c.addWaiting(s, guaranteed, now, wallMS)
 	if len(units) > 0 {
 		// The workers are only needed if something may start.
 		c.addWorkers(s, now)
 	}
+	c.updateShares(s, now)
 	s.NoRecentArrivals = c.arrivals.isQuiet(now)
 	s.Headroom = c.headroom.observe(c.topPriorityDemand(s), s.NoRecentArrivals, now)
 	s.UrgentShare = c.urgency.share
--- a/workload/control/round_bench_test.go
+++ b/workload/control/round_bench_test.go
@@ -163,8 +163,10 @@
 const idlePoolRuns = 0.37
 
 // newIdlePool returns a mostly idle pool without waiting work.
-func newIdlePool(workers int) *loadedPool {
-	p := newLoadedPool(workers)
+func newIdlePool(workers int) *loadedPool { return newLoadedPool(workers).idle(workers) }
+
+// idle loads a new pool so that it is mostly idle.
+func (p *loadedPool) idle(workers int) *loadedPool {
 	for tasks := 0.0; tasks < idlePoolRuns*float64(workers); tasks += 26 {
 		p.submit(1)
 		p.round()
@@ -187,6 +189,21 @@
 	}
 }
 
+// BenchmarkRoundOfIdlePoolOfUnequalAccounts is the same where capacity is divided among accounts, and
+// without the mechanism.
+func BenchmarkRoundOfIdlePoolOfUnequalAccounts(b *testing.B) {
+	for _, workers := range []int{350, 1100, 6000} {
+		for _, disabled := range []bool{true, false} {
+			b.Run(fmt.Sprintf("workers=%d/shares=%t", workers, !disabled), func(b *testing.B) {
+				p := newPoolOfAccounts(workers, unequalGuarantees, decide.DisabledMechanisms{decide.FairShares: disabled}).idle(workers)
+				for b.Loop() {
+					p.round()
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkWorkersToRenew measures the search for due lease renewals when none is due.
 func BenchmarkWorkersToRenew(b *testing.B) {
 	for _, workers := range []int{350, 1100, 6000} {
--- a/workload/control/shares.go
+++ b/workload/control/shares.go
@@ -21,8 +21,9 @@
 	usage   *share.Usage
 	// recorded is the past use as it was last recorded for a successor.
 	recorded usageRecord
-	// levels are those of the last round, nil if capacity is not divided.
-	levels *share.Levels
+	// levels are those of the last update, nil if capacity is not divided.
+	levels    *share.Levels
+	updatedAt time.Time
 	// waiting is the number of tasks beyond guarantees that wait, by account, at reportedAt.
 	waiting    map[domain.AccountID]int
 	reportedAt time.Time
@@ -37,13 +38,21 @@
 	return c.shares.weights.AreUnequal() && !c.bounds.Disabled[decide.FairShares]
 }
 
+// idleSharesInterval is how often shares are updated while nothing waits. In each round they would
+// make that of an idle pool a fifth slower.
+const idleSharesInterval = 500 * time.Millisecond
+
 // updateShares records what accounts hold beyond their guarantees and adds the shares to the
-// snapshot, of which the running groups must be complete.
+// snapshot, of which the running groups and the waiting units must be complete.
 func (c *Core) updateShares(s *decide.Snapshot, now time.Time) {
-	c.shares.levels = nil
 	if !c.dividesCapacity() {
+		c.shares.levels = nil
+		return
+	}
+	if len(s.Waiting) == 0 && c.shares.levels != nil && now.Sub(c.shares.updatedAt) < idleSharesInterval {
 		return
 	}
+	c.shares.updatedAt = now
 	capacity := c.poolCapacity()
 	used := map[domain.AccountID]share.Resources{}
 	for i := range s.Running {
