Admission: a service of which no worker is listed refuses nothing

Cause: the summary remembered workers of which none was listed any more, and refused for good what these could not have run. A whole pool that is gone may be about to be replaced by larger workers.

Change: the summary says that no worker of a service is listed, and its jobs are accepted.

--- a/workload/admission/decide.go
+++ b/workload/admission/decide.go
@@ -40,7 +40,7 @@
 		return Decision{}
 	}
 	service, ok := s.Pool.Services[job.QueueSettings.Service]
-	if !ok || service.Workers == 0 {
+	if !ok || service.Absent || service.Workers == 0 {
 		return Decision{}
 	}
 	if s.Pool.Settled {
--- a/workload/admission/memory.go
+++ b/workload/admission/memory.go
@@ -49,7 +49,8 @@
 	for _, names := range []map[string]Service{m.recent, m.older} {
 		for name := range names {
 			s, _ := m.remembered(name)
-			present := services[name]
+			present, listed := services[name]
+			s.Absent = !listed
 			s.Idle, s.LargestFree, s.StartMS, s.EstimatePercent = present.Idle, present.LargestFree, present.StartMS, present.EstimatePercent
 			out.Services[name] = s
 		}
--- a/workload/admission/pool.go
+++ b/workload/admission/pool.go
@@ -30,6 +30,8 @@
 	Largest workload.Resources `json:"l"`
 	// Labels counts the workers with each label, their racks among them.
 	Labels map[string]int `json:"b,omitempty"`
+	// Absent is set if no worker is listed now: the pool may be about to be replaced.
+	Absent bool `json:"a,omitempty"`
 	// Idle is the number of workers that get new work and run nothing now, LargestFree the
 	// largest free amount of each resource on one worker that gets new work.
 	Idle        int                `json:"i,omitempty"`
@@ -143,7 +145,7 @@
 }
 
 func (s Service) changed(o Service) bool {
-	if len(s.Labels) != len(o.Labels) || differs(int64(s.Workers), int64(o.Workers)) || differs(int64(s.Idle), int64(o.Idle)) {
+	if s.Absent != o.Absent || len(s.Labels) != len(o.Labels) || differs(int64(s.Workers), int64(o.Workers)) || differs(int64(s.Idle), int64(o.Idle)) {
 		return true
 	}
 	for label := range s.Labels {
--- a/workload/decide/headroom_test.go
+++ b/workload/decide/headroom_test.go
@@ -79,6 +79,9 @@
 	if err != nil || len(got) != 2 || !got[KeepReservedIdle] || !got[Distrust] {
 		t.Fatalf("%v, %v", got, err)
 	}
+	if got, err := ParseDisabled("admission"); err != nil || !got[Admission] {
+		t.Errorf("%v, %v: the instances' admission can't be disabled", got, err)
+	}
 	if _, err := ParseDisabled("luck"); err == nil {
 		t.Fatal("an unknown mechanism is accepted")
 	}
