Replay: pattern of short notices, and the work that is done again

Cause: no pattern showed what planning departures for whole units gains, and Wasted counts a checkpoint interval for each stopped run of a step that saves, whatever its next run resumed from.

Result.Redone is the work from which no later run resumed. TestEachMechanismImprovesItsPattern bounds it for steps that save: at most 0.7 of that with unit-departures disabled. Patterns with notice_ms list workers with their clocks, so that departures are noticed before leases end. A run whose start was answered counts for a departure, not only one that a renewal has listed. A reservation ends after twice the time of a stop. Rounds look for leaving workers in a set.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -135,8 +135,6 @@
 	saved  string
 	// savedAt is when its worker last reported newly saved progress.
 	savedAt time.Time
-	// departing is set if it is being stopped because of a departure, or is about to be.
-	departing bool
 	// ordered is set if this planner sent the start order. Otherwise the run was adopted or its
 	// order is not sent yet.
 	ordered    bool
@@ -158,6 +156,8 @@
 	stopAccepted   bool
 	// settled is set once the outcome of its task is decided. The run still takes capacity.
 	settled bool
+	// departing is set if it is being stopped because of a departure, or is about to be.
+	departing bool
 	// runningSinceMS is when its worker first showed it running, by the worker's clock; 0 before.
 	runningSinceMS int64
 	// unstarted is set if its worker is known never to have started it, evicted if it was stopped
@@ -210,7 +210,7 @@
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
-		departures:         departures{overstay: stopMargin, canReserve: canReserve},
+		departures:         departures{overstay: stopMargin, leaving: map[string]bool{}, canReserve: canReserve},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
 		inheritedLeasesEnd: leasesEnd(now.Add(bounds.AuthorityPeriod), bounds),
--- a/workload/control/departures.go
+++ b/workload/control/departures.go
@@ -13,8 +13,10 @@
 func (c *Core) updateLeavesAt(w *worker, l Listing, now time.Time) {
 	if !l.Draining {
 		w.leavesAt = time.Time{}
+		delete(c.departures.leaving, w.ID)
 		return
 	}
+	c.departures.leaving[w.ID] = true
 	if !w.leavesAt.IsZero() && l.RemainingMS == w.RemainingMS {
 		return
 	}
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -32,6 +32,7 @@
 	delete(c.unpersisted, c.workers[id])
 	delete(c.workers, id)
 	delete(c.speeds, id)
+	delete(c.departures.leaving, id)
 	delete(c.unlisted, id)
 }
 
--- a/workload/control/round_bench_test.go
+++ b/workload/control/round_bench_test.go
@@ -33,7 +33,7 @@
 	p := &loadedPool{now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewSource(1)), ends: map[string]int64{}, runs: map[string][]control.RunningRow{}}
 	p.core = control.New(control.Bounds{
 		Lease: 6 * time.Second, AuthorityPeriod: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 5 * time.Second,
-		ReclaimWithin: 2900 * time.Millisecond, RemoteFactor: 3, RestoreCost: 600 * time.Millisecond, PollWait: 1500 * time.Millisecond,
+		ReclaimWithin: 2900 * time.Millisecond, RemoteFactor: 3, RestoreCost: 600 * time.Millisecond, PollWait: 1500 * time.Millisecond, Notice: 5500 * time.Millisecond,
 	}, poolToken, p.now)
 	config := control.Configuration{Version: 1, Queues: map[string]workload.QueueSettings{}, Guaranteed: map[domain.AccountID]int64{}}
 	for i, queue := range []string{"quote", "forecast", "check"} {
@@ -176,3 +176,27 @@
 		})
 	}
 }
+
+// BenchmarkRoundWhileWorkersLeave measures rounds of a full pool of which a tenth of the workers
+// drains, with a minute left so that nothing is stopped.
+func BenchmarkRoundWhileWorkersLeave(b *testing.B) {
+	for _, workers := range []int{350, 1100} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := newLoadedPool(workers)
+			p.fill(workers, 500)
+			for range 3 {
+				p.round()
+			}
+			p.renewAll()
+			for i := 0; i < workers; i += 10 {
+				p.core.UpdateWorker(control.Listing{
+					ID: fmt.Sprintf("%016x", i*7919), Address: fmt.Sprint(i), Service: "pool", DataCentre: fmt.Sprint(i / 20 % 5), Rack: fmt.Sprint(i / 20),
+					Capacity: workload.Resources{MilliCPU: 32000, MemoryMiB: 65536, Accelerators: 8}, ClockMS: 1, Draining: true, RemainingMS: 60_000,
+				}, p.now)
+			}
+			for b.Loop() {
+				p.round()
+			}
+		})
+	}
+}
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -41,12 +41,17 @@
 	key  decide.UnitKey
 	job  *job
 	runs []*activeRun
+	// until is when the members' stops must have ended. If a worker falls silent, the next run has to
+	// wait for its lease, and capacity kept for so long would be idle.
+	until time.Time
 }
 
 // departures is the state of the departures that are planned.
 type departures struct {
 	// known are the units with a decision in the last round.
 	known map[departureKey]bool
+	// leaving are the workers that drain.
+	leaving map[string]bool
 	// reserved are the reservations for next runs.
 	reserved []reservation
 	// overstay is the mean time by which workers with runs stay longer than announced.
@@ -62,14 +67,15 @@
 
 // planDepartures decides on each unit that has a member on a leaving worker.
 func (c *Core) planDepartures(now time.Time) {
-	c.keepReservations()
+	c.keepReservations(now)
 	known := c.departures.known
-	c.departures.known = map[departureKey]bool{}
-	if !c.anyWorkerLeaves() {
+	c.departures.known = nil
+	if len(c.departures.leaving) == 0 {
 		return
 	}
+	c.departures.known = map[departureKey]bool{}
 	for _, r := range c.allRuns() {
-		if !r.worker.isLeaving() || r.stopping || r.settled || !r.confirmed {
+		if !r.worker.isLeaving() || r.stopping || r.settled || !(r.confirmed || r.answered) {
 			continue
 		}
 		key := r.departureKey()
@@ -80,15 +86,6 @@
 	}
 }
 
-func (c *Core) anyWorkerLeaves() bool {
-	for _, w := range c.workersByID {
-		if w.isLeaving() {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *worker) isLeaving() bool { return w.Draining && !w.leavesAt.IsZero() }
 
 func (r *activeRun) departureKey() departureKey {
@@ -113,10 +110,10 @@
 	}
 	switch {
 	case decision.StopsNow():
-		c.stopUnit(members, "worker-leaves")
+		c.stopUnit(members, "worker-leaves", now)
 	case decision.Choice == decide.SaveMembers && decision.StopIn <= described.StopTime:
 		// For the duration of a stop before it, what becomes free is kept for the next run.
-		c.reserveNextRun(members)
+		c.reserveNextRun(members, now)
 	}
 }
 
@@ -208,8 +205,8 @@
 }
 
 // stopUnit stops all members of a unit.
-func (c *Core) stopUnit(members []*activeRun, reason string) {
-	c.reserveNextRun(members)
+func (c *Core) stopUnit(members []*activeRun, reason string, now time.Time) {
+	c.reserveNextRun(members, now)
 	for _, r := range members {
 		c.stop(r, reason)
 	}
@@ -242,7 +239,7 @@
 		decision = decide.DepartureDecision{Choice: decide.SaveMembers, LostWork: (d.RestoreCost + d.StopTime).Seconds() * d.Cores}
 	}
 	c.emitDeparture(members, r, d, decision)
-	c.stopUnit(members, reason)
+	c.stopUnit(members, reason, now)
 }
 
 // observeOverstay learns from a worker that has left how much longer than announced it stayed.
@@ -257,32 +254,32 @@
 
 // keepReservations drops the reservations of members that have ended, and of those that were not
 // stopped: these are decided on again.
-func (c *Core) keepReservations() {
+func (c *Core) keepReservations(now time.Time) {
 	var kept []reservation
 	for _, res := range c.departures.reserved {
 		var runs []*activeRun
 		for _, r := range res.runs {
-			r.departing = r.stopping && c.runs[r.id] == r
+			r.departing = r.stopping && c.runs[r.id] == r && now.Before(res.until)
 			if r.departing {
 				runs = append(runs, r)
 			}
 		}
 		if len(runs) > 0 {
-			kept = append(kept, reservation{res.key, res.job, runs})
+			kept = append(kept, reservation{res.key, res.job, runs, res.until})
 		}
 	}
 	c.departures.reserved = kept
 }
 
 // reserveNextRun reserves capacity for the next run of a unit.
-func (c *Core) reserveNextRun(members []*activeRun) {
+func (c *Core) reserveNextRun(members []*activeRun, now time.Time) {
 	if !c.departures.canReserve || members[0].step.Perpetual {
 		return
 	}
 	for _, r := range members {
 		r.departing = true
 	}
-	c.departures.reserved = append(c.departures.reserved, reservation{members[0].key, members[0].job, members})
+	c.departures.reserved = append(c.departures.reserved, reservation{members[0].key, members[0].job, members, now.Add(2 * (c.bounds.StopTimeout + stopMargin))})
 }
 
 // addReservations adds the units for whose next runs capacity is reserved.
--- a/workload/replay/collector.go
+++ b/workload/replay/collector.go
@@ -45,6 +45,7 @@
 	// stopReasons is why runs were ordered to stop.
 	stopReasons map[runKey]string
 	wasted      map[string]float64
+	redone      redoneWork
 	claimed     map[domain.AccountID]int64
 
 	// Sums of the samples taken during the load: accelerators in use, free, and free but unusable
@@ -156,6 +157,7 @@
 	t := m.sim.jobs[e.Task.Job]
 	if e.End == "" {
 		m.startTimes[name] = m.sim.elapsed
+		m.redone.start(e)
 		m.series.countStart()
 		if e.Task.Step == 0 && !t.startedTasks[e.Task] {
 			t.startedTasks[e.Task] = true
@@ -180,6 +182,7 @@
 	if stopReason, ok := m.stopReasons[name]; ok {
 		reason = stopReason
 	}
+	m.redone.end(m.sim, e, step, m.sim.elapsed-startedAt, reason)
 	m.wasted[reason] += m.wastedWork(m.sim.elapsed-startedAt, step)
 }
 
--- a/workload/replay/pattern.go
+++ b/workload/replay/pattern.go
@@ -64,6 +64,8 @@
 	// WriteMS is the latency of a write to the log, OrderMS the network latency of an order.
 	WriteMS int64 `json:"write_ms"`
 	OrderMS int64 `json:"order_ms"`
+	// NoticeMS is the announced time before a planned departure; 0 is unknown.
+	NoticeMS int64 `json:"notice_ms"`
 	// RemoteFactor is the factor by which work takes longer away from its data or across racks.
 	RemoteFactor float64 `json:"far_factor"`
 }
--- a/workload/replay/replay_test.go
+++ b/workload/replay/replay_test.go
@@ -92,6 +92,18 @@
 	return out
 }
 
+// lostAtDepartures is the work of steps that save which is done again for other reasons than a
+// preemption or the end of the job. It is negative, as less is better; a factor below 1 bounds it.
+func lostAtDepartures(r *Result) float64 {
+	lost := 0.0
+	for reason, work := range r.Redone {
+		if reason != "preempted" && reason != "job-over" {
+			lost += work.Saving
+		}
+	}
+	return -lost
+}
+
 func urgentInTime(r *Result) float64 { return r.Classes[0].InTimeShare() }
 
 // Each mechanism must improve its figure by a factor under the load that it is meant for, on fixed
@@ -110,6 +122,7 @@
 		{decide.ReserveRacks, "burst-urgent", urgentInTime, 1.03, decide.WorkerSpeeds},
 		{decide.WaitForLocality, "large-gangs", urgentInTime, 1.04, ""},
 		{decide.WorkerSpeeds, "two-speeds", urgentInTime, 1.08, ""},
+		{decide.UnitDepartures, "short-notices", lostAtDepartures, 0.7, ""},
 	} {
 		t.Run(string(c.mechanism), func(t *testing.T) {
 			t.Parallel()
--- a/workload/replay/result.go
+++ b/workload/replay/result.go
@@ -23,6 +23,9 @@
 	// share of the work of all jobs.
 	Wasted      map[string]float64
 	WastedShare float64
+	// Redone is the work, by cause and in core-seconds, of runs that ended without success and from
+	// which no later run resumed. Unlike Wasted it goes by the progress with which tasks start again.
+	Redone map[string]redone
 	// Completion is the mean time from a job's first submission to its end, in seconds.
 	Completion float64
 	// Fragmentation is the share of the free accelerators that a gang of half a rack can't use;
@@ -95,6 +98,7 @@
 		r.Accounts[name] = s.share()
 	}
 	r.Credit = sum.all.share()
+	r.Redone = sim.metrics.redone.byReason()
 	r.Completion = sum.completionTime / max(1, float64(sum.completed))
 	r.Violations = sum.violations
 	r.ReclaimP99 = float64(sum.reclaimWaits.ValueAtQuantile(99)) / 1000
--- a/workload/replay/simulation.go
+++ b/workload/replay/simulation.go
@@ -147,8 +147,8 @@
 	b := sim.pattern.Bounds
 	sim.core = control.New(control.Bounds{
 		Lease: ms(b.LeaseMS), AuthorityPeriod: ms(b.LeaseMS), StopTimeout: ms(b.StopMS), GangTimeout: ms(b.GangMS),
-		ReclaimWithin: ms(b.ReclaimMS), RemoteFactor: b.RemoteFactor, RestoreCost: ms(b.RestoreMS), PollWait: renewalWait,
-		Disabled: sim.policy.Disabled, Plan: sim.policy.Plan,
+		ReclaimWithin: ms(b.ReclaimMS), RemoteFactor: b.RemoteFactor, RestoreCost: ms(b.RestoreMS), PollWait: renewalWait, Notice: ms(b.NoticeMS),
+		Heartbeat: sim.heartbeat(), Disabled: sim.policy.Disabled, Plan: sim.policy.Plan,
 	}, sim.token, sim.now())
 	config := control.Configuration{Version: 1, Queues: map[string]workload.QueueSettings{}, Guaranteed: map[domain.AccountID]int64{}}
 	for i := range sim.pattern.Classes {
@@ -178,12 +178,24 @@
 		if w.draining {
 			l.RemainingMS = max(0, (w.departsAt - sim.elapsed).Milliseconds())
 		}
+		if sim.heartbeat() > 0 {
+			l.ClockMS = sim.fleet.Workers[id].ClockMS(sim.now())
+		}
 		out = append(out, l)
 	}
 	sim.core.SetWorkers(out, sim.now())
 	sim.lastListed = sim.elapsed
 }
 
+// heartbeat returns how often entries of the list are updated. Patterns that announce departures have
+// the list show when each entry was written, so that a departure is told from a lost connection.
+func (sim *simulation) heartbeat() time.Duration {
+	if sim.pattern.Bounds.NoticeMS == 0 {
+		return 0
+	}
+	return listInterval
+}
+
 // run processes events until every job is finished or the drain time is over.
 func (sim *simulation) run() {
 	for next, more := sim.queue.Next(); more; next, more = sim.queue.Next() {
