--- a/workload/control/unit_departures_test.go
+++ b/workload/control/unit_departures_test.go
@@ -302,3 +302,21 @@
 		}
 	}
 }
+
+// Guards against a host's maintenance that stops a gang member by member, or waits for a member at
+// 100 percent whose gang needs longer than the wave allows.
+func TestMaintenanceStopsGangsAsAWhole(t *testing.T) {
+	s := newGangScenario(t, 8*time.Second, 4500*time.Millisecond, true)
+	core := s.planners[len(s.planners)-1].core
+	core.AdoptWave(control.Wave{ID: 1, Hosts: []string{"h" + s.workerOf(3)}, Within: 2 * time.Second, MaxDown: 1}, nil, s.now.UnixMilli())
+	core.SetHosts(s.hostListings(), s.now)
+	s.advance(60 * time.Millisecond)
+	if s.stopped() != 4 || s.decisions("save") != 1 {
+		t.Fatalf("%d members stopped by %d decisions, want 4 by 1", s.stopped(), s.decisions("save"))
+	}
+	s.advance(8 * time.Second)
+	s.check(t)
+	if s.jobState(jobA) != workload.Completed {
+		t.Fatalf("the job is %s", s.jobState(jobA))
+	}
+}
