Planner: workers that turn slow for some seconds (slow-spells)

Cause: a worker that is slow by a factor of 5 to 9 for 5 to 8 s was not told from a healthy one, and what its runs showed counted as its speed.

Change: each run's progress over windows of at least 0.7 s is compared with its own earlier rate; runs that began in the spell are compared with the members of their steps on other workers, of which two are needed. Below a third the worker is slowed (worker-slowed), unless the other members are as slow. It is then placed like a slow worker and its runs count neither for its speed nor for estimates, until the rates are back, 8 s after the last evidence, or with its incarnation (worker-recovered). Gauges slowed_workers and known_speeds.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -39,6 +39,8 @@
 	pendingThrottles []ThrottleOrder
 	pendingEvents    []Event
 	estimates        *estimates
+	// spells are the workers that are slowed.
+	spells map[string]*spell
 	// speeds are the workers' speeds, last updated at speedsUpdatedAt.
 	speeds          map[string]*speed
 	speedsUpdatedAt time.Time
@@ -178,6 +180,7 @@
 	// firstPercent is the first percentage that was reported, at firstAt.
 	firstPercent int
 	firstAt      time.Time
+	rateCheck    rateCheck
 }
 
 // New returns the state machine of a planner that has just claimed the token. It places tasks of
@@ -199,6 +202,7 @@
 		finishedJobs:       map[workload.JobID]bool{},
 		runs:               map[workload.TaskID]*activeRun{},
 		speeds:             map[string]*speed{},
+		spells:             map[string]*spell{},
 		centres:            map[string]*centre{},
 		evacuations:        map[string]*evacuation{},
 		advice:             map[decide.UnitKey]*advice{},
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -122,6 +122,12 @@
 	EventWorkerRestarted = "worker-restarted"
 	// EventWorkerSilent: a worker did not answer; its lease is not extended from now on.
 	EventWorkerSilent = "worker-silent"
+	// EventWorkerRecovered: a slowed worker is as fast as before, or there was no evidence of the
+	// opposite for some time; why is which, detail how long it counted as slowed.
+	EventWorkerRecovered = "worker-recovered"
+	// EventWorkerSlowed: all runs on a worker have fallen behind their own earlier rates at once;
+	// detail is their pace as a share of these, the expected progress and the number of runs.
+	EventWorkerSlowed = "worker-slowed"
 	// EventWorkerUnreadable: a worker's newest entry in the list, or the start time that it
 	// reported, can't be decoded. If it is the entry, the worker gets no new work, while leases
 	// of its runs are still renewed.
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -174,6 +174,7 @@
 // avoid it. Its speed counts for less from now on.
 func (c *Core) forgetIncarnation(id string) {
 	c.ageSpeed(id)
+	delete(c.spells, id)
 	for _, j := range c.jobs {
 		delete(j.avoidedWorkers, id)
 	}
@@ -189,6 +190,7 @@
 	r.orderedAt = now
 	r.percent, r.runningSinceMS, r.firstPercent, r.throttledPercent = 0, 0, 0, 0
 	r.progressedAt, r.reportedAt, r.firstAt = time.Time{}, time.Time{}, time.Time{}
+	r.rateCheck = rateCheck{}
 	if r.stopping {
 		r.stopAccepted = false
 		r.retryAt = now
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -32,6 +32,7 @@
 	delete(c.unpersisted, c.workers[id])
 	delete(c.workers, id)
 	c.keepMissingSpeed(id)
+	delete(c.spells, id)
 	delete(c.unlisted, id)
 }
 
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -91,6 +91,7 @@
 	if !answer.More {
 		c.settleMissing(w, reported, order.Token, sent)
 	}
+	c.updateSpell(w, now)
 	c.adjustThrottling(w, now)
 	switch {
 	case w.receivedEnd > w.persistedEnd:
@@ -157,7 +158,13 @@
 	if row.Checkpoint != "" {
 		r.saved = row.Checkpoint
 	}
-	r.updateRating()
+	if r.isRated() {
+		if gap {
+			r.rateCheck.restart(row.Percent, now)
+		}
+		r.rateCheck.observe(row.Percent, c.spells[r.worker.ID] != nil, now)
+		r.updateRating()
+	}
 	r.metric = row.Metric
 	if r.step.Perpetual {
 		r.percent = row.Percent
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -23,6 +23,7 @@
 	c.stopOnLeavingWorkers(now)
 	c.advanceWaves(now)
 	c.learnSpeeds(now)
+	c.expireSpells(now)
 	s, units := c.snapshot(now, wallMS)
 	c.sortAdviceWanted()
 	plan := decide.Plan{}
--- a/workload/control/speed_records.go
+++ b/workload/control/speed_records.go
@@ -91,6 +91,9 @@
 
 func (c *Core) keepsSpeeds() bool { return !c.bounds.Disabled[decide.KeepSpeeds] }
 
+// KnownSpeeds returns the number of workers whose speed was measured or taken over.
+func (c *Core) KnownSpeeds() int { return len(c.speeds) }
+
 // ageSpeed halves the weight of a worker's speed for its next incarnation, which may run on
 // another machine.
 func (c *Core) ageSpeed(id string) {
@@ -201,6 +204,9 @@
 
 // markSpeedsRecorded records the classes that the parts hold.
 func (c *Core) markSpeedsRecorded(parts []statePart) {
+	if len(parts) == 0 {
+		return
+	}
 	recorded := map[string]bool{}
 	for _, p := range parts {
 		recorded[p.name] = true
--- a/workload/control/speed_records_test.go
+++ b/workload/control/speed_records_test.go
@@ -161,3 +161,12 @@
 		}
 	}
 }
+
+// BenchmarkChangedSpeeds measures the search for changed classes at the target size, once a second.
+func BenchmarkChangedSpeeds(b *testing.B) {
+	c := newMeasuredCore(2, 18_000)
+	for b.Loop() {
+		c.speedRecords.due = true
+		c.changedSpeeds()
+	}
+}
--- a/workload/control/speeds.go
+++ b/workload/control/speeds.go
@@ -62,10 +62,14 @@
 	return math.Exp(s.logFactor())
 }
 
+// isRated reports whether the progress of a run shows how fast its worker is.
+func (r *activeRun) isRated() bool { return !r.step.Perpetual && !r.step.BestEffortCPU }
+
 // updateRating updates the progress rate of a run, for a gang's member with its own share. Remote
-// runs are not rated: they are slow on any worker.
+// runs are not rated: they are slow on any worker. Neither are those on slowed workers, which are
+// slow only for some seconds.
 func (r *activeRun) updateRating() {
-	if r.remote || r.step.Perpetual || r.step.BestEffortCPU {
+	if r.remote || r.rateCheck.slowed {
 		return
 	}
 	progress, took := r.percent-r.firstPercent, r.progressedAt.Sub(r.firstAt)
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -39,10 +39,12 @@
 	// KeepSpeeds keeps what a planner has learnt of workers' speeds for its successor, and for the
 	// next incarnation of a worker.
 	KeepSpeeds Mechanism = "keep-speeds"
+	// SlowSpells treats workers that have turned slow for some seconds as slow until they recover.
+	SlowSpells Mechanism = "slow-spells"
 )
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, SlowSpells}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -239,11 +239,15 @@
 const (
 	gaugeEvacuatedCentres = "evacuated_centres"
 	gaugeEvacuatedRuns    = "evacuated_runs"
+	gaugeSlowedWorkers    = "slowed_workers"
+	gaugeKnownSpeeds      = "known_speeds"
 )
 
 func (p *planner) updateGauges(remaining control.EvacuationStatus) {
 	p.s.metrics.SetGauge(gaugeEvacuatedCentres, float64(remaining.Centres))
 	p.s.metrics.SetGauge(gaugeEvacuatedRuns, float64(remaining.Runs))
+	p.s.metrics.SetGauge(gaugeSlowedWorkers, float64(p.core.SlowedWorkers()))
+	p.s.metrics.SetGauge(gaugeKnownSpeeds, float64(p.core.KnownSpeeds()))
 }
 
 // logNotes logs the core's notes as events.
