--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -33,6 +33,7 @@
 	delete(c.workers, id)
 	c.keepMissingSpeed(id)
 	delete(c.departures.leaving, id)
+	delete(c.spells, id)
 	delete(c.unlisted, id)
 }
 
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -43,6 +43,8 @@
 	KeepSpeeds Mechanism = "keep-speeds"
 	// FairShares orders work beyond guarantees by its account's weighted share of the pool.
 	FairShares Mechanism = "fair-shares"
+	// SlowSpells treats workers that have turned slow for some seconds as slow until they recover.
+	SlowSpells Mechanism = "slow-spells"
 )
 
 // Admission refuses jobs that can never run or would start too late. Instances apply it before a
@@ -51,7 +53,7 @@
 const Admission Mechanism = "admission"
 
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, FairShares, UnitDepartures}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, FairShares, UnitDepartures, SlowSpells}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
