Events: stops of gangs in one line, and a summary that a report adds up from

Change: the members of a gang that are stopped for one reason before the events are taken share one run-stopping line (core_s is their sum; members and INDEX@WORKER of each follow). round-summary, at most once a second and exempt from the limit, has runs and core-seconds of stops and ends by reason. In the report a summary replaces its instance's lines since the previous one. Lines that no summary follows count by themselves, so logs of older versions read as before. cobalttide_reasons_total{event="run-stopping"} now counts decisions for gangs.

Ruled out: counts since the planner began instead of since the last summary. They would survive a lost summary, but the report would need the planner's token to tell planners of one instance apart. Single run-ended lines stay, since workers list ends one by one; the summary counts them.

--- a/events/log.go
+++ b/events/log.go
@@ -93,7 +93,7 @@
 var essential = map[Name]bool{
 	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true, DetailsDropped: true, ClaimTaken: true,
 	"job-completed": true, "job-failed": true, PlannerBegins: true, PlannerEnds: true, PlannerTimings: true,
-	Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
+	"round-summary": true, Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
 }
 
 // essentialReserve is the part of the queue that is reserved for essential events.
--- a/events/report/report.go
+++ b/events/report/report.go
@@ -103,7 +103,7 @@
 
 // Make returns a report of log lines, which must be ordered by time.
 func Make(lines []events.Line) *Report {
-	b := &builder{report: newReport(), jobs: map[string]*job{}, firstRefused: map[string]time.Time{}}
+	b := &builder{report: newReport(), jobs: map[string]*job{}, firstRefused: map[string]time.Time{}, unsummarised: map[string]*stopsAndEnds{}}
 	for _, l := range lines {
 		b.addLine(l)
 	}
@@ -118,9 +118,11 @@
 	report *Report
 	// firstRefused is the time at which each job that is not accepted yet was first
 	// refused.
-	firstRefused   map[string]time.Time
-	jobs           map[string]*job
-	order          []*job
+	firstRefused map[string]time.Time
+	jobs         map[string]*job
+	order        []*job
+	// unsummarised holds, by instance, the stops and ends in lines since its last summary.
+	unsummarised   map[string]*stopsAndEnds
 	activePlanners int
 	idleSince      time.Time
 }
@@ -144,12 +146,8 @@
 		}
 	case events.JobRefused:
 		b.report.Refused[stringField(l, "reason")+" "+stringField(l, "outcome")]++
-	case "run-stopping":
-		b.report.Stopped[why]++
-		b.report.LostWork[why] += parseNumber(detailField(stringField(l, "detail"), "core_s"))
-	case "run-ended":
-		b.report.Ended[why]++
 	}
+	b.addStopOrEnd(l, why)
 	if id := stringField(l, "job"); id != "" {
 		b.addJobLine(id, l, why)
 	}
@@ -217,6 +215,9 @@
 }
 
 func (b *builder) finish() *Report {
+	for _, open := range b.unsummarised {
+		b.report.addStopsAndEnds(open)
+	}
 	queues := map[string]*Queue{}
 	for _, j := range b.order {
 		q := queues[j.queue]
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -40,7 +40,10 @@
 	pendingStops     []StopOrder
 	pendingThrottles []ThrottleOrder
 	pendingEvents    []Event
-	estimates        *estimates
+	// stopLines are the stops of gangs among pendingEvents.
+	stopLines map[stopKey]*stopLine
+	summary   roundSummary
+	estimates *estimates
 	// speeds are the workers' speeds, last updated at speedsUpdatedAt.
 	speeds          map[string]*speed
 	speedsUpdatedAt time.Time
@@ -227,6 +230,7 @@
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
 		stateKinds:         stateKinds,
+		stopLines:          map[stopKey]*stopLine{},
 		silent:             silentWorkers{inheritedEnds: map[string]time.Time{}, recorded: map[string]int64{}, held: map[string]bool{}},
 		shares:             newAccountShares(),
 		stateKindWrittenAt: map[string]time.Time{},
@@ -253,6 +257,7 @@
 func (c *Core) Events() []Event {
 	out := c.pendingEvents
 	c.pendingEvents = nil
+	clear(c.stopLines)
 	return out
 }
 
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -74,8 +74,14 @@
 	EventRunPaced = "run-paced"
 	// EventRunStandsStill: a run shows no progress and is stopped.
 	EventRunStandsStill = "run-stands-still"
-	// EventRunStopping: a run is to be stopped; why is the reason, detail the lost work in
-	// core-seconds.
+	// EventRoundSummary: the runs that were stopped, and those whose ends were listed, since the
+	// last summary, at most once a second; detail has stops and ends, each a list of
+	// REASON:RUNS:CORE_SECONDS. The core-seconds of stops are lost work, those of ends are the
+	// work of the runs.
+	EventRoundSummary = "round-summary"
+	// EventRunStopping: a run is to be stopped, or all members of a gang by one decision; why is
+	// the reason, detail the lost work in core-seconds, and for a gang the number of members and
+	// INDEX@WORKER of each.
 	EventRunStopping = "run-stopping"
 	// EventRunUnsettled: a worker that answers has listed neither a run nor its end for longer
 	// than an order to start it can be in transit; detail is what is known of the run.
--- a/workload/control/late_end.go
+++ b/workload/control/late_end.go
@@ -21,6 +21,7 @@
 	if t == nil || t.Phase == workload.Done || row.Run > t.Run || j.Steps[row.Task.Step].Perpetual {
 		return
 	}
+	addTotal(&c.summary.ends, string(EndDone), 0)
 	c.emit(Event{Name: EventRunEnded, Job: j.ID, Task: row.Task.String(), Worker: w.ID, Run: row.Run, Reason: string(EndDone), Detail: fmt.Sprintf("number=%d late", row.Number)})
 	c.markDirty(j)
 	key := unitKey(row.Task.Job, row.Task.Occurrence, row.Task.Step)
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
@@ -153,11 +152,11 @@
 	}
 	r.stopping = true
 	r.evicted = !strings.HasPrefix(reason, gangStopPrefix)
-	detail := ""
+	lost := 0.0
 	if !r.settled {
-		detail = fmt.Sprintf("core_s=%.1f", c.lostWork(r, c.roundAt))
+		lost = c.lostWork(r, c.roundAt)
 	}
-	c.emit(Event{Name: EventRunStopping, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Reason: reason, Detail: detail})
+	c.emitStop(r, reason, lost)
 	c.pendingStops = append(c.pendingStops, newStopOrder(r.worker, r.id, r.run))
 }
 
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -191,7 +191,7 @@
 		c.handleLateEnd(w, row)
 		return
 	}
-	c.emit(Event{Name: EventRunEnded, Job: r.id.Job, Task: r.id.String(), Worker: w.ID, Run: r.run, Reason: string(row.End), Detail: fmt.Sprintf("number=%d", row.Number)})
+	c.emitRunEnd(r, row, now)
 	c.learnFromEnd(w, r, row.End, now)
 	r.job.recordRunTime(r, row.End, now)
 	c.settleRun(r, row.End, row.Checkpoint)
--- a/workload/replay/collector.go
+++ b/workload/replay/collector.go
@@ -145,7 +145,7 @@
 		if n.Name != control.EventRunStopping {
 			continue
 		}
-		if id, err := workload.ParseTaskID(n.Task); err == nil {
+		for _, id := range control.StoppedTasks(n) {
 			m.stopReasons[runKey{id, n.Run}] = n.Reason
 		}
 	}
