Planner: the objective of a completed job is what its caller is owed

Cause: the objective was computed from the job's own runs, including those on slow workers, and jobs that an earlier planner had started had none.

Change: each completed run, and each that failed by itself, counts with its time on an average worker near the data. For a gang the slowest member's worker is the estimate. A run that began with saved progress, or that an earlier planner ordered, is extrapolated from the part that was seen; steps of which too little was seen are estimated. Inherited jobs are included and marked inherited=true. worked_ms stays the chain of the actual runs, owed_ms is new. Decisions still use the actual times of failed runs.

Ruled out: speedFactor, since it has an arbitrary value for workers that warm up; the measured speed is used. Failed runs that only an earlier planner saw are not estimated, since their number is known and their length is not.

Tests: TestCompletionOfAnInheritedJobHasAnObjective fails with the old outcome.go (the line has no objective) and passes now. The tests of workload/control named Owed, Resumed, Inherited, Completion, Summar, Speed and Estimate pass, and ./events. Whether the count is within a tenth of what callers see is not measured.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -132,6 +132,8 @@
 	// completedTime is the run time of each completed step, failedTime the total run time of its
 	// failed runs.
 	completedTime, failedTime map[int]time.Duration
+	// owed is what the same runs would have taken on average workers near their data.
+	owed owedTimes
 	// savedRuns is the last run of each gang that has saved its progress by a stop.
 	savedRuns map[decide.UnitKey]int64
 	// crashedAt is when a worker last crashed while running one of its tasks.
@@ -152,6 +154,8 @@
 	worker *worker
 	run    int64
 	saved  string
+	// resumed is set if it began with saved progress.
+	resumed bool
 	// savedAt is when its worker last reported newly saved progress.
 	savedAt time.Time
 	// departing is set if it is being stopped because of a departure, or is about to be.
@@ -266,7 +270,7 @@
 func (c *Core) addRun(j *job, id workload.TaskID, t *workload.Task) *activeRun {
 	r := &activeRun{
 		id: id, key: decide.UnitKey{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step},
-		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.LastCheckpoint,
+		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.LastCheckpoint, resumed: t.LastCheckpoint != "",
 		worker: c.workerFor(t.Worker),
 	}
 	c.runs[id] = r
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -43,7 +43,9 @@
 	// EventWaveTaken: a maintenance wave was read.
 	EventWaveTaken = "wave-taken"
 	// EventJobCompleted: all tasks of a job are done; why is how it compares with its objective,
-	// detail its queue and times.
+	// detail its queue and times: worked_ms is the longest chain of its runs, owed_ms that chain on
+	// average workers near the data, from which the objective is computed. inherited means that an
+	// earlier planner had started the job, and that steps that only it saw are estimated.
 	EventJobCompleted = "job-completed"
 	// EventJobFailed: a task or gang has used its attempts, or crashes its workers; task and
 	// worker are those of the last failure, why is which of the two, detail how many workers
--- a/workload/control/outcome.go
+++ b/workload/control/outcome.go
@@ -36,17 +36,20 @@
 	j.completedTime[r.id.Step] = max(j.completedTime[r.id.Step], took)
 }
 
-// emitCompletion emits the completion of a job and how that compares with its objective, unless
-// an earlier planner saw some of its runs.
+// emitCompletion emits the completion of a job and how that compares with its objective. Jobs with
+// repetitions have none.
 func (c *Core) emitCompletion(j *job) {
 	event := Event{Name: EventJobCompleted, Job: j.ID}
-	if !j.dueAt.IsZero() && !j.inherited {
-		took := c.roundAt.Sub(j.dueAt)
-		ran := j.longestRunChain()
+	if j.Repetitions == 0 && !c.roundAt.IsZero() {
+		took := max(0, c.roundAt.Sub(c.due(j, 0, c.roundAt, c.wallMS)))
+		ran, owed := j.longestRunChain(), c.owedChain(j)
 		terms := c.queueSettings(j)
-		objective := time.Duration(terms.Stretch*float64(ran)) + time.Duration(terms.TargetMS)*time.Millisecond
+		objective := time.Duration(terms.Stretch*float64(owed)) + time.Duration(terms.TargetMS)*time.Millisecond
 		event.Reason = string(compareWithObjective(took, objective))
-		event.Detail = fmt.Sprintf("queue=%s took_ms=%d worked_ms=%d objective_ms=%d", j.Queue, took.Milliseconds(), ran.Milliseconds(), objective.Milliseconds())
+		event.Detail = fmt.Sprintf("queue=%s took_ms=%d worked_ms=%d owed_ms=%d objective_ms=%d", j.Queue, took.Milliseconds(), ran.Milliseconds(), owed.Milliseconds(), objective.Milliseconds())
+		if j.inherited {
+			event.Detail += " inherited=true"
+		}
 	}
 	c.emit(event)
 }
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -194,6 +194,7 @@
 	c.emitRunEnd(r, row, now)
 	c.learnFromEnd(w, r, row.End, now)
 	r.job.recordRunTime(r, row.End, now)
+	c.recordOwedTime(r, row.End, now)
 	c.settleRun(r, row.End, row.Checkpoint)
 }
 
