Report: late jobs by cause, window, queue and account

Cause: the report said how long late jobs waited on average, but not what made each of them late.

Change: for each completed job that was not in time for its caller, the longest of its delays names the cause: accepted-late, started-late and the reason of the longest wait, restarted and the reason of the first restart, slow-member (its runs against what they would have taken on average workers near the data), reported-late, or unknown. Waits of a step after its restart count for the restart. Jobs are counted by the cause, and by queue, account and window of 2 s of the first submission.

Ruled out: dividing one job among several causes, which gives fractions that do not name a remedy. Runs that failed by themselves are no restarts, since the objective allows for them. Remote runs count as slow-member; the lines of a completion do not tell the two apart. Jobs without an end in the logs have no cause.

Tests: new tests for the choice of the cause, the reasons of restarts and the counts; ./events/... and ./internal/command pass.

--- a/events/report/report.go
+++ b/events/report/report.go
@@ -30,6 +30,8 @@
 	Ended map[string]int
 	// Gaps are the periods without a planner.
 	Gaps []Gap
+	// Late counts the jobs that were not in time by cause.
+	Late LateJobs
 	// Seconds counts the accepted jobs, and those of them that were not in time, by
 	// the second of their acceptance since From.
 	Seconds []Second
@@ -87,18 +89,25 @@
 
 // job is the state of one job that was derived from the logs.
 type job struct {
-	queue                       string
+	queue, account              string
 	arrived, accepted           time.Time
 	notified                    time.Time
 	objective                   time.Duration
 	seen, firstStart, lastStart time.Time
 	waitReason                  string
 	waitingSince                time.Time
-	waits                       map[string]time.Duration
-	outcome                     string
-	worked                      time.Duration
-	completed                   time.Time
-	failed, cancelled           bool
+	// waits are the times of waiting by reason, and rewaits the parts after a restart of the
+	// same step, of which waitsAgain tells for the current reason.
+	waits, rewaits map[string]time.Duration
+	waitsAgain     bool
+	restartedSteps map[string]bool
+	restartReason  string
+	// owed is what the runs would have taken on average workers near the data; 0 is unknown.
+	owed              time.Duration
+	outcome           string
+	worked            time.Duration
+	completed         time.Time
+	failed, cancelled bool
 }
 
 // Make returns a report of log lines, which must be ordered by time.
@@ -157,7 +166,10 @@
 	if l.Event == events.JobAccepted {
 		if b.jobs[id] == nil {
 			took := time.Duration(parseNumber(stringField(l, "took_ms"))) * time.Millisecond
-			j := &job{queue: stringField(l, "queue"), accepted: l.At, arrived: l.At.Add(-took), waits: map[string]time.Duration{}}
+			j := &job{
+				queue: stringField(l, "queue"), account: stringField(l, "account"), accepted: l.At, arrived: l.At.Add(-took),
+				waits: map[string]time.Duration{}, rewaits: map[string]time.Duration{}, restartedSteps: map[string]bool{},
+			}
 			if first, refused := b.firstRefused[id]; refused && first.Before(j.arrived) {
 				j.arrived = first
 			}
@@ -173,10 +185,12 @@
 		}
 		return
 	}
+	j.addRestart(l, why)
 	switch l.Event {
 	case "unit-waits":
 		j.markSeen(l.At)
 		j.setWaitReason(l.At, why)
+		j.waitsAgain = j.restartedSteps[stepOf(stringField(l, "task"))]
 	case "unit-started":
 		j.markSeen(l.At)
 		j.setWaitReason(l.At, "")
@@ -187,6 +201,7 @@
 	case "job-completed":
 		j.outcome, j.completed = why, l.At
 		j.worked = time.Duration(parseNumber(detailField(stringField(l, "detail"), "worked_ms"))) * time.Millisecond
+		j.owed = time.Duration(parseNumber(detailField(stringField(l, "detail"), "owed_ms"))) * time.Millisecond
 		j.objective = time.Duration(parseNumber(detailField(stringField(l, "detail"), "objective_ms"))) * time.Millisecond
 	case events.JobEndReported:
 		if j.notified.IsZero() {
@@ -210,6 +225,9 @@
 func (j *job) setWaitReason(at time.Time, reason string) {
 	if j.waitReason != "" {
 		j.waits[j.waitReason] += at.Sub(j.waitingSince)
+		if j.waitsAgain {
+			j.rewaits[j.waitReason] += at.Sub(j.waitingSince)
+		}
 	}
 	j.waitReason, j.waitingSince = reason, at
 }
@@ -219,6 +237,7 @@
 		b.report.addStopsAndEnds(open)
 	}
 	queues := map[string]*Queue{}
+	late := newLateCounter()
 	for _, j := range b.order {
 		q := queues[j.queue]
 		if q == nil {
@@ -226,11 +245,13 @@
 			queues[j.queue] = q
 		}
 		q.add(j)
+		late.add(j, b.report.From)
 		for reason, d := range j.waits {
 			b.report.Waits[reason] += d.Seconds()
 		}
 		b.countSecond(j)
 	}
+	b.report.Late = late.result()
 	for _, q := range queues {
 		q.computeMeans()
 		b.report.Queues = append(b.report.Queues, *q)
--- a/events/report/write.go
+++ b/events/report/write.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"gonum.org/v1/plot"
@@ -30,6 +31,7 @@
 		}
 		fmt.Fprintln(w)
 	}
+	r.writeLate(w)
 	fmt.Fprintln(w, "\nwaits by reason, s:\t", largest(r.Waits))
 	fmt.Fprintln(w, "refused:\t", largest(r.Refused))
 	fmt.Fprintln(w, "ends of runs:\t", largest(r.Ended))
@@ -41,6 +43,35 @@
 	return w.Flush()
 }
 
+// writeLate writes the late jobs by cause, if there are any.
+func (r *Report) writeLate(w io.Writer) {
+	if len(r.Late.Causes) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nlate by cause:\t", formatCauses(r.Late.Causes))
+	for _, table := range []struct {
+		title  string
+		groups []LateGroup
+	}{{"late by queue", r.Late.ByQueue}, {"late by account", r.Late.ByAccount}, {"late by time of submission", r.Late.ByWindow}} {
+		fmt.Fprintf(w, "\n%s\tlate\tcauses\n", table.title)
+		for _, g := range table.groups {
+			fmt.Fprintf(w, "%s\t%d\t%s\n", g.Name, g.Late, formatCauses(g.Causes))
+		}
+	}
+}
+
+// formatCauses formats causes as CAUSE or CAUSE(REASON), the most frequent first.
+func formatCauses(causes map[string]int) string {
+	out := map[string]int{}
+	for cause, n := range causes {
+		if name, reason, detailed := strings.Cut(cause, " "); detailed {
+			cause = name + "(" + reason + ")"
+		}
+		out[cause] += n
+	}
+	return largest(out)
+}
+
 // largest formats a map with the largest value first.
 func largest[V cmp.Ordered](m map[string]V) string {
 	names := slices.SortedFunc(maps.Keys(m), func(a, b string) int {
