--- a/events/log_test.go
+++ b/events/log_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// Guards against a report that does not add up on a busy day: the summaries of stops and ends are
+// what it adds up from where other lines are left out.
+func TestSummariesAreExemptFromTheRateLimit(t *testing.T) {
+	out := &lockedBuilder{}
+	l := New(out, nil, nil)
+	l.budget.SetBurst(0)
+	l.Info("run-stopping", nil)
+	l.Info("round-summary", nil)
+	l.Close(10 * time.Second)
+	if text := out.text.String(); !strings.Contains(text, `"round-summary"`) || strings.Contains(text, `"msg":"run-stopping"`) {
+		t.Fatalf("over the limit, %q was written, want the summary only", text)
+	}
+}
+
 func TestReasonsAreCounted(t *testing.T) {
 	got := map[string]string{}
 	l := New(io.Discard, nil, func(event, reason string) { got[event] = reason })
