--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -40,7 +40,10 @@
 	pendingStops     []StopOrder
 	pendingThrottles []ThrottleOrder
 	pendingEvents    []Event
-	estimates        *estimates
+	// stopLines are the stops of gangs among pendingEvents.
+	stopLines map[stopKey]*stopLine
+	summary   roundSummary
+	estimates *estimates
 	// spells are the workers that are slowed.
 	spells map[string]*spell
 	// speeds are the workers' speeds, last updated at speedsUpdatedAt.
@@ -131,6 +134,8 @@
 	// completedTime is the run time of each completed step, failedTime the total run time of its
 	// failed runs.
 	completedTime, failedTime map[int]time.Duration
+	// owed is what the same runs would have taken on average workers near their data.
+	owed owedTimes
 	// savedRuns is the last run of each gang that has saved its progress by a stop.
 	savedRuns map[decide.UnitKey]int64
 	// crashedAt is when a worker last crashed while running one of its tasks.
@@ -151,6 +156,8 @@
 	worker *worker
 	run    int64
 	saved  string
+	// resumed is set if it began with saved progress.
+	resumed bool
 	// savedAt is when its worker last reported newly saved progress.
 	savedAt time.Time
 	// ordered is set if this planner sent the start order. Otherwise the run was adopted or its
@@ -231,6 +238,7 @@
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
 		stateKinds:         stateKinds,
+		stopLines:          map[stopKey]*stopLine{},
 		silent:             silentWorkers{inheritedEnds: map[string]time.Time{}, recorded: map[string]int64{}, held: map[string]bool{}},
 		shares:             newAccountShares(),
 		stateKindWrittenAt: map[string]time.Time{},
@@ -257,6 +265,7 @@
 func (c *Core) Events() []Event {
 	out := c.pendingEvents
 	c.pendingEvents = nil
+	clear(c.stopLines)
 	return out
 }
 
@@ -265,7 +274,7 @@
 func (c *Core) addRun(j *job, id workload.TaskID, t *workload.Task) *activeRun {
 	r := &activeRun{
 		id: id, key: decide.UnitKey{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step},
-		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.LastCheckpoint,
+		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.LastCheckpoint, resumed: t.LastCheckpoint != "",
 		worker: c.workerFor(t.Worker),
 	}
 	c.runs[id] = r
