Shares: departing units belong to their accounts

Cause: the unit that reserves capacity for the next run of a departing gang was built without its account. It was ordered as work of an unknown account, charged while its running members counted as held, and shown to operators as waiting work of an account without a name.

Change: the unit has its job's account, is not charged in the order and is left out of account-shares.

Ruled out: leaving departing units out of the order, since they must reserve before the units of lower rank.

--- a/workload/control/shares.go
+++ b/workload/control/shares.go
@@ -168,7 +168,7 @@
 	c.shares.reportedAt = now
 	c.shares.waiting = map[domain.AccountID]int{}
 	for i := range s.Waiting {
-		if u := &s.Waiting[i]; !u.Guaranteed {
+		if u := &s.Waiting[i]; !u.Guaranteed && !u.Departing {
 			c.shares.waiting[u.Account] += len(u.Indexes)
 		}
 	}
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -292,7 +292,7 @@
 		if j.cancelled || j.progress.State.IsFinal() {
 			continue
 		}
-		u := decide.Unit{Key: res.key, Step: &j.Steps[res.key.Step], Guaranteed: guaranteed[j.ID], Departing: true, ReadySince: now}
+		u := decide.Unit{Key: res.key, Account: j.Account, Step: &j.Steps[res.key.Step], Guaranteed: guaranteed[j.ID], Departing: true, ReadySince: now}
 		for _, r := range res.runs {
 			u.Indexes = append(u.Indexes, r.id.Index)
 		}
--- a/workload/decide/order.go
+++ b/workload/decide/order.go
@@ -57,7 +57,10 @@
 			continue
 		}
 		steps[i] = share.Step(s.Shares.Level(u.Account, charged[u.Account]))
-		charged[u.Account] += u.dominantShare(s.Shares.Capacity) / 2
+		if !u.Departing {
+			// The running members of a departing unit count as held.
+			charged[u.Account] += u.dominantShare(s.Shares.Capacity) / 2
+		}
 	}
 	return steps
 }
--- a/workload/decide/shares_test.go
+++ b/workload/decide/shares_test.go
@@ -109,6 +109,21 @@
 	}
 }
 
+// Guards against the next run of a departing unit that is charged beside its running members, which
+// would push the other units of its account back.
+func TestDepartingUnitsAreNotCharged(t *testing.T) {
+	s := &Snapshot{Now: now, Shares: unequalShares()}
+	s.Shares.Capacity = share.Resources{Accelerators: 16}
+	for i, account := range []domain.AccountID{"light", "light", "other"} {
+		u := singles(16, 1)
+		u.Account, u.Departing, u.LatestStart = account, i == 0, now.Add(time.Duration(i)*time.Second)
+		s.Waiting = append(s.Waiting, u)
+	}
+	if got := order(s); !slices.Equal(got, []int{0, 1, 2}) {
+		t.Fatalf("the order is %v, want that by latest start", got)
+	}
+}
+
 // BenchmarkOrder measures the order of 3,000 waiting units of 460 accounts, with and without shares.
 func BenchmarkOrder(b *testing.B) {
 	guaranteed, use := map[domain.AccountID]int64{}, map[domain.AccountID]float64{}
