Shares: accounts are charged when the planner places or reserves

Cause: the order charged every waiting unit as if it had started, before anything was placed. Units that fit nowhere, are wider than the pool or may use no worker pushed the other units of their account behind accounts that use more.

Change: the next unit is chosen by step during placement (queue), from a heap of the accounts of a rank. An account is charged for the tasks that start or have capacity reserved. Where all units can be placed the order is as before.

Ruled out: leaving units that fit no empty pool out of the charges. Units that fit an empty pool and not the present one would still be charged.

Tests: TestUnitsThatCannotBePlacedAreNotCharged failed before in all four cases and passes now. TestReservedCapacityIsCharged passes before and after. The function order that the older tests call is now in the test and drains the queue with every unit placed; their conditions are unchanged. go test ./workload/decide passes.

--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -218,8 +218,9 @@
 // MakePlan plans which units start and which groups stop.
 func MakePlan(s *Snapshot) Plan {
 	p := newPlanner(s)
-	for _, i := range order(s) {
-		p.place(i)
+	q := newQueue(s)
+	for i, ok := q.next(); ok; i, ok = q.next() {
+		q.charge(p.place(i))
 	}
 	return p.plan
 }
@@ -238,6 +239,8 @@
 	stopped   map[int]bool
 	// skipsReserved reports whether the unit being placed may not use reserved racks.
 	skipsReserved bool
+	// allocated is the number of tasks of that unit that start or have capacity reserved.
+	allocated int
 	// Upper bounds on what fits in free capacity, in capacity being freed and in an empty pool.
 	freeLimits, freeingLimits, totalLimits fitLimits
 	// groups is built when the first unit looks for victims.
@@ -368,18 +371,20 @@
 	return p.canWait(u) && p.snapshot.Now.Before(u.LatestStart.Add(cost))
 }
 
-func (p *planner) place(i int) {
+// place plans a unit and returns how many of its tasks start or have capacity reserved.
+func (p *planner) place(i int) (tasks int) {
 	u := &p.snapshot.Waiting[i]
 	p.skipsReserved = p.avoidsReserved(u)
-	if u.Departing {
+	p.allocated = 0
+	switch {
+	case u.Departing:
 		p.reserveGang(u, freeingCapacity)
-		return
-	}
-	if u.Step.Gang {
+	case u.Step.Gang:
 		p.placeGang(i, u)
-		return
+	default:
+		p.placeSingles(i, u)
 	}
-	p.placeSingles(i, u)
+	return p.allocated
 }
 
 // allocate takes capacity for a task. Free capacity becomes negative where the task waits for
@@ -389,6 +394,7 @@
 func (p *planner) assign(unit, index int, w *workerState, remote bool) {
 	p.plan.Starts = append(p.plan.Starts, Assignment{Unit: unit, Index: index, Worker: w.ID, Remote: remote})
 	w.recordStart(&p.snapshot.Waiting[unit])
+	p.allocated++
 }
 
 func (p *planner) deferUnit(unit int, reason Reason) {
--- a/workload/decide/order.go
+++ b/workload/decide/order.go
@@ -1,7 +1,7 @@
 package decide
 
 import (
-	"slices"
+	"container/heap"
 	"sort"
 	"time"
 
@@ -10,64 +10,141 @@
 	"github.com/cobalttide/cobalttide/workload/share"
 )
 
-// order returns the indexes of the waiting units in the order of placement: guaranteed units
-// first; then units that can still end within their objective, then those that still have some
-// value, then the rest; within these by the queue's priority, by the account's share of the pool
-// where that is divided, by the latest start, and smaller units first.
-func order(s *Snapshot) []int {
-	out := make([]int, len(s.Waiting))
-	for i := range out {
-		out[i] = i
+// queue yields the waiting units in the order of placement: guaranteed units first; then units that
+// can still end within their objective, then those that still have some value, then the rest; within
+// these by the queue's priority, by the account's share of the pool where that is divided, by the
+// latest start, and smaller units first.
+type queue struct {
+	snapshot *Snapshot
+	// order is that without shares; its first passed units are placed or in accounts.
+	order  []int
+	passed int
+	// accounts are those with units of the current rank beyond guarantees; charged is what the units
+	// before have taken, by account.
+	accounts accountHeap
+	charged  map[domain.AccountID]float64
+	// current is the account of the last unit, nil if it is not charged.
+	current *accountQueue
+}
+
+func newQueue(s *Snapshot) *queue {
+	q := &queue{snapshot: s, order: make([]int, len(s.Waiting))}
+	for i := range q.order {
+		q.order[i] = i
 	}
-	sort.SliceStable(out, func(a, b int) bool {
-		return before(s.Now, &s.Waiting[out[a]], &s.Waiting[out[b]])
+	sort.SliceStable(q.order, func(a, b int) bool {
+		return before(s.Now, &s.Waiting[q.order[a]], &s.Waiting[q.order[b]])
 	})
 	if s.Shares != nil && !s.Disabled[FairShares] {
-		orderByShares(s, out)
+		q.charged = map[domain.AccountID]float64{}
 	}
-	return out
+	return q
 }
 
-// orderByShares reorders units beyond guarantees that are equal in lateness and priority: those of
-// accounts in lower steps of their weighted share go first. Each unit is charged to its account as
-// if it had started, so that an account's backlog is not ahead of the other accounts as a whole.
-// Within a step the order is kept.
-func orderByShares(s *Snapshot, units []int) {
-	steps := shareSteps(s, units)
-	for from := 0; from < len(units); {
-		first := &s.Waiting[units[from]]
-		to := from + 1
-		for to < len(units) && isSameRank(s.Now, first, &s.Waiting[units[to]]) {
-			to++
+// next returns the next unit; ok is false if none is left.
+func (q *queue) next() (unit int, ok bool) {
+	q.dropCurrent()
+	if len(q.accounts) == 0 {
+		if q.passed == len(q.order) {
+			return 0, false
 		}
-		if !first.Guaranteed {
-			slices.SortStableFunc(units[from:to], func(a, b int) int { return steps[a] - steps[b] })
+		if unit = q.order[q.passed]; q.charged == nil || q.snapshot.Waiting[unit].Guaranteed {
+			q.passed++
+			return unit, true
 		}
-		from = to
+		q.divideRank()
+	}
+	q.current = q.accounts[0]
+	return q.order[q.current.places[0]], true
+}
+
+// dropCurrent removes the last unit from its account, whose place may change.
+func (q *queue) dropCurrent() {
+	if q.current == nil {
+		return
+	}
+	if q.current.places = q.current.places[1:]; len(q.current.places) > 0 {
+		heap.Fix(&q.accounts, 0)
+	} else {
+		heap.Pop(&q.accounts)
 	}
+	q.current = nil
 }
 
-// shareSteps returns the step of each waiting unit, given their order.
-func shareSteps(s *Snapshot, units []int) []int {
-	steps := make([]int, len(s.Waiting))
-	charged := map[domain.AccountID]float64{}
-	for _, i := range units {
-		u := &s.Waiting[i]
-		if u.Guaranteed {
-			continue
+// divideRank divides the units beyond guarantees that are equal in lateness and priority by account.
+// The account in the lowest step of its weighted share is next, in one step that with the first
+// unit in the order without shares.
+func (q *queue) divideRank() {
+	s, byID := q.snapshot, map[domain.AccountID]*accountQueue{}
+	first := &s.Waiting[q.order[q.passed]]
+	for ; q.passed < len(q.order); q.passed++ {
+		u := &s.Waiting[q.order[q.passed]]
+		if !isSameRank(s.Now, first, u) {
+			break
 		}
-		steps[i] = share.Step(s.Shares.Level(u.Account, charged[u.Account]))
-		if !u.Departing {
-			// The running members of a departing unit count as held.
-			charged[u.Account] += u.dominantShare(s.Shares.Capacity) / 2
+		a := byID[u.Account]
+		if a == nil {
+			a = &accountQueue{id: u.Account, step: q.step(u.Account)}
+			byID[u.Account] = a
+			q.accounts = append(q.accounts, a)
 		}
+		a.places = append(a.places, q.passed)
+	}
+	heap.Init(&q.accounts)
+}
+
+func (q *queue) step(id domain.AccountID) int {
+	return share.Step(q.snapshot.Shares.Level(id, q.charged[id]))
+}
+
+// charge charges the account of the last unit for the tasks that were placed or for which capacity
+// was reserved, as if they had started. An account's backlog is then not ahead of the other accounts
+// as a whole, and units that can't be placed do not push their account back.
+func (q *queue) charge(tasks int) {
+	if q.current == nil || tasks == 0 {
+		return
 	}
-	return steps
+	a, u := q.current, &q.snapshot.Waiting[q.order[q.current.places[0]]]
+	if u.Departing {
+		// Its running members count as held.
+		return
+	}
+	// Use is half the current share.
+	q.charged[a.id] += u.taskShare(q.snapshot.Shares.Capacity) * float64(tasks) / 2
+	a.step = q.step(a.id)
+}
+
+// accountQueue holds the units of an account and rank that are left.
+type accountQueue struct {
+	id domain.AccountID
+	// places are those of its units in the order without shares.
+	places []int
+	// step is that of the account's level with what is charged.
+	step int
+}
+
+// accountHeap has the account whose unit is next at the top.
+type accountHeap []*accountQueue
+
+func (h accountHeap) Len() int { return len(h) }
+
+func (h accountHeap) Less(a, b int) bool {
+	return h[a].step < h[b].step || (h[a].step == h[b].step && h[a].places[0] < h[b].places[0])
+}
+
+func (h accountHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+
+func (h *accountHeap) Push(x any) { *h = append(*h, x.(*accountQueue)) }
+
+func (h *accountHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
-// dominantShare returns the share of the pool that the unit takes.
-func (u *Unit) dominantShare(capacity share.Resources) float64 {
-	return float64(len(u.Indexes)) * share.Dominant(ShareResources(u.Step.CapacityNeed()), capacity)
+// taskShare returns the dominant share that one task of the unit takes of the capacity.
+func (u *Unit) taskShare(capacity share.Resources) float64 {
+	return share.Dominant(ShareResources(u.Step.CapacityNeed()), capacity)
 }
 
 // ShareResources converts resources to those that shares are computed of.
--- a/workload/decide/place.go
+++ b/workload/decide/place.go
@@ -207,6 +207,7 @@
 
 func (p *planner) reserve(u *Unit, placements []placement) {
 	for _, m := range placements {
+		p.allocated += m.count
 		for range m.count {
 			m.w.allocate(u.Step.CapacityNeed())
 		}
--- a/workload/decide/shares_test.go
+++ b/workload/decide/shares_test.go
@@ -20,6 +20,17 @@
 	return &share.Levels{Weights: w, Use: map[domain.AccountID]float64{"heavy": 4 * w.Of("heavy")}, Capacity: share.Resources{Accelerators: 1000}}
 }
 
+// order returns the order of placement where all units can be placed.
+func order(s *Snapshot) []int {
+	var out []int
+	q := newQueue(s)
+	for i, ok := q.next(); ok; i, ok = q.next() {
+		q.charge(len(s.Waiting[i].Indexes))
+		out = append(out, i)
+	}
+	return out
+}
+
 // drawSharedSnapshot draws a snapshot whose units belong to three accounts.
 func drawSharedSnapshot(t *rapid.T) *Snapshot {
 	s := drawSnapshot(t)
@@ -109,6 +120,43 @@
 	}
 }
 
+// Guards against units that can't be placed and push the other units of their account behind an
+// account that uses more.
+func TestUnitsThatCannotBePlacedAreNotCharged(t *testing.T) {
+	stuck := map[string]func() Unit{
+		"no worker is allowed":    func() Unit { u := singles(64, 1); u.Allowed = map[string]bool{}; return u },
+		"the worker is avoided":   func() Unit { u := singles(64, 1); u.Avoid = map[string]bool{"a0": true}; return u },
+		"wider than the pool":     func() Unit { return gang(64, 1, false) },
+		"larger than each worker": func() Unit { return singles(4, 16) },
+	}
+	for name, newUnit := range stuck {
+		s := &Snapshot{Now: now, Workers: racks([]int64{1}), Shares: unequalShares()}
+		s.Shares.Use["heavy"], s.Shares.Capacity.Accelerators = 1.5*s.Shares.Weights.Of("heavy"), 8
+		s.Waiting = []Unit{newUnit(), singles(1, 1), singles(1, 1)}
+		for i, account := range []domain.AccountID{"light", "heavy", "light"} {
+			s.Waiting[i].Account, s.Waiting[i].LatestStart = account, now.Add(time.Duration(1+i)*time.Second)
+		}
+		if p := MakePlan(s); len(p.Starts) != 1 || p.Starts[0].Unit != 2 {
+			t.Errorf("%s: starts %+v, want that of unit 2", name, p.Starts)
+		}
+	}
+}
+
+// Guards against units that wait for a stop and are not charged: the capacity that is reserved for
+// them is their account's.
+func TestReservedCapacityIsCharged(t *testing.T) {
+	s := &Snapshot{Now: now, Workers: racks([]int64{1, 8}), Shares: unequalShares()}
+	s.Workers[1].Free, s.Workers[1].Freeing = gpus(0), gpus(8)
+	s.Shares.Use, s.Shares.Capacity.Accelerators = nil, 9
+	s.Waiting = []Unit{gang(1, 8, false), singles(1, 1), singles(1, 1)}
+	for i, account := range []domain.AccountID{"light", "light", "other"} {
+		s.Waiting[i].Account, s.Waiting[i].LatestStart = account, now.Add(time.Duration(1+i)*time.Second)
+	}
+	if p := MakePlan(s); len(p.Starts) != 1 || p.Starts[0].Unit != 2 {
+		t.Fatalf("starts %+v, want that of unit 2", p.Starts)
+	}
+}
+
 // Guards against the next run of a departing unit that is charged beside its running members, which
 // would push the other units of its account back.
 func TestDepartingUnitsAreNotCharged(t *testing.T) {
