Shares: levels refer to what guaranteed runs leave

Cause: fair parts were parts of the whole pool, and all levels below 1 are one step. Guaranteed runs may hold 62 % of the pool. The account with the largest weight (40 %) could then hold all that is left and stay in the lowest step, so that an account that holds nothing was never before it. The note claimed that the oldest unit of an account in the lowest step is first, although the order within a step goes by latest start.

Change: shares and levels are of the capacity that guaranteed runs don't hold, at least a sixteenth of each resource. The note states what the order bounds: the time until the lowest step, and what may be before a unit there.

Tests: TestLevelsAreOfTheCapacityThatGuaranteedRunsDoNotHold failed before in four of five cases (use 0.1875 instead of 0.5) and passes now. TestEachMechanismImprovesItsPattern/fair-shares passes (59 s), as do the share tests of workload/control, and workload/share and workload/decide.

--- a/workload/control/shares.go
+++ b/workload/control/shares.go
@@ -42,8 +42,9 @@
 // make that of an idle pool a fifth slower.
 const idleSharesInterval = 500 * time.Millisecond
 
-// updateShares records what accounts hold beyond their guarantees and adds the shares to the
-// snapshot, of which the running groups and the waiting units must be complete.
+// updateShares records what accounts hold beyond their guarantees, as shares of the capacity that
+// guaranteed runs don't hold, and adds the shares to the snapshot, of which the running groups and
+// the waiting units must be complete.
 func (c *Core) updateShares(s *decide.Snapshot, now time.Time) {
 	if !c.dividesCapacity() {
 		c.shares.levels = nil
@@ -53,23 +54,11 @@
 		return
 	}
 	c.shares.updatedAt = now
-	capacity := c.poolCapacity()
-	used := map[domain.AccountID]share.Resources{}
-	for i := range s.Running {
-		g := &s.Running[i]
-		if g.Guaranteed {
-			continue
-		}
-		account := c.jobs[g.Key.Job].Account
-		sum := used[account]
-		for _, a := range g.Allocations {
-			sum = sum.Add(decide.ShareResources(a.Resources))
-		}
-		used[account] = sum
-	}
+	used, guaranteed := c.resourcesHeld(s)
+	capacity := c.poolCapacity().Beyond(guaranteed, leastShared)
 	held := make(map[domain.AccountID]float64, len(used))
 	for id, amount := range used {
-		// A pool that has shrunk may hold less than its runs take.
+		// A pool that has shrunk may have less than its runs hold.
 		held[id] = min(1, share.Dominant(amount, capacity))
 	}
 	c.shares.usage.Hold(held, now)
@@ -77,6 +66,29 @@
 	s.Shares = c.shares.levels
 }
 
+// leastShared is the smallest part of the pool, for each resource, that levels refer to. Without it
+// a single task would count as all use while guaranteed runs hold nearly the whole pool.
+const leastShared = 1. / 16
+
+// resourcesHeld returns what accounts hold beyond their guarantees, and what all guaranteed runs
+// hold.
+func (c *Core) resourcesHeld(s *decide.Snapshot) (used map[domain.AccountID]share.Resources, guaranteed share.Resources) {
+	used = map[domain.AccountID]share.Resources{}
+	for i := range s.Running {
+		g, sum := &s.Running[i], share.Resources{}
+		for _, a := range g.Allocations {
+			sum = sum.Add(decide.ShareResources(a.Resources))
+		}
+		if g.Guaranteed {
+			guaranteed = guaranteed.Add(sum)
+			continue
+		}
+		account := c.jobs[g.Key.Job].Account
+		used[account] = used[account].Add(sum)
+	}
+	return used, guaranteed
+}
+
 // poolCapacity is the capacity of all listed workers. Closed ones count, so that shares do not jump
 // while a data centre is unreachable.
 func (c *Core) poolCapacity() share.Resources {
@@ -89,7 +101,8 @@
 	return sum
 }
 
-// usageRecord is the past use of accounts as recorded for a successor, in usageUnit of the pool.
+// usageRecord is the past use of accounts as recorded for a successor, in usageUnit of the
+// capacity that was not held by guaranteed runs.
 type usageRecord map[domain.AccountID]int64
 
 const usageUnit = 1e-5
@@ -103,7 +116,7 @@
 const usageTolerance = 0.0625
 
 // minUsageChange is the change of an account's use that is always small enough not to be recorded,
-// as a share of the pool.
+// as a share of the capacity.
 const minUsageChange = 5e-4
 
 // changedUsage returns the past use if any account's differs from the record.
@@ -191,8 +204,8 @@
 type AccountStatus struct {
 	// Guaranteed is the number of guaranteed accelerators.
 	Guaranteed int64
-	// Use is the use beyond the guarantee as a share of the pool, Level the use relative to the
-	// account's fair part.
+	// Use is the use beyond the guarantee as a share of the capacity that guaranteed runs don't
+	// hold, Level the use relative to the account's fair part.
 	Use, Level float64
 	// Waiting is the number of waiting tasks beyond the guarantee.
 	Waiting int
--- a/workload/control/shares_test.go
+++ b/workload/control/shares_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/workload"
 	"github.com/cobalttide/cobalttide/workload/decide"
 	"github.com/cobalttide/cobalttide/workload/share"
 )
@@ -117,3 +118,30 @@
 	}
 	t.Logf("%d bytes", size)
 }
+
+// Guards against fair parts of capacity that guaranteed runs hold: while these hold ten of sixteen
+// accelerators, the account with the largest weight could take the other six and stay below its
+// fair part of the pool.
+func TestLevelsAreOfTheCapacityThatGuaranteedRunsDoNotHold(t *testing.T) {
+	for name, test := range map[string]struct{ guaranteed, borrowed, capacity int64 }{
+		"all that is left":     {10, 6, 6},
+		"half of what is left": {8, 4, 8},
+		"nothing guaranteed":   {0, 16, 16},
+		"nothing left":         {16, 0, 1},
+		"a pool that shrank":   {20, 4, 1},
+	} {
+		c, now := newSharesCore(2, nil), time.Unix(1_000_000, 0)
+		for id, account := range map[workload.JobID]domain.AccountID{"g": "b", "x": "a"} {
+			c.Adopt(id, workload.Entry{Job: &workload.Job{ID: id, Account: account, Steps: []workload.Step{{Count: 1}}}, State: workload.Queued})
+		}
+		c.SetWorkers([]Listing{{ID: "w0", Address: "w0", Capacity: workload.Resources{Accelerators: 16}}}, now)
+		s := &decide.Snapshot{Running: []decide.Group{{Key: decide.UnitKey{Job: "g"}, Guaranteed: true}, {Key: decide.UnitKey{Job: "x"}}}}
+		s.Running[0].Add("w0", workload.Resources{Accelerators: test.guaranteed})
+		s.Running[1].Add("w0", workload.Resources{Accelerators: test.borrowed})
+		c.updateShares(s, now)
+		want := min(1, float64(test.borrowed)/float64(test.capacity)) / 2
+		if got := s.Shares.Use["a"]; s.Shares.Capacity.Accelerators != test.capacity || math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s: use %v of %+v, want %v of %d accelerators", name, got, s.Shares.Capacity, want, test.capacity)
+		}
+	}
+}
--- a/workload/share/share.go
+++ b/workload/share/share.go
@@ -21,6 +21,12 @@
 	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
 }
 
+// Beyond returns what is left of r without held, but at least the part least of each resource.
+func (r Resources) Beyond(held Resources, least float64) Resources {
+	left := func(all, held int64) int64 { return max(all-held, int64(float64(all)*least)) }
+	return Resources{left(r.CPU, held.CPU), left(r.Memory, held.Memory), left(r.Accelerators, held.Accelerators)}
+}
+
 // Dominant returns the largest share that used has of any resource of the capacity. A resource that
 // the pool does not have counts as 0.
 func Dominant(used, capacity Resources) float64 {
@@ -142,9 +148,9 @@
 // Levels hold how much of its fair part each account uses. They are the input of an order.
 type Levels struct {
 	Weights Weights
-	// Use is each account's use as a share of the pool.
+	// Use is each account's use as a share of the capacity that is divided.
 	Use map[domain.AccountID]float64
-	// Capacity is that of the pool.
+	// Capacity is that of the pool without what guaranteed runs hold.
 	Capacity Resources
 }
 
@@ -157,7 +163,8 @@
 // lowestStep is the step of all accounts that use less than their fair part. They count as equal:
 // with steps down to a sixteenth of it, single tasks reordered accounts that take nothing from
 // others, and less work was served in time. Since no step is lower, an account that gets nothing
-// reaches it (ReachesLowestWithin), and from then on its oldest unit is first.
+// reaches it (ReachesLowestWithin). Then only accounts below their fair parts can be before it, and
+// as parts add up to 1, they can't hold all capacity that is divided.
 const lowestStep = -1
 
 // Step returns the coarse step of a level, a factor of 2 each. Accounts in lower steps go first.
