--- a/workload/control/shares.go
+++ b/workload/control/shares.go
@@ -21,6 +21,8 @@
 	usage   *share.Usage
 	// recorded is the past use as it was last recorded for a successor.
 	recorded usageRecord
+	// comparedAt is when the past use was last compared with the record.
+	comparedAt time.Time
 	// levels are those of the last update, nil if capacity is not divided.
 	levels    *share.Levels
 	updatedAt time.Time
@@ -47,6 +49,10 @@
 // the waiting units must be complete.
 func (c *Core) updateShares(s *decide.Snapshot, now time.Time) {
 	if !c.dividesCapacity() {
+		if c.shares.levels != nil {
+			// What runs hold from now on does not count.
+			c.shares.usage.Hold(nil, now)
+		}
 		c.shares.levels = nil
 		return
 	}
@@ -119,11 +125,13 @@
 // as a share of the capacity.
 const minUsageChange = 5e-4
 
-// changedUsage returns the past use if any account's differs from the record.
+// changedUsage returns the past use if any account's differs from the record. It compares them once
+// per stateInterval at the most, since addStateRecords asks in each round while nothing differs.
 func (c *Core) changedUsage() []statePart {
-	if !c.dividesCapacity() {
+	if !c.dividesCapacity() || c.roundAt.Sub(c.shares.comparedAt) < stateInterval {
 		return nil
 	}
+	c.shares.comparedAt = c.roundAt
 	current := usageRecord{}
 	for id, mean := range c.shares.usage.Means() {
 		current[id] = int64(math.Round(mean / usageUnit))
--- a/workload/control/shares_test.go
+++ b/workload/control/shares_test.go
@@ -145,3 +145,46 @@
 		}
 	}
 }
+
+// Guards against time that counts as held although the mechanism was off by configuration.
+func TestTimeWithoutSharesDoesNotCountAsHeld(t *testing.T) {
+	c, now := newSharesCore(2, nil), time.Unix(1_000_000, 0)
+	unequal := c.config
+	c.Adopt("x", workload.Entry{Job: &workload.Job{ID: "x", Account: "a", Steps: []workload.Step{{Count: 1}}}, State: workload.Queued})
+	c.SetWorkers([]Listing{{ID: "w0", Address: "w0", Capacity: workload.Resources{Accelerators: 16}}}, now)
+	update := func(after time.Duration) {
+		now = now.Add(after)
+		s := &decide.Snapshot{Waiting: make([]decide.Unit, 1), Running: []decide.Group{{Key: decide.UnitKey{Job: "x"}}}}
+		s.Running[0].Add("w0", workload.Resources{Accelerators: 16})
+		c.updateShares(s, now)
+	}
+	update(0)
+	update(share.DefaultHalfLife)
+	c.Configure(Configuration{Version: unequal.Version + 1})
+	update(0)
+	update(share.DefaultHalfLife)
+	c.Configure(Configuration{Version: unequal.Version + 2, Guaranteed: unequal.Guaranteed})
+	update(share.DefaultHalfLife)
+	// Half of the pool after one half-life, and two half-lives without use.
+	if got := c.shares.usage.Means()["a"]; math.Abs(got-0.125) > 1e-9 {
+		t.Fatalf("past use %v, want 0.125", got)
+	}
+}
+
+// Guards against a record that is built in every round only to find that nothing differs.
+func TestUseIsComparedOncePerInterval(t *testing.T) {
+	c, now := newSharesCore(2, nil), time.Unix(1_000_000, 0)
+	held := map[domain.AccountID]float64{"a": 0.3, "b": 0.1}
+	for range 200 {
+		now = now.Add(10 * time.Second)
+		c.holdAndRecord(held, now)
+	}
+	c.roundAt = now.Add(stateInterval / 2)
+	if n := testing.AllocsPerRun(10, func() { c.changedUsage() }); n > 0 {
+		t.Errorf("%v allocations within an interval", n)
+	}
+	c.holdAndRecord(map[domain.AccountID]float64{"b": 1}, now.Add(stateInterval))
+	if got := c.holdAndRecord(nil, now.Add(2*stateInterval)); len(got) != 1 {
+		t.Errorf("%d records after an interval in which use changed, want 1", len(got))
+	}
+}
