Departures: capacity is reserved from the stop on, not before it

Cause: for one stop time before a save, the runs of a unit counted as being freed, so that no unit could preempt them. A first-priority gang that needed their capacity waited for the planned stop, and for nothing if the notice was withdrawn.

Change: a reservation begins with the stop. The mark on runs is gone, since a stopping run counts as being freed anyway.

Ruled out: an early reservation that leaves the runs preemptible.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -172,8 +172,6 @@
 	stopAccepted   bool
 	// settled is set once the outcome of its task is decided. The run still takes capacity.
 	settled bool
-	// departing is set if it is being stopped because of a departure, or is about to be.
-	departing bool
 	// runningSinceMS is when its worker first showed it running, by the worker's clock; 0 before.
 	runningSinceMS int64
 	// unstarted is set if its worker is known never to have started it, evicted if it was stopped
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -115,7 +115,7 @@
 			if !r.step.Checkpoint && c.queueSettings(r.job).Priority > 0 {
 				out.NonCheckpointed += need.Accelerators
 			}
-			if r.stopping || r.settled || r.departing {
+			if r.stopping || r.settled {
 				out.Freeing = out.Freeing.Add(need)
 			}
 		}
@@ -140,7 +140,7 @@
 		g.Add(r.worker.ID, r.step.CapacityNeed())
 		g.LostWork += c.lostWork(r, now)
 		g.RemainingTime = max(g.RemainingTime, r.remainingByProgress(now))
-		g.Stopping = g.Stopping || r.stopping || r.settled || r.departing
+		g.Stopping = g.Stopping || r.stopping || r.settled
 		g.NonPreemptible = g.NonPreemptible || !budget.take(r)
 	}
 }
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -35,17 +35,6 @@
 	run   int64
 }
 
-// reservation is a unit whose members are stopped because of a departure, or are about to be. The
-// capacity for its next run is kept free of other units.
-type reservation struct {
-	key  decide.UnitKey
-	job  *job
-	runs []*activeRun
-	// until is when the members' stops must have ended. If a worker falls silent, the next run has to
-	// wait for its lease, and capacity kept for so long would be idle.
-	until time.Time
-}
-
 // departures is the state of the departures that are planned.
 type departures struct {
 	// known are the units with a decision in the last round.
@@ -108,12 +97,8 @@
 	if first || decision.StopsNow() {
 		c.emitDeparture(members, leaving, described, decision)
 	}
-	switch {
-	case decision.StopsNow():
+	if decision.StopsNow() {
 		c.stopUnit(members, "worker-leaves", now)
-	case decision.Choice == decide.SaveMembers && decision.StopIn <= described.StopTime:
-		// For the duration of a stop before it, what becomes free is kept for the next run.
-		c.reserveNextRun(members, now)
 	}
 }
 
@@ -252,67 +237,6 @@
 	c.departures.overstay += time.Duration(overstayRate * float64(stayed-c.departures.overstay))
 }
 
-// keepReservations drops the reservations of members that have ended, and of those that were not
-// stopped: these are decided on again.
-func (c *Core) keepReservations(now time.Time) {
-	var kept []reservation
-	for _, res := range c.departures.reserved {
-		var runs []*activeRun
-		for _, r := range res.runs {
-			r.departing = r.stopping && c.runs[r.id] == r && now.Before(res.until)
-			if r.departing {
-				runs = append(runs, r)
-			}
-		}
-		if len(runs) > 0 {
-			kept = append(kept, reservation{res.key, res.job, runs, res.until})
-		}
-	}
-	c.departures.reserved = kept
-}
-
-// reserveNextRun reserves capacity for the next run of a unit.
-func (c *Core) reserveNextRun(members []*activeRun, now time.Time) {
-	if !c.departures.canReserve || members[0].step.Perpetual {
-		return
-	}
-	for _, r := range members {
-		r.departing = true
-	}
-	c.departures.reserved = append(c.departures.reserved, reservation{members[0].key, members[0].job, members, now.Add(2 * (c.bounds.StopTimeout + stopMargin))})
-}
-
-// addReservations adds the units for whose next runs capacity is reserved.
-func (c *Core) addReservations(s *decide.Snapshot, guaranteed map[workload.JobID]bool, now time.Time, wallMS int64) {
-	for _, res := range c.departures.reserved {
-		j := res.job
-		if j.cancelled || j.progress.State.IsFinal() {
-			continue
-		}
-		u := decide.Unit{Key: res.key, Step: &j.Steps[res.key.Step], Guaranteed: guaranteed[j.ID], Departing: true, ReadySince: now}
-		for _, r := range res.runs {
-			u.Indexes = append(u.Indexes, r.id.Index)
-		}
-		if u.Step.Gang {
-			u.Indexes = allIndexes(u.Step.Count)
-		}
-		for _, o := range j.progress.Open {
-			if o.Number == res.key.Occurrence {
-				c.describeTerms(&u, j, o, now, wallMS)
-				s.Waiting = append(s.Waiting, u)
-			}
-		}
-	}
-}
-
-func allIndexes(n int) []int {
-	out := make([]int, n)
-	for i := range out {
-		out[i] = i
-	}
-	return out
-}
-
 // stopIncompleteGangs stops the members of adopted gangs of which other members wait: the earlier
 // planner was lost between the stops of the members.
 func (c *Core) stopIncompleteGangs(j *job) {
