Departures: the run whose stop has saved is in the progress record

Cause: which gang's run had saved its progress by a stop was only in the planner's memory. After a change of planner the last checkpoint of a member that ended as broken replaced what the stop had saved. The map was also never pruned.

Change: the first task of a gang has an optional field SavedRun, as it has FailedRun. An instance of an older version ignores it. savedRuns is gone.

Ruled out: comparing the values, which are opaque to the planner.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -129,8 +129,6 @@
 	// completedTime is the run time of each completed step, failedTime the total run time of its
 	// failed runs.
 	completedTime, failedTime map[int]time.Duration
-	// savedRuns is the last run of each gang that has saved its progress by a stop.
-	savedRuns map[decide.UnitKey]int64
 	// crashedAt is when a worker last crashed while running one of its tasks.
 	crashedAt time.Time
 	// waitedUnsettledAt is when one of its tasks last waited because the pool was unstable.
--- /dev/null
+++ b/workload/control/departure_progress_test.go
@@ -0,0 +1,56 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+)
+
+// gangOfTwo returns a planner that has adopted a gang of two tasks on w0 and w1, which save.
+func gangOfTwo(record []byte, token int64, now time.Time) *control.Core {
+	bounds := simBounds
+	bounds.Notice = simNotice
+	c := control.New(bounds, token, now)
+	c.Configure(control.Configuration{Version: 1})
+	step := workload.Step{Count: 2, Gang: true, Checkpoint: true, EstimateMS: 9000, Need: need(1)}
+	c.Adopt(jobA, workload.Entry{Job: &workload.Job{ID: jobA, Steps: []workload.Step{step}}, Progress: record})
+	c.SetWorkers([]control.Listing{{ID: "w0", Address: "w0", Capacity: need(8)}, {ID: "w1", Address: "w1", Capacity: need(8)}}, now)
+	return c
+}
+
+const twoMembersRun = `{"state":"running","begun":true,"next":1,"open":[{"s":[[{"p":1,"r":1,"w":"w0"},{"p":1,"r":1,"w":"w1"}]]}]}`
+
+func reportEnds(c *control.Core, token int64, worker string, now time.Time, ended ...control.EndedRow) {
+	c.HandleRenewal(control.RenewalOrder{Worker: worker, Token: token}, control.RenewalAnswer{Result: control.Accepted, ClockMS: 1000, Ended: ended}, now, now)
+}
+
+// Guards against progress saved by a stop that is lost with the planner: its successor must not replace
+// it by the last checkpoint of a member that ended as broken.
+func TestSuccessorKeepsWhatAStopHasSaved(t *testing.T) {
+	now := time.Unix(5000, 0)
+	predecessor := gangOfTwo([]byte(twoMembersRun), 2, now)
+	reportEnds(predecessor, 2, "w0", now, control.EndedRow{Number: 1, Task: workload.TaskID{Job: jobA}, Run: 1, End: control.EndStopped, Checkpoint: "4600"})
+	predecessor.Round(now, now.UnixMilli())
+	var record []byte
+	for _, r := range predecessor.Changes() {
+		if !control.IsStateKey(r.Key) {
+			record = r.Value
+		}
+	}
+	c := gangOfTwo(record, 3, now)
+	reportEnds(c, 3, "w0", now)
+	reportEnds(c, 3, "w1", now, control.EndedRow{Number: 1, Task: workload.TaskID{Job: jobA, Index: 1}, Run: 1, End: control.EndBroken, Checkpoint: "4000"})
+	c.Round(now, now.UnixMilli())
+	c.Changes()
+	starts := c.Persisted(now)
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2; record %s", len(starts), record)
+	}
+	for _, o := range starts {
+		if o.Checkpoint != "4600" {
+			t.Errorf("task %d resumes from %q, want what the stop saved", o.Task.Index, o.Checkpoint)
+		}
+	}
+}
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -271,12 +271,14 @@
 	if !r.step.Gang || !c.plansUnitDepartures() {
 		return true
 	}
-	if !savedByStop {
-		return r.job.savedRuns[r.key] != r.run
+	first := r.id
+	first.Index = 0
+	t := r.job.progress.FindTask(first)
+	if t == nil {
+		return true
 	}
-	if r.job.savedRuns == nil {
-		r.job.savedRuns = map[decide.UnitKey]int64{}
+	if savedByStop {
+		t.SavedRun = r.run
 	}
-	r.job.savedRuns[r.key] = r.run
-	return true
+	return savedByStop || t.SavedRun != r.run
 }
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -46,6 +46,9 @@
 	// FailedRun is the latest run of a gang that was counted as a failure; it is stored in the
 	// gang's first task.
 	FailedRun int64 `json:"x,omitempty"`
+	// SavedRun is the latest run of a gang of which a stop has saved progress; it is stored in the
+	// gang's first task. Instances that don't know it drop it.
+	SavedRun int64 `json:"v,omitempty"`
 	// Crashes counts the workers that crashed under the task since it last ran for long; CrashMS
 	// is an upper bound on how long after its start the last of them crashed, in milliseconds, and
 	// CrashRun the latest run that ended so.
