Departures: a stalled member does not seem nearly done

Cause: all time since a run's last progress counted as progress, so a member that stood still at 40 percent was expected to end in 1.5 s, and its gang was let run until the worker of another member left.

Change: time without progress counts for one percent at most, beyond the time since the last report (up to a poll, since progress is not reported in between). The rest widens the error of the expected end. Other users of remainingByProgress are unchanged.

Ruled out: one percent since the last progress without the time since the report. Between two polls a run that progresses would seem to need up to a poll longer. This is by reasoning, not measured.

Tests: TestStalledMemberIsNotNearlyDone failed before (let-end, want save), passes after. go test ./workload/control -run 'Stalled|Gang|Departure|Progress|Maintenance|Notice|Finished' and TestEachMechanismImprovesItsPattern/unit-departures pass.

--- a/workload/control/departure_progress_test.go
+++ b/workload/control/departure_progress_test.go
@@ -1,6 +1,8 @@
 package control_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,3 +56,45 @@
 		}
 	}
 }
+
+// decisionsBesideStall runs a gang of two of which w0 stops to progress at 40 percent if it stalls, and
+// w1's worker announces after 7.5 s that it leaves in 2 s. It returns the decisions.
+func decisionsBesideStall(stalls bool) (choices []string) {
+	now := time.Unix(5000, 0)
+	began := now
+	c := gangOfTwo([]byte(twoMembersRun), 2, now)
+	for range 95 {
+		now = now.Add(100 * time.Millisecond)
+		ranMS := int(now.Sub(began).Milliseconds())
+		slow := min(100, ranMS/90)
+		if stalls {
+			slow = min(40, slow)
+		}
+		for w, percent := range []int{slow, min(100, ranMS/45)} {
+			row := control.RunningRow{Task: workload.TaskID{Job: jobA, Index: w}, Run: 1, Percent: percent, Checkpoint: fmt.Sprint(ranMS / 1000 * 1000)}
+			answer := control.RenewalAnswer{Result: control.Accepted, ClockMS: now.UnixMilli(), Running: []control.RunningRow{row}}
+			c.HandleRenewal(control.RenewalOrder{Worker: fmt.Sprintf("w%d", w), Token: 2}, answer, now, now)
+		}
+		if ranMS == 7500 {
+			c.UpdateWorker(control.Listing{ID: "w1", Address: "w1", Capacity: need(8), Draining: true, RemainingMS: 2000}, now)
+		}
+		c.Round(now, now.UnixMilli())
+		for _, e := range c.Events() {
+			if e.Name == control.EventUnitDeparts {
+				choices = append(choices, e.Reason)
+			}
+		}
+	}
+	return choices
+}
+
+// Guards against a member that stands still and seems nearly done because the time without progress is
+// taken as progress: its gang was let run until its worker left.
+func TestStalledMemberIsNotNearlyDone(t *testing.T) {
+	if got := decisionsBesideStall(false); !slices.Equal(got, []string{"let-end"}) {
+		t.Errorf("a gang that progresses: %v, want it to be let end", got)
+	}
+	if got := decisionsBesideStall(true); !slices.Equal(got, []string{"save", "save"}) {
+		t.Errorf("a gang that stalls at 40 percent: %v, want a save, and its stop", got)
+	}
+}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -165,13 +165,21 @@
 	}
 }
 
+// timePerPercent returns the time per percent of progress observed so far, or 0 if there is none.
+func (r *activeRun) timePerPercent() time.Duration {
+	if r.percent <= r.firstPercent || !r.progressedAt.After(r.firstAt) {
+		return 0
+	}
+	return r.progressedAt.Sub(r.firstAt) / time.Duration(r.percent-r.firstPercent)
+}
+
 // remainingByProgress returns the time until the run ends at the progress rate observed so far,
 // or 0 if there is none.
 func (r *activeRun) remainingByProgress(now time.Time) time.Duration {
-	if r.percent <= r.firstPercent || !r.progressedAt.After(r.firstAt) {
+	each := r.timePerPercent()
+	if each == 0 {
 		return 0
 	}
-	each := r.progressedAt.Sub(r.firstAt) / time.Duration(r.percent-r.firstPercent)
 	return max(time.Millisecond, each*time.Duration(100-r.percent)-now.Sub(r.progressedAt))
 }
 
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -148,14 +148,24 @@
 	if r.step.Perpetual {
 		return time.Hour, 0
 	}
-	if left := r.remainingByProgress(now); left > 0 {
-		return left, measuredSpread
+	if each := r.timePerPercent(); each > 0 {
+		return c.remainingWithStall(r, each, now)
 	}
 	ran := c.ranFor(r, now)
 	left := c.estimates.expected(r.job, r.id.Step) - ran
 	return max(left, time.Duration(overdueShare*float64(ran))), estimatedSpread
 }
 
+// remainingWithStall is remainingByProgress, except that time without progress counts as progress for
+// one percent at most, beyond the time since the last report. The rest is time for which the run has
+// stood still. It may go on to do so for as long again, which widens the error.
+func (c *Core) remainingWithStall(r *activeRun, each time.Duration, now time.Time) (remaining time.Duration, spread float64) {
+	since := now.Sub(r.progressedAt)
+	progressing := min(since, each+min(now.Sub(r.reportedAt), c.bounds.PollWait))
+	remaining = max(time.Millisecond, each*time.Duration(100-r.percent)-progressing)
+	return remaining, measuredSpread + (since-progressing).Seconds()/remaining.Seconds()
+}
+
 // ranFor returns for how long a run has been running. An adopted run's start is unknown; its
 // progress then gives a share of the expected run time.
 func (c *Core) ranFor(r *activeRun, now time.Time) time.Duration {
