Departures: a perpetual run stays for as long as its worker does

Cause: a perpetual run on a leaving worker was stopped at once, even if the worker stays for hours. Without the mechanism it is let run while more than an hour is left.

Change: the same hour decides. The rest by the estimate is computed in one place for both ways.

Tests: TestPerpetualRunStaysForAnHour failed before, passes after. go test ./workload/control -run 'Perpetual|Stalled|Gang|Departure|Progress|Maintenance|Notice|Finished' passes.

--- a/workload/control/departure_progress_test.go
+++ b/workload/control/departure_progress_test.go
@@ -98,3 +98,38 @@
 		t.Errorf("a gang that stalls at 40 percent: %v, want a save, and its stop", got)
 	}
 }
+
+// reasonsOfPerpetual adopts a perpetual task on a worker that leaves after a time, and returns why runs
+// were stopped.
+func reasonsOfPerpetual(left time.Duration) (reasons []string) {
+	now := time.Unix(5000, 0)
+	bounds := simBounds
+	bounds.Notice = simNotice
+	c := control.New(bounds, 2, now)
+	c.Configure(control.Configuration{Version: 1})
+	record := []byte(`{"state":"running","begun":true,"next":1,"open":[{"s":[[{"p":1,"r":1,"w":"w0"}]]}]}`)
+	c.Adopt(jobA, workload.Entry{Job: &workload.Job{ID: jobA, Steps: []workload.Step{{Count: 1, Perpetual: true, Need: need(1)}}}, Progress: record})
+	l := control.Listing{ID: "w0", Address: "w0", Capacity: need(8)}
+	c.SetWorkers([]control.Listing{l}, now)
+	row := control.RunningRow{Task: workload.TaskID{Job: jobA}, Run: 1, Percent: 1}
+	c.HandleRenewal(control.RenewalOrder{Worker: "w0", Token: 2}, control.RenewalAnswer{Result: control.Accepted, ClockMS: 1000, Running: []control.RunningRow{row}}, now, now)
+	l.Draining, l.RemainingMS = true, left.Milliseconds()
+	c.UpdateWorker(l, now)
+	c.Round(now, now.UnixMilli())
+	for _, e := range c.Events() {
+		if e.Name == control.EventRunStopping {
+			reasons = append(reasons, e.Reason)
+		}
+	}
+	return reasons
+}
+
+// Guards against a perpetual run that is stopped although its worker stays for more than an hour.
+func TestPerpetualRunStaysForAnHour(t *testing.T) {
+	if got := reasonsOfPerpetual(2 * time.Hour); len(got) != 0 {
+		t.Errorf("two hours left: stopped for %v", got)
+	}
+	if got := reasonsOfPerpetual(time.Minute); !slices.Equal(got, []string{"worker-leaves"}) {
+		t.Errorf("a minute left: stopped for %v", got)
+	}
+}
--- a/workload/control/departures.go
+++ b/workload/control/departures.go
@@ -9,6 +9,9 @@
 // stopMargin allows for the delivery of a stop order and of the resulting end.
 const stopMargin = 500 * time.Millisecond
 
+// perpetualTime is the remaining time that is assumed for perpetual runs.
+const perpetualTime = time.Hour
+
 // updateLeavesAt updates the earliest time at which a draining worker may leave.
 func (c *Core) updateLeavesAt(w *worker, l Listing, now time.Time) {
 	if !l.Draining {
@@ -59,10 +62,15 @@
 // remainingTime returns the time until the run is expected to end.
 func (c *Core) remainingTime(r *activeRun, now time.Time) time.Duration {
 	if r.step.Perpetual {
-		return time.Hour
+		return perpetualTime
 	}
 	if left := r.remainingByProgress(now); left > 0 {
 		return left
 	}
-	return c.estimates.expected(r.job, r.id.Step) - now.Sub(r.orderedAt)
+	return c.remainingByEstimate(r, now.Sub(r.orderedAt))
+}
+
+// remainingByEstimate returns the rest of a run's expected run time; it is negative past that.
+func (c *Core) remainingByEstimate(r *activeRun, ran time.Duration) time.Duration {
+	return c.estimates.expected(r.job, r.id.Step) - ran
 }
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -90,9 +90,9 @@
 func (c *Core) planDeparture(r *activeRun, first bool, now time.Time) {
 	members := r.unitMembers()
 	described, leaving := c.describeDeparture(members, now)
-	decision := decide.DepartureDecision{Choice: decide.StopMembers, LostWork: described.Ran.Seconds() * described.Cores}
-	if !r.step.Perpetual {
-		decision = decide.DecideDeparture(described)
+	decision := decide.DecideDeparture(described)
+	if r.step.Perpetual {
+		decision = decidePerpetual(described)
 	}
 	if first || decision.StopsNow() {
 		c.emitDeparture(members, leaving, described, decision)
@@ -102,6 +102,15 @@
 	}
 }
 
+// decidePerpetual stops a perpetual unit at once, unless its worker stays for longer than such a run
+// is expected to last.
+func decidePerpetual(d decide.Departure) decide.DepartureDecision {
+	if d.Remaining <= d.TimeLeft {
+		return decide.DepartureDecision{Choice: decide.LetEnd}
+	}
+	return decide.DepartureDecision{Choice: decide.StopMembers, LostWork: d.Ran.Seconds() * d.Cores}
+}
+
 // unitMembers returns the runs that start and end together with a run, including itself.
 func (r *activeRun) unitMembers() []*activeRun {
 	if !r.step.Gang {
@@ -146,14 +155,13 @@
 // relative error of that.
 func (c *Core) expectedRemaining(r *activeRun, now time.Time) (remaining time.Duration, spread float64) {
 	if r.step.Perpetual {
-		return time.Hour, 0
+		return perpetualTime, 0
 	}
 	if each := r.timePerPercent(); each > 0 {
 		return c.remainingWithStall(r, each, now)
 	}
 	ran := c.ranFor(r, now)
-	left := c.estimates.expected(r.job, r.id.Step) - ran
-	return max(left, time.Duration(overdueShare*float64(ran))), estimatedSpread
+	return max(c.remainingByEstimate(r, ran), time.Duration(overdueShare*float64(ran))), estimatedSpread
 }
 
 // remainingWithStall is remainingByProgress, except that time without progress counts as progress for
