--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -136,8 +136,6 @@
 	completedTime, failedTime map[int]time.Duration
 	// owed is what the same runs would have taken on average workers near their data.
 	owed owedTimes
-	// savedRuns is the last run of each gang that has saved its progress by a stop.
-	savedRuns map[decide.UnitKey]int64
 	// crashedAt is when a worker last crashed while running one of its tasks.
 	crashedAt time.Time
 	// waitedUnsettledAt is when one of its tasks last waited because the pool was unstable.
@@ -181,8 +179,6 @@
 	stopAccepted   bool
 	// settled is set once the outcome of its task is decided. The run still takes capacity.
 	settled bool
-	// departing is set if it is being stopped because of a departure, or is about to be.
-	departing bool
 	// runningSinceMS is when its worker first showed it running, by the worker's clock; 0 before.
 	runningSinceMS int64
 	// unstarted is set if its worker is known never to have started it, evicted if it was stopped
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -117,7 +117,7 @@
 			if !r.step.Checkpoint && c.queueSettings(r.job).Priority > 0 {
 				out.NonCheckpointed += need.Accelerators
 			}
-			if r.stopping || r.settled || r.departing {
+			if r.stopping || r.settled {
 				out.Freeing = out.Freeing.Add(need)
 			}
 		}
@@ -142,7 +142,7 @@
 		g.Add(r.worker.ID, r.step.CapacityNeed())
 		g.LostWork += c.lostWork(r, now)
 		g.RemainingTime = max(g.RemainingTime, r.remainingByProgress(now))
-		g.Stopping = g.Stopping || r.stopping || r.settled || r.departing
+		g.Stopping = g.Stopping || r.stopping || r.settled
 		g.NonPreemptible = g.NonPreemptible || !budget.take(r)
 	}
 }
@@ -167,13 +167,21 @@
 	}
 }
 
+// timePerPercent returns the time per percent of progress observed so far, or 0 if there is none.
+func (r *activeRun) timePerPercent() time.Duration {
+	if r.percent <= r.firstPercent || !r.progressedAt.After(r.firstAt) {
+		return 0
+	}
+	return r.progressedAt.Sub(r.firstAt) / time.Duration(r.percent-r.firstPercent)
+}
+
 // remainingByProgress returns the time until the run ends at the progress rate observed so far,
 // or 0 if there is none.
 func (r *activeRun) remainingByProgress(now time.Time) time.Duration {
-	if r.percent <= r.firstPercent || !r.progressedAt.After(r.firstAt) {
+	each := r.timePerPercent()
+	if each == 0 {
 		return 0
 	}
-	each := r.progressedAt.Sub(r.firstAt) / time.Duration(r.percent-r.firstPercent)
 	return max(time.Millisecond, each*time.Duration(100-r.percent)-now.Sub(r.progressedAt))
 }
 
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -35,17 +35,6 @@
 	run   int64
 }
 
-// reservation is a unit whose members are stopped because of a departure, or are about to be. The
-// capacity for its next run is kept free of other units.
-type reservation struct {
-	key  decide.UnitKey
-	job  *job
-	runs []*activeRun
-	// until is when the members' stops must have ended. If a worker falls silent, the next run has to
-	// wait for its lease, and capacity kept for so long would be idle.
-	until time.Time
-}
-
 // departures is the state of the departures that are planned.
 type departures struct {
 	// known are the units with a decision in the last round.
@@ -101,22 +90,27 @@
 func (c *Core) planDeparture(r *activeRun, first bool, now time.Time) {
 	members := r.unitMembers()
 	described, leaving := c.describeDeparture(members, now)
-	decision := decide.DepartureDecision{Choice: decide.StopMembers, LostWork: described.Ran.Seconds() * described.Cores}
-	if !r.step.Perpetual {
-		decision = decide.DecideDeparture(described)
+	decision := decide.DecideDeparture(described)
+	if r.step.Perpetual {
+		decision = decidePerpetual(described)
 	}
 	if first || decision.StopsNow() {
 		c.emitDeparture(members, leaving, described, decision)
 	}
-	switch {
-	case decision.StopsNow():
+	if decision.StopsNow() {
 		c.stopUnit(members, "worker-leaves", now)
-	case decision.Choice == decide.SaveMembers && decision.StopIn <= described.StopTime:
-		// For the duration of a stop before it, what becomes free is kept for the next run.
-		c.reserveNextRun(members, now)
 	}
 }
 
+// decidePerpetual stops a perpetual unit at once, unless its worker stays for longer than such a run
+// is expected to last.
+func decidePerpetual(d decide.Departure) decide.DepartureDecision {
+	if d.Remaining <= d.TimeLeft {
+		return decide.DepartureDecision{Choice: decide.LetEnd}
+	}
+	return decide.DepartureDecision{Choice: decide.StopMembers, LostWork: d.Ran.Seconds() * d.Cores}
+}
+
 // unitMembers returns the runs that start and end together with a run, including itself.
 func (r *activeRun) unitMembers() []*activeRun {
 	if !r.step.Gang {
@@ -161,14 +155,23 @@
 // relative error of that.
 func (c *Core) expectedRemaining(r *activeRun, now time.Time) (remaining time.Duration, spread float64) {
 	if r.step.Perpetual {
-		return time.Hour, 0
+		return perpetualTime, 0
 	}
-	if left := r.remainingByProgress(now); left > 0 {
-		return left, measuredSpread
+	if each := r.timePerPercent(); each > 0 {
+		return c.remainingWithStall(r, each, now)
 	}
 	ran := c.ranFor(r, now)
-	left := c.estimates.expected(r.job, r.id.Step) - ran
-	return max(left, time.Duration(overdueShare*float64(ran))), estimatedSpread
+	return max(c.remainingByEstimate(r, ran), time.Duration(overdueShare*float64(ran))), estimatedSpread
+}
+
+// remainingWithStall is remainingByProgress, except that time without progress counts as progress for
+// one percent at most, beyond the time since the last report. The rest is time for which the run has
+// stood still. It may go on to do so for as long again, which widens the error.
+func (c *Core) remainingWithStall(r *activeRun, each time.Duration, now time.Time) (remaining time.Duration, spread float64) {
+	since := now.Sub(r.progressedAt)
+	progressing := min(since, each+min(now.Sub(r.reportedAt), c.bounds.PollWait))
+	remaining = max(time.Millisecond, each*time.Duration(100-r.percent)-progressing)
+	return remaining, measuredSpread + (since-progressing).Seconds()/remaining.Seconds()
 }
 
 // ranFor returns for how long a run has been running. An adopted run's start is unknown; its
@@ -252,67 +255,6 @@
 	c.departures.overstay += time.Duration(overstayRate * float64(stayed-c.departures.overstay))
 }
 
-// keepReservations drops the reservations of members that have ended, and of those that were not
-// stopped: these are decided on again.
-func (c *Core) keepReservations(now time.Time) {
-	var kept []reservation
-	for _, res := range c.departures.reserved {
-		var runs []*activeRun
-		for _, r := range res.runs {
-			r.departing = r.stopping && c.runs[r.id] == r && now.Before(res.until)
-			if r.departing {
-				runs = append(runs, r)
-			}
-		}
-		if len(runs) > 0 {
-			kept = append(kept, reservation{res.key, res.job, runs, res.until})
-		}
-	}
-	c.departures.reserved = kept
-}
-
-// reserveNextRun reserves capacity for the next run of a unit.
-func (c *Core) reserveNextRun(members []*activeRun, now time.Time) {
-	if !c.departures.canReserve || members[0].step.Perpetual {
-		return
-	}
-	for _, r := range members {
-		r.departing = true
-	}
-	c.departures.reserved = append(c.departures.reserved, reservation{members[0].key, members[0].job, members, now.Add(2 * (c.bounds.StopTimeout + stopMargin))})
-}
-
-// addReservations adds the units for whose next runs capacity is reserved.
-func (c *Core) addReservations(s *decide.Snapshot, guaranteed map[workload.JobID]bool, now time.Time, wallMS int64) {
-	for _, res := range c.departures.reserved {
-		j := res.job
-		if j.cancelled || j.progress.State.IsFinal() {
-			continue
-		}
-		u := decide.Unit{Key: res.key, Account: j.Account, Step: &j.Steps[res.key.Step], Guaranteed: guaranteed[j.ID], Departing: true, ReadySince: now}
-		for _, r := range res.runs {
-			u.Indexes = append(u.Indexes, r.id.Index)
-		}
-		if u.Step.Gang {
-			u.Indexes = allIndexes(u.Step.Count)
-		}
-		for _, o := range j.progress.Open {
-			if o.Number == res.key.Occurrence {
-				c.describeTerms(&u, j, o, now, wallMS)
-				s.Waiting = append(s.Waiting, u)
-			}
-		}
-	}
-}
-
-func allIndexes(n int) []int {
-	out := make([]int, n)
-	for i := range out {
-		out[i] = i
-	}
-	return out
-}
-
 // stopIncompleteGangs stops the members of adopted gangs of which other members wait: the earlier
 // planner was lost between the stops of the members.
 func (c *Core) stopIncompleteGangs(j *job) {
@@ -347,12 +289,14 @@
 	if !r.step.Gang || !c.plansUnitDepartures() {
 		return true
 	}
-	if !savedByStop {
-		return r.job.savedRuns[r.key] != r.run
+	first := r.id
+	first.Index = 0
+	t := r.job.progress.FindTask(first)
+	if t == nil {
+		return true
 	}
-	if r.job.savedRuns == nil {
-		r.job.savedRuns = map[decide.UnitKey]int64{}
+	if savedByStop {
+		t.SavedRun = r.run
 	}
-	r.job.savedRuns[r.key] = r.run
-	return true
+	return savedByStop || t.SavedRun != r.run
 }
