Departures: members are settled once, a unit's run is reserved for once

Cause: maintenance that stops a gang whose start is not in the log yet withdrew the second member twice, since the end of the first one settles all. Capacity was also reserved for such a gang, which waits for a start at once, and a second stop of a unit would have reserved twice.

Change: settled members are skipped, only runs that are stopping are reserved for, and reservations are keyed by unit and run.

Tests: TestMaintenanceWithdrawsEachMemberOnce failed before (withdrawn 2 times), passes after, and so does go test ./workload/control -run 'MaintenanceWith|Gang|Departure|Maintenance|Reserved|Notice'.

--- a/workload/control/departure_progress_test.go
+++ b/workload/control/departure_progress_test.go
@@ -133,3 +133,36 @@
 		t.Errorf("a minute left: stopped for %v", got)
 	}
 }
+
+// Guards against a gang withdrawn before its start is persisted whose members are settled twice.
+func TestMaintenanceWithdrawsEachMemberOnce(t *testing.T) {
+	now := time.Unix(5000, 0)
+	c := gangOfTwo([]byte(`{"state":"running","begun":true,"next":1,"open":[{"s":[[{"p":0,"r":0},{"p":0,"r":0}]]}]}`), 2, now)
+	reportEnds(c, 2, "w0", now)
+	reportEnds(c, 2, "w1", now)
+	c.Round(now, now.UnixMilli())
+	var hosts []control.HostListing
+	var names []string
+	for _, id := range []string{"w0", "w1"} {
+		hosts = append(hosts, control.HostListing{Host: "h" + id, Worker: id, Up: true})
+		names = append(names, "h"+id)
+	}
+	c.AdoptWave(control.Wave{ID: 1, Hosts: names, Within: 2 * time.Second, MaxDown: 2}, nil, now.UnixMilli())
+	c.SetHosts(hosts, now)
+	c.Events()
+	c.Round(now, now.UnixMilli())
+	withdrawn := map[string]int{}
+	for _, e := range c.Events() {
+		if e.Name == control.EventRunWithdrawn {
+			withdrawn[e.Task]++
+		}
+	}
+	if len(withdrawn) != 2 {
+		t.Fatalf("withdrawn: %v, want both members", withdrawn)
+	}
+	for task, n := range withdrawn {
+		if n != 1 {
+			t.Errorf("%s was withdrawn %d times", task, n)
+		}
+	}
+}
--- a/workload/control/departure_reservations.go
+++ b/workload/control/departure_reservations.go
@@ -11,7 +11,7 @@
 // next run is kept free of units behind it in the order. It begins with the stop: runs that count as
 // being freed can't be preempted, so before the stop a unit of a higher rank would wait for it.
 type reservation struct {
-	key  decide.UnitKey
+	key  departureKey
 	job  *job
 	runs []*activeRun
 	// until is when the members' stops must have ended. If a worker falls silent, the next run has to
@@ -30,7 +30,8 @@
 			}
 		}
 		if len(runs) > 0 {
-			kept = append(kept, reservation{res.key, res.job, runs, res.until})
+			res.runs = runs
+			kept = append(kept, res)
 		}
 	}
 	c.departures.reserved = kept
@@ -41,7 +42,14 @@
 	if !c.departures.canReserve || members[0].step.Perpetual {
 		return
 	}
-	c.departures.reserved = append(c.departures.reserved, reservation{members[0].key, members[0].job, members, now.Add(2 * (c.bounds.StopTimeout + stopMargin))})
+	key := members[0].departureKey()
+	for _, res := range c.departures.reserved {
+		if res.key == key {
+			return
+		}
+	}
+	until := now.Add(2 * (c.bounds.StopTimeout + stopMargin))
+	c.departures.reserved = append(c.departures.reserved, reservation{key, members[0].job, members, until})
 }
 
 // addReservations adds the units for whose next runs capacity is reserved.
@@ -51,7 +59,7 @@
 		if j.cancelled || j.progress.State.IsFinal() {
 			continue
 		}
-		u := decide.Unit{Key: res.key, Step: &j.Steps[res.key.Step], Guaranteed: guaranteed[j.ID], Departing: true, ReadySince: now}
+		u := decide.Unit{Key: res.key.unit, Step: &j.Steps[res.key.unit.Step], Guaranteed: guaranteed[j.ID], Departing: true, ReadySince: now}
 		for _, r := range res.runs {
 			u.Indexes = append(u.Indexes, r.id.Index)
 		}
@@ -59,7 +67,7 @@
 			u.Indexes = allIndexes(u.Step.Count)
 		}
 		for _, o := range j.progress.Open {
-			if o.Number == res.key.Occurrence {
+			if o.Number == res.key.unit.Occurrence {
 				c.describeTerms(&u, j, o, now, wallMS)
 				s.Waiting = append(s.Waiting, u)
 			}
--- a/workload/control/unit_departures.go
+++ b/workload/control/unit_departures.go
@@ -207,11 +207,20 @@
 	c.emit(Event{Name: EventUnitDeparts, Job: leaving.id.Job, Task: id, Worker: leaving.worker.ID, Run: leaving.run, Reason: string(decision.Choice), Detail: detail})
 }
 
-// stopUnit stops all members of a unit.
+// stopUnit stops all members of a unit. If their start is not in the log yet, the end of the first one
+// settles them all.
 func (c *Core) stopUnit(members []*activeRun, reason string, now time.Time) {
-	c.reserveNextRun(members, now)
+	var stopping []*activeRun
 	for _, r := range members {
-		c.stop(r, reason)
+		if !r.settled {
+			c.stop(r, reason)
+		}
+		if r.stopping {
+			stopping = append(stopping, r)
+		}
+	}
+	if len(stopping) > 0 {
+		c.reserveNextRun(stopping, now)
 	}
 }
 
