Departures: reservations obey the constraints of the next run

Cause: a reservation ignored the workers on which the job has failed and the isolation of suspects, and the limit per worker counted the runs that are being stopped. So it could hold capacity that the next run does not use.

Change: reservations go through avoidFailedWorkers, splitSuspects and avoidUnstableWorkers as waiting units do, and Placed leaves out runs that are being stopped.

Tests: none of its own. go test ./workload/control -run 'Gang|Departure|Suspect|Reserved|Notice|Simulat' passes.

--- a/workload/control/departure_reservations.go
+++ b/workload/control/departure_reservations.go
@@ -69,12 +69,32 @@
 		for _, o := range j.progress.Open {
 			if o.Number == res.key.unit.Occurrence {
 				c.describeTerms(&u, j, o, now, wallMS)
-				s.Waiting = append(s.Waiting, u)
+				u.Placed = placedBesideStopping(&u, j)
+				c.avoidFailedWorkers(&u, j)
+				for _, part := range c.splitSuspects(u, j, o.Steps[u.Key.Step], now) {
+					c.avoidUnstableWorkers(&part, now)
+					s.Waiting = append(s.Waiting, part)
+				}
 			}
 		}
 	}
 }
 
+// placedBesideStopping returns the number of the step's runs on each worker, without those that are
+// being stopped; nil if the step doesn't limit them.
+func placedBesideStopping(u *decide.Unit, j *job) map[string]int {
+	if u.Step.PerWorker == 0 {
+		return nil
+	}
+	placed := map[string]int{}
+	for _, r := range j.runsOf(u.Key) {
+		if !r.stopping {
+			placed[r.worker.ID]++
+		}
+	}
+	return placed
+}
+
 func allIndexes(n int) []int {
 	out := make([]int, n)
 	for i := range out {
