Benchmark: rounds while workers leave measure reservations

Cause: with a minute left nothing was stopped, so no reservation was ever measured.

Change: the workers have 0.8 s left, single tasks run there before the pool is full, and the clock stands still, so that every round has the reservations. The benchmark fails if no run was stopped for a departure: with the fill of before, the pool of 350 had no such run.

--- a/workload/control/round_bench_test.go
+++ b/workload/control/round_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -247,11 +248,19 @@
 }
 
 // BenchmarkRoundWhileWorkersLeave measures rounds of a full pool of which a tenth of the workers
-// drains, with a minute left so that nothing is stopped.
+// drains, with 0.8 s left, so that their units are stopped and capacity is reserved for the next
+// runs. The clock stands still, so that each round has these reservations.
 func BenchmarkRoundWhileWorkersLeave(b *testing.B) {
 	for _, workers := range []int{350, 1100} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			p := newLoadedPool(workers)
+			// Single tasks that are running before the pool is full are not preempted at once.
+			for range workers / 5 {
+				p.submit(2)
+			}
+			for range 6 {
+				p.round()
+			}
 			p.fill(workers, 500)
 			for range 3 {
 				p.round()
@@ -260,11 +269,17 @@
 			for i := 0; i < workers; i += 10 {
 				p.core.UpdateWorker(control.Listing{
 					ID: fmt.Sprintf("%016x", i*7919), Address: fmt.Sprint(i), Service: "pool", DataCentre: fmt.Sprint(i / 20 % 5), Rack: fmt.Sprint(i / 20),
-					Capacity: workload.Resources{MilliCPU: 32000, MemoryMiB: 65536, Accelerators: 8}, ClockMS: 1, Draining: true, RemainingMS: 60_000,
+					Capacity: workload.Resources{MilliCPU: 32000, MemoryMiB: 65536, Accelerators: 8}, ClockMS: 1, Draining: true, RemainingMS: 800,
 				}, p.now)
 			}
+			p.core.Round(p.now, p.now.UnixMilli())
+			stopsForDeparture := func(e control.Event) bool { return e.Name == control.EventRunStopping && e.Reason == "worker-leaves" }
+			if !slices.ContainsFunc(p.core.Events(), stopsForDeparture) {
+				b.Fatal("nothing was stopped, so nothing is reserved")
+			}
 			for b.Loop() {
-				p.round()
+				p.core.Round(p.now, p.now.UnixMilli())
+				p.core.Events()
 			}
 		})
 	}
