Succession: a resignation names the claim that it ends

Cause: a resignation was attributed to the claim that was read last of the same incarnation. It then used the record of silent workers of the first claim, left out the inherited leases of the second, and took all orders for ended at once.

Change: the resignation carries the token of its claim ("ends"). Unless that is the claim that was read last, the claim counts as not read, in the bound on leases and in the end of orders alike.

Price: after the resignation of an older version the longer bound holds.

The resignations of existing cases name their claim, as those of planners do now; their expected values are the same.

--- a/workload/service/claim_leases.go
+++ b/workload/service/claim_leases.go
@@ -117,7 +117,7 @@
 		s.leases.end = s.predecessorLeasesEnd(s.attempt.reached)
 		s.leases.predecessor = s.predecessor(s.attempt.reached)
 	}
-	if next.Resigned && s.hasClaim && !s.current.Resigned && s.current.Incarnation == next.Incarnation {
+	if s.endsCurrent(next) {
 		return
 	}
 	s.leases.unreadable, s.leases.token = false, offset+1
--- a/workload/service/claim_versions_test.go
+++ b/workload/service/claim_versions_test.go
@@ -20,7 +20,9 @@
 	holder := func(incarnation, horizonMS, inheritedMS int64) string {
 		return string(claim{Holder: "a", Incarnation: incarnation, claimLeases: claimLeases{HorizonMS: horizonMS, InheritedMS: inheritedMS}}.record().Value)
 	}
-	resigned := claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: claimLeases{HorizonMS: horizonMS, InheritedMS: 20_000}}
+	resigned := claim{Holder: "a", Incarnation: 1, Resigned: true, Ends: 1, claimLeases: claimLeases{HorizonMS: horizonMS, InheritedMS: 20_000}}
+	unnamed, later := resigned, resigned
+	unnamed.Ends, later.Ends = 0, 2
 	for name, c := range map[string]struct {
 		seen []string
 		// at is when each claim was read, reached when the topic had reached its end.
@@ -42,6 +44,8 @@
 		"a claim after an unreadable one":           {[]string{"{", holder(2, horizonMS, 20_000)}, []time.Duration{0, time.Second}, 3 * time.Second, 21 * time.Second},
 		"a resignation":                             {[]string{holder(1, horizonMS, 20_000), string(resigned.record().Value)}, []time.Duration{0, 30 * time.Second}, 30 * time.Second, 30*time.Second + horizon},
 		"a resignation whose claim was not read":    {[]string{string(resigned.record().Value)}, []time.Duration{30 * time.Second}, 30 * time.Second, 50 * time.Second},
+		"a resignation that names no claim":         {[]string{holder(1, horizonMS, 0), string(unnamed.record().Value)}, []time.Duration{0, 30 * time.Second}, 30 * time.Second, 50 * time.Second},
+		"a resignation of a later claim":            {[]string{holder(1, horizonMS, 0), string(later.record().Value)}, []time.Duration{0, 30 * time.Second}, 30 * time.Second, 50 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSuccession("me", 9, testPlannerTimeout, nil)
@@ -137,15 +141,16 @@
 		reached time.Time
 		want    control.Predecessor
 	}{
-		"its heartbeats":           {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), heartbeat(1, 250), heartbeat(1, 500)}, began, control.Predecessor{Token: 1, Reached: began, ClockMS: 500}},
-		"heartbeats of another":    {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), heartbeat(1, 250), held(claim{Holder: "b", Incarnation: 2, claimLeases: rules})}, began, control.Predecessor{Token: 3, Reached: began}},
-		"an older version":         {[]Entry{held(claim{Holder: "a", Incarnation: 1}), {Key: planHeartbeatKey, Value: []byte("{}")}}, began, control.Predecessor{}},
-		"the first rule only":      {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: claimLeases{HorizonMS: 13_000}})}, began, control.Predecessor{}},
-		"an unreadable claim":      {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), {Key: claimKey, Value: []byte("{")}}, began, control.Predecessor{}},
-		"resigned":                 {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), held(claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: rules})}, began, control.Predecessor{Token: 1, Reached: began}},
-		"resigned, claim not read": {[]Entry{held(claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: rules})}, began, control.Predecessor{Reached: began}},
-		"no planner":               {nil, began, control.Predecessor{}},
-		"an unknown end":           {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules})}, time.Time{}, control.Predecessor{}},
+		"its heartbeats":               {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), heartbeat(1, 250), heartbeat(1, 500)}, began, control.Predecessor{Token: 1, Reached: began, ClockMS: 500}},
+		"heartbeats of another":        {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), heartbeat(1, 250), held(claim{Holder: "b", Incarnation: 2, claimLeases: rules})}, began, control.Predecessor{Token: 3, Reached: began}},
+		"an older version":             {[]Entry{held(claim{Holder: "a", Incarnation: 1}), {Key: planHeartbeatKey, Value: []byte("{}")}}, began, control.Predecessor{}},
+		"the first rule only":          {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: claimLeases{HorizonMS: 13_000}})}, began, control.Predecessor{}},
+		"an unreadable claim":          {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), {Key: claimKey, Value: []byte("{")}}, began, control.Predecessor{}},
+		"resigned":                     {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), held(claim{Holder: "a", Incarnation: 1, Resigned: true, Ends: 1, claimLeases: rules})}, began, control.Predecessor{Token: 1, Reached: began}},
+		"resigned after a later claim": {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules}), held(claim{Holder: "a", Incarnation: 1, Resigned: true, Ends: 4, claimLeases: rules})}, began, control.Predecessor{Reached: began}},
+		"resigned, claim not read":     {[]Entry{held(claim{Holder: "a", Incarnation: 1, Resigned: true, claimLeases: rules})}, began, control.Predecessor{Reached: began}},
+		"no planner":                   {nil, began, control.Predecessor{}},
+		"an unknown end":               {[]Entry{held(claim{Holder: "a", Incarnation: 1, claimLeases: rules})}, time.Time{}, control.Predecessor{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSuccession("me", 9, testPlannerTimeout, nil)
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -221,7 +221,7 @@
 	p.resigned = true
 	p.mu.Unlock()
 	c := p.s.succession.self
-	c.Resigned = true
+	c.Resigned, c.Ends = true, p.token
 	if _, err := p.append(ctx, []control.Record{c.record()}); err != nil {
 		p.s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
 	}
--- a/workload/service/resignation_test.go
+++ b/workload/service/resignation_test.go
@@ -101,8 +101,9 @@
 	const authority = 6 * time.Second
 	began := time.Unix(1000, 0)
 	holder, other := claim{Holder: "a", Incarnation: 1}, claim{Holder: "b", Incarnation: 2}
-	resigned := holder
-	resigned.Resigned = true
+	resigned, unnamed, laterClaim := holder, holder, holder
+	resigned.Resigned, unnamed.Resigned, laterClaim.Resigned = true, true, true
+	resigned.Ends, laterClaim.Ends = 1, 3
 	for name, c := range map[string]struct {
 		seen []claim
 		at   []time.Duration
@@ -114,7 +115,9 @@
 		"another's claim was read":    {[]claim{other, resigned}, []time.Duration{0, 20 * time.Second}, -1},
 		"no resignation":              {[]claim{holder}, []time.Duration{0}, -1},
 		"another claimed after it":    {[]claim{holder, resigned, other}, []time.Duration{0, 20 * time.Second, 21 * time.Second}, -1},
-		"another resigned after that": {[]claim{holder, resigned, other, {Holder: "b", Incarnation: 2, Resigned: true}}, []time.Duration{0, 20 * time.Second, 21 * time.Second, 40 * time.Second}, 40 * time.Second},
+		"it ends a claim not read":    {[]claim{holder, laterClaim}, []time.Duration{0, 20 * time.Second}, -1},
+		"it names no claim":           {[]claim{holder, unnamed}, []time.Duration{0, 20 * time.Second}, -1},
+		"another resigned after that": {[]claim{holder, resigned, other, {Holder: "b", Incarnation: 2, Resigned: true, Ends: 3}}, []time.Duration{0, 20 * time.Second, 21 * time.Second, 40 * time.Second}, 40 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSuccession("me", 9, testPlannerTimeout, nil)
@@ -143,7 +146,7 @@
 // follow other claims that were not read when it was sent.
 func TestLateClaimDoesNotKnowWhenOrdersEnded(t *testing.T) {
 	s := newSuccession("me", 9, testPlannerTimeout, nil)
-	for i, observed := range []claim{{Holder: "a", Incarnation: 1}, {Holder: "a", Incarnation: 1, Resigned: true}, s.self} {
+	for i, observed := range []claim{{Holder: "a", Incarnation: 1}, {Holder: "a", Incarnation: 1, Resigned: true, Ends: 1}, s.self} {
 		s.observe(Entry{Offset: int64(i), Key: claimKey, Value: observed.record().Value}, time.Unix(1000+int64(i), 0))
 	}
 	if got := s.ordersEnded(); !got.IsZero() {
--- a/workload/service/succession.go
+++ b/workload/service/succession.go
@@ -29,6 +29,9 @@
 	Incarnation int64  `json:"life"`
 	// Resigned is set when the holder has given up the role.
 	Resigned bool `json:"left,omitempty"`
+	// Ends is the token of the claim that a resignation ends; 0 is unknown. An incarnation may
+	// claim several times, with other planners in between.
+	Ends int64 `json:"ends,omitempty"`
 	claimLeases
 }
 
@@ -126,11 +129,17 @@
 		return
 	}
 	s.ordersEndedAt = time.Time{}
-	if s.hasClaim && !s.current.Resigned && s.current.Incarnation == next.Incarnation {
+	if s.endsCurrent(next) {
 		s.ordersEndedAt = later(now, s.claimReadAt.Add(s.authority))
 	}
 }
 
+// endsCurrent reports whether a record is the resignation that ends the current claim. Older versions
+// do not name the claim; it counts as not read then. s.mu must be held.
+func (s *succession) endsCurrent(next claim) bool {
+	return next.Resigned && s.hasClaim && !s.current.Resigned && s.current.Incarnation == next.Incarnation && next.Ends == s.offset+1
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
