Incarnations: each replacement raises the worker's token

Cause: a lease renewal to a worker that does not answer carries the last deadline, by the clock of that incarnation. Delayed, it can reach the next one while work runs there, which takes the deadline for a whole lease: the runs then outlast the horizon that a successor waits for. The token was raised at the replacement only if starts had been sent under it.

Change: it is always raised. Starts on the next incarnation carry a higher token than the renewal, which is then refused. The worker takes the raised token with the first order, so that no start is refused for it.

No event and no call is added, except that the next poll of a worker that is polled anyway is sent at once.

--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -160,12 +160,10 @@
 	w.incarnation = newIncarnation(w.number+1, answer.StartMS)
 	w.previousDrained = false
 	c.forgetIncarnation(w.ID)
-	if order.Token <= w.lastOrderToken {
-		// Orders for the previous incarnation carry the token of this answer, and may still
-		// arrive.
-		c.raiseToken(w)
-		w.nextRenewalAt = now
-	}
+	// Orders for the previous incarnation carry the token of this answer, and may still arrive: a
+	// lease renewal would set a deadline by the previous incarnation's clock.
+	c.raiseToken(w)
+	w.nextRenewalAt = now
 	for _, r := range givenUp {
 		c.failForCrashes(r)
 	}
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -24,7 +24,6 @@
 	r.attempts++
 	r.sentAt = now
 	r.incarnation, r.token = r.worker.number, r.worker.token
-	r.worker.lastOrderToken = r.token
 	return StartOrder{
 		Worker: r.worker.ID, Address: r.worker.Address, Incarnation: r.worker.number, Task: r.id, Run: r.run, Spec: r.job.Spec,
 		Checkpoint: r.saved, Ticket: c.ticketFor(r), DeadlineMS: c.nextDeadline(r.worker, now), Token: r.worker.token, Try: r.attempts,
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -39,8 +39,8 @@
 	// restartSuspected is set if the list shows another incarnation than the one that has
 	// answered, previousDrained if the incarnation before that was draining.
 	restartSuspected, previousDrained bool
-	// token fences the worker's orders. lastOrderToken is the token of the last start order.
-	token, lastOrderToken int64
+	// token fences the worker's orders.
+	token int64
 	// strayOrdersUntil is until when an unanswered order may still be carried out.
 	strayOrdersUntil time.Time
 	// unansweredSince is when the first of the lease renewals was sent that were not answered since
