Silent workers: the delay counts from when an answer was due

Cause: a worker counted as silent since its first unanswered poll was sent. A long poll waits a second before it is given up, so that a single lost answer was older than silentRecordDelay at once: a record, and a hold on the worker, for each, which the delay is there to prevent.

Change: it counts from the end of the poll's wait, or from the failure of the call if that was earlier. Ruled out: from the failure alone, which adds the time until a call is given up.

--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -38,7 +38,8 @@
 		c.recordProblem(w, answer.Problem)
 		c.recordStrayOrder(w, sent)
 		if w.unansweredSince.IsZero() {
-			w.unansweredSince = sent
+			// A long poll is answered after its wait. A call may also fail before.
+			w.unansweredSince = earlier(sent.Add(order.Wait), now)
 		}
 		c.recordNoAnswer(w, sent.Add(order.Wait), now)
 		c.markSilent(w, now)
@@ -390,3 +391,10 @@
 	}
 	c.finalize(j)
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -43,8 +43,8 @@
 	token int64
 	// strayOrdersUntil is until when an unanswered order may still be carried out.
 	strayOrdersUntil time.Time
-	// unansweredSince is when the first of the lease renewals was sent that were not answered since
-	// the last answer.
+	// unansweredSince is when the first of the lease renewals should have been answered that were
+	// not answered since the last answer.
 	unansweredSince time.Time
 }
 
