Silent workers: a held worker is polled every 0.4 s

Cause: a worker that answers again while a record names it was polled every 50 ms, for as long as the log was out of reach: 60 polls in 3 s in the test below, for each of up to 2,000 workers.

Change: the pause is that of ends that wait for the log. The record without the worker ends it at once, as before, so that its lease waits no longer.

Tests: TestHeldWorkerIsPolledSeldomAndAtOnceWhenFree failed before (60 polls in 3 s, limit 8) and passes.

--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -11,7 +11,8 @@
 	// RenewalRetryPause is the pause after an unanswered lease renewal.
 	RenewalRetryPause = 200 * time.Millisecond
 	// ackPause is how long the next lease renewal waits for ends to reach the log, so that it can
-	// acknowledge them.
+	// acknowledge them, or for the record without a held worker. Either may take as long as the log
+	// is out of reach.
 	ackPause = 400 * time.Millisecond
 	// pollPause is the pause after a lease renewal that returned at once.
 	pollPause = 50 * time.Millisecond
@@ -98,7 +99,7 @@
 	}
 	c.adjustThrottling(w, now)
 	switch {
-	case w.receivedEnd > w.persistedEnd:
+	case w.receivedEnd > w.persistedEnd || c.isHeld(w):
 		w.nextRenewalAt = now.Add(ackPause)
 	case order.Wait == 0:
 		w.nextRenewalAt = now.Add(pollPause)
--- a/workload/control/silent_poll_test.go
+++ b/workload/control/silent_poll_test.go
@@ -25,3 +25,36 @@
 		t.Error("a worker that stays silent is not recorded")
 	}
 }
+
+// Guards against 20 polls a second of each held worker while the log is out of reach, and against a
+// lease that is extended only at the next poll once the record without the worker is in the log.
+func TestHeldWorkerIsPolledSeldomAndAtOnceWhenFree(t *testing.T) {
+	s, _ := newSilentScenario(t)
+	polls := 0
+	poll := func(now time.Time) {
+		for _, id := range s.c.WorkersToRenew(now) {
+			order, ok := s.c.NextRenewal(id, now)
+			if !ok {
+				continue
+			}
+			polls++
+			answer := RenewalAnswer{Result: Accepted, ClockMS: s.clockMS(now.Sub(s.began))}
+			for i := range 2 {
+				answer.Running = append(answer.Running, RunningRow{Task: s.task(i), Run: 1})
+			}
+			s.c.HandleRenewal(order, answer, now, now)
+		}
+	}
+	for at := 3 * time.Second; at < 6*time.Second; at += 50 * time.Millisecond {
+		poll(s.began.Add(at))
+	}
+	if limit := int(3*time.Second/ackPause) + 1; polls == 0 || polls > limit {
+		t.Errorf("%d polls in 3 s, want at most %d", polls, limit)
+	}
+	polls = 0
+	s.recordSilent(6*time.Second, true)
+	poll(s.now)
+	if polls != 1 {
+		t.Errorf("%d polls when the worker is free, want 1", polls)
+	}
+}
