Planner: attempts of late writes wait 0.7 s for their answer

Cause: a write counts from its first attempt. Where the log carries out appends and loses answers, each lost answer took the append timeout of 2 s, and leases ended although the log took all writes.

Change: once the last write is older than a quarter of the authority, attempts on the plans wait 0.7 s. Without a horizon the timeout is as before.

Tests: TestAttemptsAreShortOnceTheLastWriteIsOld, which does not build without the change. go test ./workload/service -run 'Claim|Term|Resign|Faults|World| Pool|Attempts': ok, 11 s.

--- a/workload/service/plan_writes.go
+++ b/workload/service/plan_writes.go
@@ -67,7 +67,7 @@
 		if firstSent.IsZero() {
 			firstSent = sent
 		}
-		attemptCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		attemptCtx, cancel := context.WithTimeout(ctx, p.attemptTimeout(topic, sent))
 		attemptWriter := *writer
 		first, err := p.s.log.Append(attemptCtx, topic, records, &attemptWriter)
 		cancel()
@@ -92,6 +92,19 @@
 	}
 }
 
+// lateAppendTimeout is that of attempts once the last write is older than a quarter of the authority.
+// A write counts from its first attempt, so that only the one after it makes leases as long as before.
+const lateAppendTimeout = 700 * time.Millisecond
+
+// attemptTimeout returns how long an attempt that is sent now waits for its answer.
+func (p *planner) attemptTimeout(topic Topic, now time.Time) time.Duration {
+	bounds := p.s.settings.Bounds
+	if topic != Plans || bounds.Horizon == 0 || now.Sub(p.lastWrite) <= bounds.AuthorityPeriod/4 {
+		return appendTimeout
+	}
+	return lateAppendTimeout
+}
+
 // recordAppend records when a successful append was first sent.
 func (p *planner) recordAppend(topic Topic, sent time.Time) {
 	if topic != Plans {
