--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -11,7 +11,8 @@
 	// RenewalRetryPause is the pause after an unanswered lease renewal.
 	RenewalRetryPause = 200 * time.Millisecond
 	// ackPause is how long the next lease renewal waits for ends to reach the log, so that it can
-	// acknowledge them.
+	// acknowledge them, or for the record without a held worker. Either may take as long as the log
+	// is out of reach.
 	ackPause = 400 * time.Millisecond
 	// pollPause is the pause after a lease renewal that returned at once.
 	pollPause = 50 * time.Millisecond
@@ -38,7 +39,8 @@
 		c.recordProblem(w, answer.Problem)
 		c.recordStrayOrder(w, sent)
 		if w.unansweredSince.IsZero() {
-			w.unansweredSince = sent
+			// A long poll is answered after its wait. A call may also fail before.
+			w.unansweredSince = earlier(sent.Add(order.Wait), now)
 		}
 		c.recordNoAnswer(w, sent.Add(order.Wait), now)
 		c.markSilent(w, now)
@@ -98,7 +100,7 @@
 	c.updateSpell(w, now)
 	c.adjustThrottling(w, now)
 	switch {
-	case w.receivedEnd > w.persistedEnd:
+	case w.receivedEnd > w.persistedEnd || c.isHeld(w):
 		w.nextRenewalAt = now.Add(ackPause)
 	case order.Wait == 0:
 		w.nextRenewalAt = now.Add(pollPause)
@@ -398,3 +400,10 @@
 	}
 	c.finalize(j)
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
