Admission: only work that competes for any worker delays others

Cause: the backlog behind the expected start counted all waiting work. One job that no worker can run (absent label, gang or task above the pool), or that only a few may run, made jobs overloaded that would have started at once.

Change: left out are work with a label, a data rack or advice, work that needs an empty worker, and what the workers that get new work could not run if they were empty. A lower bound of the wait accepts in doubt. Labelled work that runs is left out too.

Ruled out: a backlog for each label; the record of the summary is bounded to 1 KB. Left: a long run without a label is still spread over the whole pool.

--- a/workload/control/pool_summary.go
+++ b/workload/control/pool_summary.go
@@ -12,8 +12,9 @@
 const PoolInterval = time.Second
 
 // measureBacklogs records the work that waits or runs after a round, by service and class. Tasks
-// without an end are left out: it is not known when their capacity becomes free. If nothing
-// waits, work that is accepted now starts at once.
+// without an end are left out: it is not known when their capacity becomes free. So is work that
+// may be bound to a part of the pool or can't run now (see competes): it would make work late
+// that starts before it. If nothing else waits, work that is accepted now starts at once.
 func (c *Core) measureBacklogs(plan decide.Plan, s *decide.Snapshot, now time.Time) {
 	if now.Sub(c.backlogsAt) < PoolInterval {
 		return
@@ -27,9 +28,10 @@
 	for _, a := range plan.Starts {
 		started[a.Unit]++
 	}
+	shapes := c.openShapes(now)
 	for _, d := range plan.Deferred {
 		u := &s.Waiting[d.Unit]
-		if u.Step.Perpetual {
+		if u.Step.Perpetual || u.Allowed != nil || u.Exclusive || !competes(u.Step) || !fitsShapes(u, shapes[u.Service]) {
 			continue
 		}
 		b := c.backlog(u.Service, u.Priority)
@@ -42,11 +44,52 @@
 	c.addRunningWork(now)
 }
 
+// competes reports whether the tasks of a step can take the capacity of any worker.
+func competes(step *workload.Step) bool { return step.Label == "" && step.DataRack == "" }
+
+// openShapes counts the workers that get new work by service and capacity.
+func (c *Core) openShapes(now time.Time) map[string]map[workload.Resources]int {
+	out := map[string]map[workload.Resources]int{}
+	for _, w := range c.workersByID {
+		if !c.isOpen(w, now) {
+			continue
+		}
+		if out[w.Service] == nil {
+			out[w.Service] = map[workload.Resources]int{}
+		}
+		out[w.Service][w.Capacity]++
+	}
+	return out
+}
+
+func (c *Core) isOpen(w *worker, now time.Time) bool {
+	return w.listed && !w.gone && c.closedReason(w, now) == notClosed
+}
+
+// fitsShapes reports whether the workers could run a unit if they were empty: all tasks of a gang
+// at once, or one task of another unit.
+func fitsShapes(u *decide.Unit, shapes map[workload.Resources]int) bool {
+	want := 1
+	if u.Step.Gang {
+		want = len(u.Indexes)
+	}
+	for capacity, workers := range shapes {
+		each := capacity.Count(u.Step.CapacityNeed(), want)
+		if u.Step.PerWorker > 0 {
+			each = min(each, u.Step.PerWorker)
+		}
+		if want -= workers * each; want <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addRunningWork adds the rest of what runs to the backlogs of the services in which work waits.
 func (c *Core) addRunningWork(now time.Time) {
 	for _, r := range c.allRuns() {
 		settings := c.queueSettings(r.job)
-		if r.step.Perpetual || r.settled || c.backlogs[settings.Service] == nil {
+		if r.step.Perpetual || r.settled || settings.Advice != nil || !competes(r.step) || c.backlogs[settings.Service] == nil {
 			continue
 		}
 		rest := r.remainingByProgress(now)
@@ -82,7 +125,7 @@
 		readable = readable && !w.Unreadable
 		s := services[w.Service]
 		s.Add(w.Capacity, w.Listing.Labels)
-		if !w.gone && c.closedReason(w, now) == notClosed {
+		if c.isOpen(w, now) {
 			s.AddFree(w.freeCapacity(), len(w.runs) == 0)
 			capacities[w.Service] = capacities[w.Service].Add(w.Capacity)
 		}
