Admission: no refusal while an append for the job is unanswered

Cause: a caller whose first attempt timed out could be told "not run" by admission, although the append of that attempt reached the log later.

Instead of a refusal by admission such a job gets the answer that the outcome is unknown. Checked before and after the acceptances are read.

Left: an unanswered append of another instance (admission.md). Ruled out: a record before each append; it doubles the writes.

Tests: TestNoRefusalWhileAnEarlierAppendIsUnanswered failed before (refused as not run at the second attempt) and passes.

--- a/workload/service/pool_summary.go
+++ b/workload/service/pool_summary.go
@@ -60,6 +60,8 @@
 	if decision.Refusal == nil {
 		return false, nil
 	}
+	// An append that this instance has sent may reach the log after the acceptances are read.
+	unanswered := s.unanswered.has(job.ID, s.clock.Now())
 	// Another instance may have accepted the job at an earlier try of its caller. If that can't
 	// be determined, the job is accepted: a refusal says that the job will not run.
 	if s.catchUpForJob(ctx, job.ID) != nil {
@@ -68,6 +70,9 @@
 	if _, known := s.book.Get(job.ID); known {
 		return true, nil
 	}
+	if unanswered || s.unanswered.has(job.ID, s.clock.Now()) {
+		return false, s.refuse(ctx, job.ID, domain.OutcomeUnknown(decision.Refusal.Reason, "an earlier attempt to accept the job has not been answered"))
+	}
 	refusal, input := decision.Refusal, decision.Input
 	if refusal.Reason == domain.ReasonOverloaded {
 		caller := callerOf(ctx)
--- a/workload/service/pool_summary_test.go
+++ b/workload/service/pool_summary_test.go
@@ -174,3 +174,56 @@
 		cancel()
 	}
 }
+
+// overloadPool gives an instance a summary of a pool in which nothing starts in time.
+func overloadPool(s *Service, offset int64) {
+	service := admission.Service{StartMS: [admission.Classes]int64{200_000, 200_000, 200_000, 200_000}}
+	service.Add(workload.Resources{MilliCPU: 64_000, Accelerators: 8}, nil)
+	s.states.readToEndAt = time.Now()
+	s.applyPool(Entry{Offset: offset, Value: admission.Pool{Services: map[string]admission.Service{"pool": service}}.Encode()}, time.Now())
+}
+
+// Guards against a refusal that says that a job will not run while an append of an earlier attempt
+// may still reach the log, and against an outcome that stays unknown for ever or after an append
+// that was certainly not done.
+func TestNoRefusalWhileAnEarlierAppendIsUnanswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(context.Context) error
+		want  domain.Outcome
+	}{
+		"lost":    {hang, domain.Unknown},
+		"refused": {refuse, domain.NotRun},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			log := &partialLog{written: map[Topic]int{}, faults: map[Topic]func(context.Context) error{}}
+			s := startAccepting(ctx, log)
+			for _, f := range s.acceptances.topics {
+				log.faults[f.topic] = c.fault
+			}
+			short, stop := context.WithTimeout(ctx, 3*time.Second)
+			if s.Submit(short, submission(7)) == nil {
+				t.Errorf("%s: accepted", name)
+			}
+			stop()
+			log.mu.Lock()
+			clear(log.faults)
+			log.mu.Unlock()
+			overloadPool(s, 1)
+			if got := domain.AsRefusal(s.Submit(ctx, submission(7))); got.Outcome != c.want || got.Reason != domain.ReasonOverloaded {
+				t.Errorf("%s: %+v at the second attempt, want outcome %v", name, got, c.want)
+			}
+			if got := domain.AsRefusal(s.Submit(ctx, submission(8))); got.Outcome != domain.NotRun {
+				t.Errorf("%s: %+v for another job", name, got)
+			}
+			time.Sleep(2 * time.Minute)
+			overloadPool(s, 2)
+			if got := domain.AsRefusal(s.Submit(ctx, submission(7))); got.Outcome != domain.NotRun {
+				t.Errorf("%s: %+v two minutes later", name, got)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -62,6 +62,7 @@
 	log          Log
 	meter        *meter
 	sentAway     *sentAway
+	unanswered   *unanswered
 	decoder      Decoder
 	workers      Workers
 	events       *events.Log
@@ -95,7 +96,7 @@
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	away := newSentAway(settings)
 	metered := newMeter(log, metrics, away)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, unanswered: newUnanswered(), decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
 	s.succession.leases = newInheritedLeases(settings.Bounds)
@@ -275,7 +276,11 @@
 	}
 	record := control.Record{Key: workload.AcceptedKey(job.ID), Value: value}
 	began := s.clock.Now()
+	s.unanswered.add(job.ID, began)
 	err = s.commit(ctx, job.ID, record)
+	if err == nil || isCertainlyNotDone(err) {
+		s.unanswered.answered(job.ID)
+	}
 	if err == nil {
 		s.applyJobRecord(Entry{Key: record.Key, Value: value})
 		s.metrics.Observe(telemetry.Acceptance, s.clock.Since(began))
@@ -315,9 +320,14 @@
 // minCommitTimeout is the minimum time for writing a record.
 const minCommitTimeout = time.Second
 
+// isCertainlyNotDone reports whether an error proves that nothing was or will be written.
+func isCertainlyNotDone(err error) bool {
+	return errors.Is(err, ErrNotDone) && !errors.Is(err, ErrOutcomeUnknown)
+}
+
 // logErrorRefusal converts an error of the log into the refusal whose outcome the error proves.
 func logErrorRefusal(err error) error {
-	if errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, ErrNotDone) {
+	if !isCertainlyNotDone(err) {
 		return domain.OutcomeUnknown(domain.ReasonLogUnavailable, err.Error())
 	}
 	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later")
