Admission: only submissions count as callers to come back

Cause: every poll, cancel and count that was sent away took a place among the callers to come back, and so did each repetition of a submission, so that delays grew with polls.

Change: only submissions count, each job once until it is due; the ids are bounded to 50,000. All still get a delay.

Ruled out: one entry for each caller; callers have no identity besides the job.

--- a/workload/service/sent_away.go
+++ b/workload/service/sent_away.go
@@ -21,6 +21,9 @@
 	Priority int
 	// Deadline is until when the caller waits; zero is not stated.
 	Deadline time.Time
+	// Submits is set if the request submits a job. Only such callers count as to come back: polls
+	// repeat anyway, and would take the seconds of submissions.
+	Submits bool
 }
 
 type callerKey struct{}
@@ -38,6 +41,13 @@
 	return Caller{Priority: admission.Classes - 1}
 }
 
+// withSubmission marks the caller of a request as one that submits a job.
+func withSubmission(ctx context.Context) context.Context {
+	caller := callerOf(ctx)
+	caller.Submits = true
+	return WithCaller(ctx, caller)
+}
+
 // sentAway is what the delays of callers that are sent away depend on: which calls the log has
 // served, and who is still to come back.
 type sentAway struct {
@@ -47,8 +57,14 @@
 	mu             sync.Mutex
 	reads, appends admission.Outage
 	returns        admission.Returns
+	// due is when the caller of each submission that was sent away is to come back.
+	due map[workload.JobID]time.Time
 }
 
+// maxDue limits the submissions that are remembered; at the limit they are forgotten, and counted
+// again if they come early.
+const maxDue = 50_000
+
 // acceptancesPerCore is how many submissions a core is given to accept in a second when callers
 // return. One takes 19 microseconds without its HTTP request (BenchmarkSubmission), so 0.02 of
 // the core; the rest is left to the requests themselves, to callers that ask for
@@ -60,7 +76,7 @@
 	if cores <= 0 {
 		cores = 1
 	}
-	a := &sentAway{clock: settings.Clock, perSecond: max(1, cores*acceptancesPerCore)}
+	a := &sentAway{clock: settings.Clock, perSecond: max(1, cores*acceptancesPerCore), due: map[workload.JobID]time.Time{}}
 	a.reads.MinLength, a.appends.MinLength = settings.StaleAfter, settings.StaleAfter
 	return a
 }
@@ -102,7 +118,7 @@
 // can be served in a second from then on.
 type expectation func(now time.Time) (rest time.Duration, perSecond float64)
 
-// delay returns when a caller should come back, and notes that it will. input describes what the
+// delay returns when a caller should come back, and notes that it will if it submits a job. input describes what the
 // decision rests on.
 func (a *sentAway) delay(id workload.JobID, caller Caller, expected expectation) (after time.Duration, input string) {
 	now := a.clock.Now()
@@ -114,7 +130,13 @@
 		retry.Remaining = max(1, time.Until(caller.Deadline))
 	}
 	after = admission.RetryAfter(retry)
-	a.returns.Add(now, caller.Priority, after)
+	if caller.Submits && !now.Before(a.due[id]) {
+		if len(a.due) >= maxDue {
+			clear(a.due)
+		}
+		a.due[id] = now.Add(after)
+		a.returns.Add(now, caller.Priority, after)
+	}
 	lasted, longest := a.outage(now)
 	return after, fmt.Sprintf("priority=%d remaining_ms=%d expected_ms=%d outage_ms=%d longest_outage_ms=%d waiting=%v per_second=%.1f",
 		caller.Priority, retry.Remaining.Milliseconds(), retry.Rest.Milliseconds(), lasted.Milliseconds(), longest.Milliseconds(), retry.Waiting.ByClass, retry.PerSecond)
--- a/workload/service/sent_away_test.go
+++ b/workload/service/sent_away_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -100,3 +101,50 @@
 		}
 	}
 }
+
+// Guards against delays of submissions that grow with the polls, cancels and repeated submissions
+// which were sent away: they take no turns of callers that come back.
+func TestOnlySubmissionsCountAsCallersToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		log := &partialLog{written: map[Topic]int{}, faults: map[Topic]func(context.Context) error{}}
+		s := startAccepting(ctx, log)
+		for _, f := range s.acceptances.topics {
+			log.faults[f.topic] = refuse
+		}
+		caller := WithCaller(ctx, Caller{Priority: 0})
+		waiting := func() int {
+			s.sentAway.mu.Lock()
+			defer s.sentAway.mu.Unlock()
+			n := 0
+			for _, callers := range s.sentAway.returns.Waiting(time.Now()).BySecond {
+				n += callers
+			}
+			return n
+		}
+		for n := range 100 {
+			id := submission(n).ID
+			_, state := s.State(caller, id)
+			_, count := s.Pending(caller, "batch")
+			for _, err := range []error{state, count, s.Cancel(caller, id)} {
+				if got := domain.AsRefusal(err); got.RetryAfter == 0 {
+					t.Fatalf("%+v without a delay", got)
+				}
+			}
+		}
+		if got := waiting(); got != 0 {
+			t.Errorf("%d callers to come back after polls and cancels", got)
+		}
+		var group sync.WaitGroup
+		for n := range 30 {
+			group.Go(func() { _ = s.Submit(caller, submission(n%10)) })
+		}
+		group.Wait()
+		if got := waiting(); got != 10 {
+			t.Errorf("%d callers to come back, want 10 for 10 jobs submitted three times", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -257,6 +257,7 @@
 // Submit accepts a job. A nil error means that the job is in the log. A refusal with the
 // outcome not-run means that it never will be.
 func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
+	ctx = withSubmission(ctx)
 	if _, known := s.book.Get(job.ID); known {
 		s.logRepeated(job.ID)
 		return nil
