Admission: nothing is refused for good within five minutes of growth

Cause: 10 s without growth counted as settled. A pool that is filled one worker at a time, with pauses above 10 s, refused gangs for good that it could run minutes later, and a new planner did so 10 s after its start.

Change: the pool must not have grown, and the planner must have seen it, for memoryTime (5 minutes). What an earlier planner published is remembered for at least as long as that, and that it left out labels for 10 minutes.

Ruled out: a rate of growth; one pause above any estimate refuses for good.

Existing tests: the waits of TestEveryInstanceRefusesWhatNeverRuns..., the times of TestThePoolIsRemembered... and of the property test are longer, by the new rule; their checks are unchanged, and the property test now looks one second later.

Tests: TestNothingIsRefusedForGoodWhileThePoolGrows failed before (a gang refused 10 s after the first worker) and passes, with go test ./workload/admission and the service's EveryInstance and Age tests.

--- a/workload/admission/decide_test.go
+++ b/workload/admission/decide_test.go
@@ -105,7 +105,7 @@
 			}
 		}
 		memory.Observe(map[string]Service{"pool": all}, true, now)
-		pool := memory.Observe(map[string]Service{"pool": present}, true, now.Add(memoryTime-time.Second))
+		pool := memory.Observe(map[string]Service{"pool": present}, true, now.Add(settleTime))
 		refusal := Decide(jobOf(1, step), Snapshot{Pool: &pool}).Refusal
 		if refusal != nil {
 			refused++
@@ -135,7 +135,7 @@
 	if pool := m.Observe(whole, false, at(settleTime)); pool.Settled {
 		t.Error("settled although an entry can't be decoded")
 	}
-	published := m.Observe(nil, true, at(time.Minute))
+	published := m.Observe(nil, true, at(settleTime+time.Minute))
 	if refusal := Decide(jobOf(1, workload.Step{Need: workload.Resources{Accelerators: 9}}), Snapshot{Pool: &published}).Refusal; refusal != nil {
 		t.Errorf("%v while no worker is listed", refusal)
 	}
@@ -143,17 +143,17 @@
 		t.Errorf("remembered %+v of workers that are not listed now", s)
 	}
 	grown := poolOf(5, "gpu", "fpga").Services
-	if pool := m.Observe(grown, true, at(time.Minute)); pool.Settled || pool.Services["pool"].Workers != 5 {
+	if pool := m.Observe(grown, true, at(settleTime+time.Minute)); pool.Settled || pool.Services["pool"].Workers != 5 {
 		t.Errorf("%+v with a new worker", pool)
 	}
-	successor := NewMemory(&published, at(2*time.Minute))
-	if pool := successor.Observe(nil, true, at(2*time.Minute)); pool.Settled || pool.Services["pool"].Workers != 4 {
+	successor := NewMemory(&published, at(settleTime+2*time.Minute))
+	if pool := successor.Observe(nil, true, at(settleTime+2*time.Minute)); pool.Settled || pool.Services["pool"].Workers != 4 {
 		t.Errorf("a successor has %+v", pool)
 	}
-	for d := 2 * time.Minute; d < 2*time.Minute+2*memoryTime; d += memoryTime / 2 {
+	for d := settleTime + 2*time.Minute; d < settleTime+2*time.Minute+2*memoryTime; d += memoryTime / 2 {
 		successor.Observe(nil, true, at(d))
 	}
-	if pool := successor.Observe(nil, true, at(2*time.Minute+2*memoryTime)); len(pool.Services) != 0 {
+	if pool := successor.Observe(nil, true, at(settleTime+2*time.Minute+2*memoryTime)); len(pool.Services) != 0 {
 		t.Errorf("still remembered: %+v", pool)
 	}
 }
@@ -212,3 +212,38 @@
 		})
 	}
 }
+
+// Guards against a refusal for good while the pool is filled with pauses, one worker at a time, and
+// soon after a change of planner; and against labels that look unknown under the next planner
+// because the summary of the earlier one left them out.
+func TestNothingIsRefusedForGoodWhileThePoolGrows(t *testing.T) {
+	start := time.Unix(0, 0)
+	memory, workers := NewMemory(nil, start), 0
+	gang := jobOf(1, workload.Step{Count: 20, Gang: true, PerWorker: 1, Need: workload.Resources{MilliCPU: 1000}, EstimateMS: 1000})
+	labelled := jobOf(1, workload.Step{Count: 1, Need: workload.Resources{MilliCPU: 1000}, Label: "rare", EstimateMS: 1000})
+	decide := func(pool Pool, job *workload.Job) *domain.Refusal { return Decide(job, Snapshot{Pool: &pool}).Refusal }
+	now := start
+	for ; workers < 20; now = now.Add(time.Second) {
+		if now.Sub(start)%(30*time.Second) == 0 {
+			workers++
+		}
+		if refusal := decide(memory.Observe(poolOf(workers).Services, true, now), gang); refusal != nil {
+			t.Fatalf("%v with %d workers, %v after the first", refusal, workers, now.Sub(start))
+		}
+	}
+	omitted := poolOf(20)
+	omitted.LabelsOmitted = true
+	successor := NewMemory(omitted, now)
+	for d := time.Duration(0); d <= memoryTime+time.Minute; d += time.Second {
+		pool := successor.Observe(poolOf(19).Services, true, now.Add(d))
+		if refusal := decide(pool, gang); refusal != nil {
+			t.Fatalf("%v: %v", d, refusal)
+		}
+		if refusal := decide(pool, labelled); refusal != nil {
+			t.Fatalf("%v after the change of planner: %v", d, refusal)
+		}
+	}
+	if refusal := decide(memory.Observe(poolOf(20).Services, true, now.Add(memoryTime)), labelled); refusal == nil {
+		t.Error("an unknown label is accepted in a pool that has not grown for long")
+	}
+}
--- a/workload/admission/memory.go
+++ b/workload/admission/memory.go
@@ -1,15 +1,19 @@
 package admission
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// memoryTime is the least time for which the planner remembers workers that are no longer
 	// listed; they are forgotten within twice that. It is several times what a restart, a
 	// replacement or the maintenance of a host takes (maintenance_s is below two minutes).
 	memoryTime = 5 * time.Minute
-	// settleTime is how long nothing new must have appeared in the pool before anything is
-	// refused permanently. Workers that start together are listed within a few seconds.
-	settleTime = 10 * time.Second
+	// settleTime is how long nothing new must have appeared in the pool, and how long a planner
+	// must have seen it, before anything is refused permanently. A pool that is filled slowly, as
+	// by a service that adds hosts one at a time, grows with pauses of more than 10 s.
+	settleTime = memoryTime
 )
 
 // Memory is what the planner remembers of the pool. A successor continues from the newest
@@ -20,6 +24,8 @@
 	rotatedAt     time.Time
 	// grownAt is when something appeared that was not remembered.
 	grownAt time.Time
+	// labelsOmittedUntil is until when labels may be missing that an earlier planner has seen.
+	labelsOmittedUntil time.Time
 }
 
 // NewMemory returns the memory of a planner that starts now, with what an earlier planner
@@ -27,7 +33,10 @@
 func NewMemory(published *Pool, now time.Time) *Memory {
 	m := &Memory{recent: map[string]Service{}, rotatedAt: now, grownAt: now}
 	if published != nil {
-		m.older = published.Services
+		maps.Copy(m.recent, published.Services)
+		if published.LabelsOmitted {
+			m.labelsOmittedUntil = now.Add(2 * memoryTime)
+		}
 	}
 	return m
 }
@@ -38,7 +47,7 @@
 	if now.Sub(m.rotatedAt) >= memoryTime {
 		m.older, m.recent, m.rotatedAt = m.recent, map[string]Service{}, now
 	}
-	out := Pool{Services: map[string]Service{}}
+	out := Pool{Services: map[string]Service{}, LabelsOmitted: now.Before(m.labelsOmittedUntil)}
 	for name, s := range services {
 		known, ok := m.remembered(name)
 		if !ok || s.exceeds(known) {
--- a/workload/service/pool_summary_test.go
+++ b/workload/service/pool_summary_test.go
@@ -46,6 +46,8 @@
 		p.workers.mu.Lock()
 		p.workers.fleet.Add("big", workload.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 16}, 1, time.Now())
 		p.workers.mu.Unlock()
+		// settle is longer than a pool must have been without growth before anything is refused.
+		const settle = 5*time.Minute + 5*time.Second
 		n := 100
 		expect := func(when string, accelerators int64, want domain.Reason) {
 			n++
@@ -56,7 +58,7 @@
 		time.Sleep(4 * time.Second)
 		expect("at the start", 9, "")
 		early := n
-		time.Sleep(16 * time.Second)
+		time.Sleep(settle)
 		expect("settled", 9, domain.ReasonNeverRunnable)
 		expect("settled", 8, "")
 		if got := p.refusals(early, 9); !slices.Equal(got, []domain.Reason{""}) {
@@ -65,7 +67,7 @@
 		p.killPlanner()
 		time.Sleep(6 * time.Second)
 		expect("after a change of planner", 9, "")
-		time.Sleep(15 * time.Second)
+		time.Sleep(settle)
 		expect("settled again", 9, domain.ReasonNeverRunnable)
 		value, err := json.Marshal(control.Listing{ID: "big", Address: "big", Service: "pool", Capacity: workload.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 16}})
 		if err != nil {
@@ -74,12 +76,12 @@
 		p.appendNow(WorkerList, control.Record{Key: "big", Value: value})
 		time.Sleep(4 * time.Second)
 		expect("a larger worker", 16, "")
-		time.Sleep(15 * time.Second)
+		time.Sleep(settle)
 		expect("a larger worker", 16, "")
 		expect("a larger worker", 17, domain.ReasonNeverRunnable)
 		p.appendNow(WorkerList, control.Record{Key: "big"})
 		p.killPlanner()
-		time.Sleep(22 * time.Second)
+		time.Sleep(settle)
 		expect("the larger worker is not listed since before this planner", 16, "")
 		expect("the larger worker is not listed since before this planner", 17, domain.ReasonNeverRunnable)
 		for _, id := range []string{"w0000", "w0001", "w0002", "w0003"} {
