Admission: a job is sent away only after its last useful start

Cause: 3 s, or a quarter, were taken off the last useful start, so that jobs were sent away that were expected to start in time.

Change: the expected start is compared with the last useful start itself.

Left: work accepted since the newest summary is not in the expected start.

Tests: TestOnlyWorkThatWouldStartTooLateIsToComeBack failed before in four cases and passes, with go test ./workload/admission.

--- a/workload/admission/load.go
+++ b/workload/admission/load.go
@@ -11,12 +11,6 @@
 // LateFactor is the multiple of its objective up to which a job's result still has value.
 const LateFactor = 3
 
-// summaryDelay allows for the work that is accepted in the second between two summaries. In a burst
-// of 2.6 times the load, with those who come back, 3.5 times as much arrives as the pool can do,
-// and the wait grows by 2.5 s. Without it, a pool under constant overload starts everything just
-// after it has lost its value.
-const summaryDelay = 3 * time.Second
-
 // decideLoad asks the caller to come back if the job would start too late to be of any value.
 func decideLoad(job *workload.Job, s *Service, snapshot Snapshot) Decision {
 	class := ClassOf(job.QueueSettings.Priority)
@@ -29,15 +23,14 @@
 	if !ok {
 		return Decision{}
 	}
-	limit := last - min(summaryDelay, last/4)
-	if wait <= limit {
+	if wait <= last {
 		return Decision{}
 	}
 	return Decision{
 		Refusal: domain.Refuse(domain.ReasonOverloaded, "", fmt.Sprintf("the job would wait for about %v, and its result has no value if it starts after %v", wait.Round(time.Second), last.Round(time.Second)),
 			"come back after the given time"),
 		// Once that much has been worked off, a job with the same objective is in time.
-		Rest:      wait - limit,
+		Rest:      wait - last,
 		PerSecond: jobsPerSecond(job, s, s.estimateFactor(class)),
 		Input:     fmt.Sprintf("%s wait_ms=%d last_start_ms=%d", describe(s, snapshot.PoolAge), wait.Milliseconds(), last.Milliseconds()),
 	}
