--- a/workload/service/pool_summary_test.go
+++ b/workload/service/pool_summary_test.go
@@ -46,6 +46,8 @@
 		p.workers.mu.Lock()
 		p.workers.fleet.Add("big", workload.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 16}, 1, time.Now())
 		p.workers.mu.Unlock()
+		// settle is longer than a pool must have been without growth before anything is refused.
+		const settle = 5*time.Minute + 5*time.Second
 		n := 100
 		expect := func(when string, accelerators int64, want domain.Reason) {
 			n++
@@ -56,7 +58,7 @@
 		time.Sleep(4 * time.Second)
 		expect("at the start", 9, "")
 		early := n
-		time.Sleep(16 * time.Second)
+		time.Sleep(settle)
 		expect("settled", 9, domain.ReasonNeverRunnable)
 		expect("settled", 8, "")
 		if got := p.refusals(early, 9); !slices.Equal(got, []domain.Reason{""}) {
@@ -65,7 +67,7 @@
 		p.killPlanner()
 		time.Sleep(6 * time.Second)
 		expect("after a change of planner", 9, "")
-		time.Sleep(15 * time.Second)
+		time.Sleep(settle)
 		expect("settled again", 9, domain.ReasonNeverRunnable)
 		value, err := json.Marshal(control.Listing{ID: "big", Address: "big", Service: "pool", Capacity: workload.Resources{MilliCPU: 64000, MemoryMiB: 64000, Accelerators: 16}})
 		if err != nil {
@@ -74,12 +76,12 @@
 		p.appendNow(WorkerList, control.Record{Key: "big", Value: value})
 		time.Sleep(4 * time.Second)
 		expect("a larger worker", 16, "")
-		time.Sleep(15 * time.Second)
+		time.Sleep(settle)
 		expect("a larger worker", 16, "")
 		expect("a larger worker", 17, domain.ReasonNeverRunnable)
 		p.appendNow(WorkerList, control.Record{Key: "big"})
 		p.killPlanner()
-		time.Sleep(22 * time.Second)
+		time.Sleep(settle)
 		expect("the larger worker is not listed since before this planner", 16, "")
 		expect("the larger worker is not listed since before this planner", 17, domain.ReasonNeverRunnable)
 		for _, id := range []string{"w0000", "w0001", "w0002", "w0003"} {
@@ -174,3 +176,56 @@
 		cancel()
 	}
 }
+
+// overloadPool gives an instance a summary of a pool in which nothing starts in time.
+func overloadPool(s *Service, offset int64) {
+	service := admission.Service{StartMS: [admission.Classes]int64{200_000, 200_000, 200_000, 200_000}}
+	service.Add(workload.Resources{MilliCPU: 64_000, Accelerators: 8}, nil)
+	s.states.readToEndAt = time.Now()
+	s.applyPool(Entry{Offset: offset, Value: admission.Pool{Services: map[string]admission.Service{"pool": service}}.Encode()}, time.Now())
+}
+
+// Guards against a refusal that says that a job will not run while an append of an earlier attempt
+// may still reach the log, and against an outcome that stays unknown for ever or after an append
+// that was certainly not done.
+func TestNoRefusalWhileAnEarlierAppendIsUnanswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault func(context.Context) error
+		want  domain.Outcome
+	}{
+		"lost":    {hang, domain.Unknown},
+		"refused": {refuse, domain.NotRun},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			log := &partialLog{written: map[Topic]int{}, faults: map[Topic]func(context.Context) error{}}
+			s := startAccepting(ctx, log)
+			for _, f := range s.acceptances.topics {
+				log.faults[f.topic] = c.fault
+			}
+			short, stop := context.WithTimeout(ctx, 3*time.Second)
+			if s.Submit(short, submission(7)) == nil {
+				t.Errorf("%s: accepted", name)
+			}
+			stop()
+			log.mu.Lock()
+			clear(log.faults)
+			log.mu.Unlock()
+			overloadPool(s, 1)
+			if got := domain.AsRefusal(s.Submit(ctx, submission(7))); got.Outcome != c.want || got.Reason != domain.ReasonOverloaded {
+				t.Errorf("%s: %+v at the second attempt, want outcome %v", name, got, c.want)
+			}
+			if got := domain.AsRefusal(s.Submit(ctx, submission(8))); got.Outcome != domain.NotRun {
+				t.Errorf("%s: %+v for another job", name, got)
+			}
+			time.Sleep(2 * time.Minute)
+			overloadPool(s, 2)
+			if got := domain.AsRefusal(s.Submit(ctx, submission(7))); got.Outcome != domain.NotRun {
+				t.Errorf("%s: %+v two minutes later", name, got)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
