Decide: workers in a slow spell come last for every unit

Cause: a worker in a spell had speed 0.5, so slowFirst tried it first for single tasks of priority 1 and above, and gangs of these priorities were placed on any worker. Change: decide.Worker.Slowed; such workers are in no speed class but anySpeed, which is tried after the new class notSlowed. Ruled out: a lower speed value, since slowFirst prefers it even more. A rack of a unit's data or of a one-rack gang still goes before the class. Tests: TestSlowedWorkerComesLast failed for priorities 1 and 2, single tasks and gangs; now go test ./workload/control ./workload/decide pass.

--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -105,7 +105,7 @@
 		if w.gone || !w.listed {
 			continue
 		}
-		out := decide.Worker{ID: w.ID, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speedFactor(w, now)}
+		out := decide.Worker{ID: w.ID, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speedFactor(w, now), Slowed: c.spells[w.ID] != nil}
 		reason := c.closedReason(w, now)
 		out.Closed = reason != notClosed
 		out.Evacuated = reason == closedEvacuated
@@ -305,7 +305,7 @@
 		id := workload.TaskID{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: a.Index}
 		r := c.addRun(u.job, id, t)
 		r.remote = a.Remote
-		r.slow = decide.IsSlow(c.speedFactor(r.worker, now))
+		r.slow = decide.IsSlow(c.speedFactor(r.worker, now)) || c.spells[r.worker.ID] != nil
 		slow[key] = slow[key] || r.slow
 		c.pendingStarts = append(c.pendingStarts, r)
 		u.job.progress.Started = true
--- a/workload/control/spells.go
+++ b/workload/control/spells.go
@@ -9,8 +9,8 @@
 
 // A worker may turn slow by a factor of 5 to 9 for some seconds. All its runs then fall behind
 // their own earlier rates at once, while the other members of their steps keep theirs. What it shows
-// in that time counts neither for its speed nor for estimates of run times, and it is placed like a
-// slow worker: gangs of the first priority go elsewhere while there is capacity.
+// in that time counts neither for its speed nor for estimates of run times, and it gets new
+// work only if the other workers have no room.
 
 const (
 	// paceWindow is the minimum time over which a rate is taken. Progress is reported in whole
--- a/workload/control/spells_test.go
+++ b/workload/control/spells_test.go
@@ -126,3 +126,30 @@
 		t.Errorf("the job is %s", s.jobState(jobA))
 	}
 }
+
+// Guards against new work of any priority on a slowed worker while others have room: there it takes
+// several times as long.
+func TestSlowedWorkerComesLast(t *testing.T) {
+	for _, step := range []workload.Step{
+		{Count: 1, Need: need(1), EstimateMS: 3000},
+		{Count: 4, Gang: true, PerWorker: 1, Need: need(1), EstimateMS: 3000},
+	} {
+		for priority := range 3 {
+			s := newSpellScenario()
+			s.addGang(jobA)
+			s.advance(4 * time.Second)
+			s.isSlow = func(worker string) bool { return worker == "w0" }
+			s.advance(3 * time.Second)
+			id := s.add(jobB, func(j *workload.Job) { j.QueueSettings.Priority = priority }, step)
+			s.advance(time.Second)
+			if s.slowed["w0"] == "" || len(s.starts(id)) != step.Count {
+				t.Fatalf("priority %d, gang %t: slowed %v, starts %+v", priority, step.Gang, s.slowed, s.starts(id))
+			}
+			for _, e := range s.starts(id) {
+				if e.Worker == "w0" {
+					t.Errorf("priority %d, gang %t: a task starts on the slowed worker", priority, step.Gang)
+				}
+			}
+		}
+	}
+}
--- a/workload/control/warmup.go
+++ b/workload/control/warmup.go
@@ -11,7 +11,7 @@
 // first priority go elsewhere while there is capacity, and single tasks, each of which has its
 // own pace, go there first. Runs there are not used for estimates.
 
-// warmupSpeed is the speed factor of a cold or slowed worker. Any value below that of a slow worker has the
+// warmupSpeed is the speed factor of a cold worker. Any value below that of a slow worker has the
 // same effect.
 const warmupSpeed = 0.5
 
@@ -29,9 +29,6 @@
 // speedFactor returns a worker's speed as a factor of the average.
 func (c *Core) speedFactor(w *worker, now time.Time) float64 {
 	factor := c.speeds[w.ID].factor()
-	if c.spells[w.ID] != nil {
-		factor = min(factor, warmupSpeed)
-	}
 	if now.Before(w.warmupUntil) && !c.bounds.Disabled[decide.TreatColdAsSlow] {
 		return min(factor, warmupSpeed)
 	}
--- a/workload/decide/classes.go
+++ b/workload/decide/classes.go
@@ -1,11 +1,14 @@
 package decide
 
+import "slices"
+
 // Workers differ permanently in speed, and a gang runs at the speed of its slowest member: if a
 // third of the workers take 1.3 times as long, a gang of 8 on arbitrary workers takes 1.3 times as
 // long in 19 of 20 cases. Gangs of the top priority, which have little time, are therefore placed
 // on fast workers if these have room, then on workers that are not slow. Other gangs leave the
 // fast workers to them while there is room elsewhere, and single tasks, which each run at their
-// own speed, fill the slow workers first.
+// own speed, fill the slow workers first. Workers in a slow spell take several times as long, so they
+// are in none of these classes and come last for every unit.
 
 // speedClass selects the workers that are searched.
 type speedClass int
@@ -20,6 +23,8 @@
 	// fast selects the workers that are known to be faster than most, notFast all others.
 	fast
 	notFast
+	// notSlowed selects the workers that are in no slow spell.
+	notSlowed
 )
 
 // speedThreshold is the factor to the average speed from which on a worker counts as fast or slow.
@@ -38,8 +43,12 @@
 // made.
 func (p *planner) groupBySpeed() {
 	p.byClass = map[speedClass][]*workerState{}
-	p.racksByClass = map[speedClass]map[string][]*workerState{notSlow: {}, slow: {}, fast: {}, notFast: {}}
+	p.racksByClass = map[speedClass]map[string][]*workerState{notSlow: {}, slow: {}, fast: {}, notFast: {}, notSlowed: {}}
 	for _, w := range p.workers {
+		if w.Slowed {
+			continue
+		}
+		p.addToClass(w, true, notSlowed, notSlowed)
 		p.addToClass(w, IsSlow(w.Speed), slow, notSlow)
 		p.addToClass(w, IsFast(w.Speed), fast, notFast)
 	}
@@ -56,6 +65,16 @@
 
 // classOrder returns the speed classes that a unit is tried on, in order.
 func (p *planner) classOrder(u *Unit) []speedClass {
+	order := p.speedOrder(u)
+	if n := len(p.byClass[notSlowed]); n == 0 || n == len(p.workers) {
+		return order
+	}
+	last := len(order) - 1
+	return append(slices.Clone(order[:last]), notSlowed, anySpeed)
+}
+
+// speedOrder returns the order by lasting speeds; it ends with anySpeed.
+func (p *planner) speedOrder(u *Unit) []speedClass {
 	someSlow := len(p.byClass[slow]) > 0 && len(p.byClass[notSlow]) > 0
 	someFast := len(p.byClass[fast]) > 0 && len(p.byClass[notFast]) > 0
 	switch {
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -34,6 +34,9 @@
 	Capacity workload.Resources
 	// Speed is the worker's speed relative to the average; 0 if unknown.
 	Speed float64
+	// Slowed reports whether the worker has turned slow for some seconds. It is used only if a unit
+	// does not fit on the others.
+	Slowed bool
 	// Closed workers get no new tasks, for example because they are draining, silent or
 	// distrusted.
 	Closed bool
