Control: no verdict on workers while all are slow

Cause: a worker's slow window was compared with windows of others that ended earlier, slowed members were left out of the comparison, and one run without others was enough. Change: others count only with windows that lie mostly after the time by which the worker's spell began; if none has one yet, the verdict waits for the worker's next report. Slowed members are compared too. A worker whose steps have no members elsewhere is compared with runs of up to 16 others, and without any it needs two runs. Ruled out: any overlap of windows, since a window that is half before the spell still shows more than recoveredPace.

--- a/workload/control/spells.go
+++ b/workload/control/spells.go
@@ -102,10 +102,36 @@
 
 func (s progressSum) pace() float64 { return s.made / max(s.expected, 1) }
 
-// ownProgress compares runs with their own earlier rates, from their windows since a time.
+// slowedBy returns by when a spell must have begun that shows as slowed in a window from begin on:
+// a later one leaves more than that share of the progress.
+func slowedBy(begin time.Time, took time.Duration) time.Time {
+	return begin.Add(time.Duration(slowedPace * float64(took)))
+}
+
+// windowBegin returns when the last complete window began.
+func (p *rateCheck) windowBegin() time.Time { return p.judgedAt.Add(-p.took) }
+
+// isMostlySince reports whether at least half of the last complete window is after a time. A window
+// of which more is before a spell shows no slow rate.
+func (p *rateCheck) isMostlySince(since time.Time) bool {
+	return !p.judgedAt.IsZero() && !p.windowBegin().Add(p.took/2).Before(since)
+}
+
+// ownProgress compares runs with their own earlier rates, from their windows that lie mostly after a
+// time.
 func ownProgress(runs []*activeRun, since time.Time) (out progressSum) {
 	for _, r := range runs {
-		if !r.rateCheck.judgedAt.IsZero() && !r.rateCheck.judgedAt.Before(since) {
+		if r.rateCheck.isMostlySince(since) {
+			out.add(r.rateCheck.made, r.rateCheck.expected)
+		}
+	}
+	return out
+}
+
+// reportedProgress compares the runs that were just reported with their own earlier rates.
+func reportedProgress(runs []*activeRun, now time.Time) (out progressSum) {
+	for _, r := range runs {
+		if r.rateCheck.judgedAt.Equal(now) {
 			out.add(r.rateCheck.made, r.rateCheck.expected)
 		}
 	}
@@ -113,7 +139,7 @@
 }
 
 // comparedProgress compares runs that have no earlier rate, since they began in the spell, with the
-// mean rate of the members of their steps on other workers.
+// mean rate of the members of their steps on other workers in the same time.
 func (c *Core) comparedProgress(runs []*activeRun, now time.Time) (out progressSum) {
 	for _, r := range runs {
 		if !r.rateCheck.judgedAt.Equal(now) || r.rateCheck.expected > 0 {
@@ -121,8 +147,8 @@
 		}
 		sum, n := 0.0, 0.0
 		for _, other := range c.membersElsewhere([]*activeRun{r}) {
-			if rate := other.rateCheck.rate(); rate > 0 {
-				sum, n = sum+rate, n+1
+			if p := &other.rateCheck; p.isMostlySince(slowedBy(r.rateCheck.windowBegin(), r.rateCheck.took)) {
+				sum, n = sum+p.made/p.took.Seconds(), n+1
 			}
 		}
 		if n > 0 {
@@ -132,15 +158,17 @@
 	return out
 }
 
-// minCompared is the number of runs without an earlier rate that must be slow for a verdict: 3 % of
-// the tasks take 7 times as long as the others of their step, so one run proves nothing.
+// minCompared is the number of runs without an earlier rate, or without members elsewhere, that must
+// be slow for a verdict: 3 % of the tasks take 7 times as long as the others of their step, so one
+// run proves nothing.
 const minCompared = 2
 
 // showSlowed reports whether runs show that their worker is slowed: by their own earlier rates,
-// which the other members of their steps have kept, or compared with these members.
+// which the other members of their steps have kept, or compared with these members. Without such
+// members one run is not enough: it may have come to a slower part of its work.
 func showSlowed(own, others, compared progressSum) bool {
 	if own.suffices() {
-		return own.pace() < slowedPace && (!others.suffices() || others.pace() >= recoveredPace)
+		return own.pace() < slowedPace && (others.suffices() && others.pace() >= recoveredPace || !others.suffices() && own.runs >= minCompared)
 	}
 	return compared.runs >= minCompared && compared.suffices() && compared.pace() < slowedPace
 }
@@ -154,13 +182,26 @@
 	}
 	runs := w.sortedRuns()
 	s := c.spells[w.ID]
-	own := ownProgress(runs, now)
+	own := reportedProgress(runs, now)
+	w.updateSlowSince(own, runs, now)
 	compared := c.comparedProgress(runs, now)
 	if s == nil {
 		if !own.suffices() && compared.runs < minCompared {
 			return
 		}
-		if showSlowed(own, ownProgress(c.membersElsewhere(runs), now.Add(-c.reportMaxAge())), compared) {
+		if own.suffices() && own.pace() >= slowedPace {
+			return
+		}
+		members := c.membersElsewhere(runs)
+		if own.suffices() && len(members) == 0 {
+			members = c.runsElsewhere(w)
+		}
+		others := ownProgress(members, w.slowSince)
+		if own.suffices() && len(members) > 0 && !others.suffices() {
+			// The members' windows from the same time are complete by the worker's next report.
+			return
+		}
+		if showSlowed(own, others, compared) {
 			c.beginSpell(w, own, compared, runs, now)
 		}
 		return
@@ -176,6 +217,23 @@
 	}
 }
 
+// updateSlowSince updates since when the worker's runs have been slow in all windows.
+func (w *worker) updateSlowSince(own progressSum, runs []*activeRun, now time.Time) {
+	if !own.suffices() || own.pace() >= slowedPace {
+		w.slowSince = time.Time{}
+		return
+	}
+	if !w.slowSince.IsZero() {
+		return
+	}
+	for _, r := range runs {
+		p := &r.rateCheck
+		if since := slowedBy(p.windowBegin(), p.took); p.judgedAt.Equal(now) && since.After(w.slowSince) {
+			w.slowSince = since
+		}
+	}
+}
+
 func (c *Core) beginSpell(w *worker, own, compared progressSum, runs []*activeRun, now time.Time) {
 	shown := own
 	if !own.suffices() {
@@ -190,7 +248,8 @@
 	c.emit(Event{Name: EventWorkerSlowed, Worker: w.ID, Detail: fmt.Sprintf("pace=%.2f expected=%.0f runs=%d", shown.pace(), shown.expected, shown.runs)})
 }
 
-// membersElsewhere returns the runs of the same steps on other workers that are not slowed.
+// membersElsewhere returns the runs of the same steps on other workers. Those on slowed workers are
+// among them: if all are slow, no worker is the cause.
 func (c *Core) membersElsewhere(runs []*activeRun) []*activeRun {
 	var out []*activeRun
 	seen := map[decide.UnitKey]bool{}
@@ -200,7 +259,7 @@
 		}
 		seen[r.key] = true
 		for _, other := range r.job.runsOf(r.key) {
-			if other.worker != r.worker && c.spells[other.worker.ID] == nil {
+			if other.worker != r.worker {
 				out = append(out, other)
 			}
 		}
@@ -208,6 +267,26 @@
 	return out
 }
 
+// maxElsewhere is the number of other workers that a worker is compared with whose steps have no
+// members elsewhere. It bounds the cost of the case that all 18,000 workers are slow.
+const maxElsewhere = 16
+
+// runsElsewhere returns runs of other steps on other workers.
+func (c *Core) runsElsewhere(w *worker) []*activeRun {
+	var out []*activeRun
+	n := 0
+	for _, other := range c.workersByID {
+		if other == w || len(other.runs) == 0 {
+			continue
+		}
+		out = append(out, other.sortedRuns()...)
+		if n++; n == maxElsewhere {
+			break
+		}
+	}
+	return out
+}
+
 // excludeFromEstimates keeps runs on a slowed worker from rating it, and them and their gangs from
 // correcting estimates.
 func (c *Core) excludeFromEstimates(runs []*activeRun) {
--- a/workload/control/spells_test.go
+++ b/workload/control/spells_test.go
@@ -100,6 +100,29 @@
 	}
 }
 
+// Guards against workers that count as slowed while all are, since the windows of the others end
+// before or because the first verdict leaves fewer to compare with.
+func TestNoWorkerIsSlowedIfAllAre(t *testing.T) {
+	for _, gang := range []bool{true, false} {
+		for ms := 3000; ms < 4700; ms += 100 {
+			s := newSpellScenario()
+			if gang {
+				s.addGang(jobA)
+			} else {
+				for i := range 6 {
+					s.add(workload.JobID(fmt.Sprintf("%016x", 100+i)), nil, workload.Step{Count: 1, Need: need(2), EstimateMS: 12000})
+				}
+			}
+			s.advance(time.Duration(ms) * time.Millisecond)
+			s.isSlow = func(string) bool { return true }
+			s.advance(4 * time.Second)
+			if len(s.slowed) != 0 {
+				t.Errorf("gang %t, slow from %d ms: slowed workers: %v", gang, ms, s.slowed)
+			}
+		}
+	}
+}
+
 // Guards against a verdict that outlasts the worker's incarnation, and one that a new planner needs
 // its predecessor for.
 func TestSpellEndsWithItsIncarnationAndItsPlanner(t *testing.T) {
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -34,6 +34,8 @@
 	nextRenewalAt   time.Time
 	// warmupUntil is when the worker has warmed up; zero is now.
 	warmupUntil time.Time
+	// slowSince is since when all runs have been slow in all their windows; zero if they are not.
+	slowSince time.Time
 	// leavesAt is when a draining worker may be gone; zero is never.
 	leavesAt time.Time
 	// restartSuspected is set if the list shows another incarnation than the one that has
