Control: count runs once when a worker's speed ages

Cause: forgetIncarnation turned open runs into closed ones, but their ratings stayed in the jobs and were counted again; the floor of one run kept a worker slow for ever. Change: the ratings of the worker are dropped from open jobs, only closed runs are halved, and a speed of less than one run is dropped, also from its record. Ruled out: keeping the ratings and only skipping them while they are open, since they are added as closed runs at the job's end.

--- a/workload/control/speed_records.go
+++ b/workload/control/speed_records.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -82,10 +83,12 @@
 	return keptAverage
 }
 
-// limitRuns lowers the number of runs on which the speed rests, without changing it.
-func (s *speed) limitRuns(runs float64) {
+// halveRuns halves the number of closed runs on which the speed rests, at most maxKeptRuns, without
+// changing it. Open runs no longer count.
+func (s *speed) halveRuns() {
+	s.openSum, s.openRuns = 0, 0
 	factor := s.logFactor()
-	s.runs, s.openSum, s.openRuns = min(s.runs+s.openRuns, runs), 0, 0
+	s.runs = min(s.runs, maxKeptRuns) / 2
 	s.sum = factor * (s.runs + speedPrior)
 }
 
@@ -95,8 +98,11 @@
 func (c *Core) KnownSpeeds() int { return len(c.speeds) }
 
 // ageSpeed halves the weight of a worker's speed for its next incarnation, which may run on
-// another machine.
+// another machine. A speed that rests on less than one run is dropped, so that a worker that gets no
+// runs is not slow for ever. Ratings of the earlier incarnation in open jobs are dropped too: they
+// would be added again as closed runs at the jobs' end.
 func (c *Core) ageSpeed(id string) {
+	c.dropRatings(id)
 	s := c.speeds[id]
 	if s == nil {
 		return
@@ -105,12 +111,32 @@
 		delete(c.speeds, id)
 		return
 	}
-	s.limitRuns(max(1, min(s.runs+s.openRuns, maxKeptRuns)/2))
+	if s.halveRuns(); s.runs < 1 {
+		c.dropSpeed(id)
+		return
+	}
 	if w := c.workers[id]; w != nil {
 		s.startMS = w.startMS
 	}
 }
 
+// dropRatings drops the ratings of a worker's runs in all jobs.
+func (c *Core) dropRatings(id string) {
+	for _, j := range c.jobs {
+		for _, rates := range j.rates {
+			maps.DeleteFunc(rates, func(_ int, r rating) bool { return r.worker == id })
+		}
+	}
+}
+
+// dropSpeed drops a worker's speed and has its record written without it.
+func (c *Core) dropSpeed(id string) {
+	if c.speeds[id].recorded != keptAverage {
+		c.speedRecords.dropped[speedPart(id)] = true
+	}
+	delete(c.speeds, id)
+}
+
 // compareSpeedIncarnation ages the speed of a worker that answers as another incarnation than the
 // one that was measured.
 func (c *Core) compareSpeedIncarnation(w *worker) {
@@ -142,10 +168,7 @@
 		case s.missingSince.IsZero():
 			s.missingSince = now
 		case now.Sub(s.missingSince) > missingSpeedTime:
-			delete(c.speeds, id)
-			if s.recorded != keptAverage {
-				c.speedRecords.dropped[speedPart(id)] = true
-			}
+			c.dropSpeed(id)
 		}
 	}
 }
--- a/workload/control/speed_records_test.go
+++ b/workload/control/speed_records_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
 // newMeasuredCore returns a planner with workers of which every third is slow and every third fast.
@@ -127,6 +129,47 @@
 	}
 }
 
+// Guards against runs that weigh twice on a worker's speed after it restarts, and against a worker that
+// counts as slow for ever although it was not measured for many incarnations.
+func TestIncarnationsLowerTheWeightOfSpeeds(t *testing.T) {
+	c := New(Bounds{}, 2, time.Unix(1_000_000, 0))
+	c.roundAt = c.startedAt
+	key := decide.UnitKey{Job: "j"}
+	rates := map[int]rating{}
+	for i := range 9 {
+		id := []string{"a", "b", "c"}[i%3]
+		c.workerFor(id).startMS = 1
+		rates[i] = rating{worker: id}
+		if id == "a" {
+			rates[i] = rating{id, math.Log(0.5)}
+		}
+	}
+	c.jobs["j"] = &job{rates: map[decide.UnitKey]map[int]rating{key: rates}}
+	now := c.startedAt.Add(speedsInterval)
+	c.learnSpeeds(now)
+	if s := c.speeds["a"]; s.openRuns != 3 {
+		t.Fatalf("measured as %+v", s)
+	}
+	c.workers["a"].startMS++
+	c.forgetIncarnation("a")
+	c.learnSpeeds(now.Add(speedsInterval))
+	if s := c.speeds["a"]; s != nil {
+		t.Errorf("open runs of the earlier incarnation still count: %+v", s)
+	}
+	c.speeds["a"] = &speed{runs: 30, sum: 31.5 * math.Log(0.6)}
+	for restart, want := range []float64{1.5, 0} {
+		c.workers["a"].startMS++
+		c.forgetIncarnation("a")
+		got := 0.0
+		if s := c.speeds["a"]; s != nil {
+			got = s.runs
+		}
+		if got != want {
+			t.Errorf("after %d restarts the speed rests on %.2f runs, want %.2f", restart+1, got, want)
+		}
+	}
+}
+
 // Guards against planners that alternate and forget, with each change, a part of what is known.
 func TestSpeedsSurviveAlternatingPlanners(t *testing.T) {
 	c := newMeasuredCore(2, 30)
