Control: a bad speed entry no longer discards its record

Cause: restoreSpeeds returned at the first entry that it could not read, and took over entries of parts that hash elsewhere. Change: such entries are left out and reported with state-ignored. Ruled out: skipping them silently. Tests: TestBadSpeedEntryIsLeftOut failed (0 speeds, want 1), passes now with the other tests of speed records.

--- a/workload/control/speed_records.go
+++ b/workload/control/speed_records.go
@@ -262,7 +262,9 @@
 var errSpeedForm = errors.New("form")
 
 // restoreSpeeds takes over a record of speeds. New measurements override them.
-func (c *Core) restoreSpeeds(_ string, state json.RawMessage) error {
+// Entries that can't be read, and those of another part, are left out: they would stay
+// when the record that holds their worker changes.
+func (c *Core) restoreSpeeds(part string, state json.RawMessage) error {
 	if !c.keepsSpeeds() {
 		return errors.New("disabled")
 	}
@@ -270,19 +272,20 @@
 	if err := json.Unmarshal(state, &entries); err != nil {
 		return err
 	}
-	restored := map[string]*speed{}
+	bad := 0
 	for _, e := range entries {
 		id, s, err := parseSpeedEntry(e)
-		if err != nil {
-			return err
+		if err != nil || strconv.Itoa(speedPart(id)) != part {
+			bad++
+			continue
 		}
 		s.missingSince = c.startedAt
 		s.recorded = classOf(s.factor())
-		restored[id] = s
-	}
-	for id, s := range restored {
 		c.speeds[id] = s
 	}
+	if bad > 0 {
+		return fmt.Errorf("%w of %d entries of %d", errSpeedForm, bad, len(entries))
+	}
 	return nil
 }
 
--- a/workload/control/speed_records_test.go
+++ b/workload/control/speed_records_test.go
@@ -205,6 +205,20 @@
 	}
 }
 
+// Guards against one bad entry, or one of another part, that discards all others of the record.
+func TestBadSpeedEntryIsLeftOut(t *testing.T) {
+	part := speedPart("a")
+	other := 0
+	for speedPart(fmt.Sprint(other)) == part {
+		other++
+	}
+	state := fmt.Sprintf(`{"t":2,"s":["a,1,-50,3","a,1,-50,9","%d,1,-50,3"]}`, other)
+	c := restoreInto([]Record{{Key: fmt.Sprintf("%sspeeds/%d", StatePrefix, part), Value: []byte(state)}}, 3)
+	if e := c.Events(); len(c.speeds) != 1 || c.speeds["a"] == nil || len(e) != 1 || e[0].Name != EventStateIgnored {
+		t.Errorf("%d speeds, events %+v", len(c.speeds), e)
+	}
+}
+
 // BenchmarkChangedSpeeds measures the search for changed classes at the target size, once a second.
 func BenchmarkChangedSpeeds(b *testing.B) {
 	c := newMeasuredCore(2, 18_000)
