Control: record speeds with hysteresis

Cause: a worker whose speed is near the factor 1.1 changed its class with each round, and its record was written every second. Change: a recorded worker stays in its record until its factor is within 1.05 of the average, and a successor takes this over from the entry. Ruled out: a longer interval between records, which delays all changes. Tests: TestSpeedNearThresholdIsRecordedOnce failed (20 records in 20 rounds), passes now with the other tests of speed records.

--- a/workload/control/speed_records.go
+++ b/workload/control/speed_records.go
@@ -49,6 +49,10 @@
 	// maxKeptLog limits the logarithm of a recorded factor, which is measured with at most a
 	// difference of maxApart per run.
 	maxKeptLog = 2 * math.Ln2
+	// maxUnrecordedLog is the logarithm of the factor 1.05 up to which a recorded worker is removed
+	// from its record. Entries are made from 1.1 on: with one threshold for both, a worker near it was
+	// written every second.
+	maxUnrecordedLog = 0.0488
 )
 
 // speedsState is the state of kind "speeds".
@@ -70,7 +74,22 @@
 	if s.recorded == keptAverage && s.runs+s.openRuns < minKeptRuns {
 		return keptAverage
 	}
-	return classOf(s.factor())
+	class := classOf(s.factor())
+	if class == keptAverage && s.recorded == recordedClass(s.logFactor()) && math.Abs(s.logFactor()) > maxUnrecordedLog {
+		return s.recorded
+	}
+	return class
+}
+
+// recordedClass returns the class that an entry with the given logarithm was recorded for.
+func recordedClass(log float64) keptClass {
+	switch {
+	case log < 0:
+		return keptSlow
+	case log > 0:
+		return keptFast
+	}
+	return keptAverage
 }
 
 func classOf(factor float64) keptClass {
@@ -280,7 +299,7 @@
 			continue
 		}
 		s.missingSince = c.startedAt
-		s.recorded = classOf(s.factor())
+		s.recorded = recordedClass(s.logFactor())
 		c.speeds[id] = s
 	}
 	if bad > 0 {
--- a/workload/control/speed_records_test.go
+++ b/workload/control/speed_records_test.go
@@ -205,6 +205,30 @@
 	}
 }
 
+// Guards against a record every second for a worker whose speed is near the threshold.
+func TestSpeedNearThresholdIsRecordedOnce(t *testing.T) {
+	for _, factors := range [][2]float64{{0.90, 0.915}, {1.11, 1.09}} {
+		c := New(Bounds{}, 2, time.Unix(1_000_000, 0))
+		c.workerFor("a").startMS = 1
+		c.speeds["a"] = &speed{runs: 30}
+		records := 0
+		for i := range 20 {
+			c.roundAt = c.startedAt.Add(time.Duration(i) * stateInterval)
+			c.speeds["a"].sum = (30 + speedPrior) * math.Log(factors[i%2])
+			c.speedRecords.due = true
+			records += len(c.Changes())
+		}
+		if records != 1 {
+			t.Errorf("%d records of a worker between %v", records, factors)
+		}
+		c.roundAt = c.roundAt.Add(stateInterval)
+		c.speeds["a"].sum, c.speedRecords.due = 0, true
+		if got := c.Changes(); len(got) != 1 || len(got[0].Value) != 0 {
+			t.Errorf("an average worker is still recorded: %+v", got)
+		}
+	}
+}
+
 // Guards against one bad entry, or one of another part, that discards all others of the record.
 func TestBadSpeedEntryIsLeftOut(t *testing.T) {
 	part := speedPart("a")
