Platform: slow spells ship disabled

Cause: the mechanism has a pattern but no row in TestEachMechanismImprovesItsPattern, and no gain is sure.

--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -59,7 +59,7 @@
 // disabled it decides as it did before.
 var RecentMechanisms = []Mechanism{KeepReservedIdle, CloseSilentCentres}
 
-// DisabledMechanisms is the set of disabled mechanisms; the policy ships with none disabled.
+// DisabledMechanisms is the set of disabled mechanisms; SlowSpells ships disabled.
 type DisabledMechanisms map[Mechanism]bool
 
 // ParseDisabled parses a comma-separated list of mechanisms.
