--- a/workload/control/speed_records.go
+++ b/workload/control/speed_records.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -48,6 +49,10 @@
 	// maxKeptLog limits the logarithm of a recorded factor, which is measured with at most a
 	// difference of maxApart per run.
 	maxKeptLog = 2 * math.Ln2
+	// maxUnrecordedLog is the logarithm of the factor 1.05 up to which a recorded worker is removed
+	// from its record. Entries are made from 1.1 on: with one threshold for both, a worker near it was
+	// written every second.
+	maxUnrecordedLog = 0.0488
 )
 
 // speedsState is the state of kind "speeds".
@@ -69,7 +74,22 @@
 	if s.recorded == keptAverage && s.runs+s.openRuns < minKeptRuns {
 		return keptAverage
 	}
-	return classOf(s.factor())
+	class := classOf(s.factor())
+	if class == keptAverage && s.recorded == recordedClass(s.logFactor()) && math.Abs(s.logFactor()) > maxUnrecordedLog {
+		return s.recorded
+	}
+	return class
+}
+
+// recordedClass returns the class that an entry with the given logarithm was recorded for.
+func recordedClass(log float64) keptClass {
+	switch {
+	case log < 0:
+		return keptSlow
+	case log > 0:
+		return keptFast
+	}
+	return keptAverage
 }
 
 func classOf(factor float64) keptClass {
@@ -82,10 +102,12 @@
 	return keptAverage
 }
 
-// limitRuns lowers the number of runs on which the speed rests, without changing it.
-func (s *speed) limitRuns(runs float64) {
+// halveRuns halves the number of closed runs on which the speed rests, at most maxKeptRuns, without
+// changing it. Open runs no longer count.
+func (s *speed) halveRuns() {
+	s.openSum, s.openRuns = 0, 0
 	factor := s.logFactor()
-	s.runs, s.openSum, s.openRuns = min(s.runs+s.openRuns, runs), 0, 0
+	s.runs = min(s.runs, maxKeptRuns) / 2
 	s.sum = factor * (s.runs + speedPrior)
 }
 
@@ -95,8 +117,11 @@
 func (c *Core) KnownSpeeds() int { return len(c.speeds) }
 
 // ageSpeed halves the weight of a worker's speed for its next incarnation, which may run on
-// another machine.
+// another machine. A speed that rests on less than one run is dropped, so that a worker that gets no
+// runs is not slow for ever. Ratings of the earlier incarnation in open jobs are dropped too: they
+// would be added again as closed runs at the jobs' end.
 func (c *Core) ageSpeed(id string) {
+	c.dropRatings(id)
 	s := c.speeds[id]
 	if s == nil {
 		return
@@ -105,12 +130,32 @@
 		delete(c.speeds, id)
 		return
 	}
-	s.limitRuns(max(1, min(s.runs+s.openRuns, maxKeptRuns)/2))
+	if s.halveRuns(); s.runs < 1 {
+		c.dropSpeed(id)
+		return
+	}
 	if w := c.workers[id]; w != nil {
 		s.startMS = w.startMS
 	}
 }
 
+// dropRatings drops the ratings of a worker's runs in all jobs.
+func (c *Core) dropRatings(id string) {
+	for _, j := range c.jobs {
+		for _, rates := range j.rates {
+			maps.DeleteFunc(rates, func(_ int, r rating) bool { return r.worker == id })
+		}
+	}
+}
+
+// dropSpeed drops a worker's speed and has its record written without it.
+func (c *Core) dropSpeed(id string) {
+	if c.speeds[id].recorded != keptAverage {
+		c.speedRecords.dropped[speedPart(id)] = true
+	}
+	delete(c.speeds, id)
+}
+
 // compareSpeedIncarnation ages the speed of a worker that answers as another incarnation than the
 // one that was measured.
 func (c *Core) compareSpeedIncarnation(w *worker) {
@@ -142,10 +187,7 @@
 		case s.missingSince.IsZero():
 			s.missingSince = now
 		case now.Sub(s.missingSince) > missingSpeedTime:
-			delete(c.speeds, id)
-			if s.recorded != keptAverage {
-				c.speedRecords.dropped[speedPart(id)] = true
-			}
+			c.dropSpeed(id)
 		}
 	}
 }
@@ -239,7 +281,9 @@
 var errSpeedForm = errors.New("form")
 
 // restoreSpeeds takes over a record of speeds. New measurements override them.
-func (c *Core) restoreSpeeds(_ string, state json.RawMessage) error {
+// Entries that can't be read, and those of another part, are left out: they would stay
+// when the record that holds their worker changes.
+func (c *Core) restoreSpeeds(part string, state json.RawMessage) error {
 	if !c.keepsSpeeds() {
 		return errors.New("disabled")
 	}
@@ -247,19 +291,20 @@
 	if err := json.Unmarshal(state, &entries); err != nil {
 		return err
 	}
-	restored := map[string]*speed{}
+	bad := 0
 	for _, e := range entries {
 		id, s, err := parseSpeedEntry(e)
-		if err != nil {
-			return err
+		if err != nil || strconv.Itoa(speedPart(id)) != part {
+			bad++
+			continue
 		}
 		s.missingSince = c.startedAt
-		s.recorded = classOf(s.factor())
-		restored[id] = s
-	}
-	for id, s := range restored {
+		s.recorded = recordedClass(s.logFactor())
 		c.speeds[id] = s
 	}
+	if bad > 0 {
+		return fmt.Errorf("%w of %d entries of %d", errSpeedForm, bad, len(entries))
+	}
 	return nil
 }
 
--- a/workload/control/speed_records_test.go
+++ b/workload/control/speed_records_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
 // newMeasuredCore returns a planner with workers of which every third is slow and every third fast.
@@ -127,6 +129,47 @@
 	}
 }
 
+// Guards against runs that weigh twice on a worker's speed after it restarts, and against a worker that
+// counts as slow for ever although it was not measured for many incarnations.
+func TestIncarnationsLowerTheWeightOfSpeeds(t *testing.T) {
+	c := New(Bounds{}, 2, time.Unix(1_000_000, 0))
+	c.roundAt = c.startedAt
+	key := decide.UnitKey{Job: "j"}
+	rates := map[int]rating{}
+	for i := range 9 {
+		id := []string{"a", "b", "c"}[i%3]
+		c.workerFor(id).startMS = 1
+		rates[i] = rating{worker: id}
+		if id == "a" {
+			rates[i] = rating{id, math.Log(0.5)}
+		}
+	}
+	c.jobs["j"] = &job{rates: map[decide.UnitKey]map[int]rating{key: rates}}
+	now := c.startedAt.Add(speedsInterval)
+	c.learnSpeeds(now)
+	if s := c.speeds["a"]; s.openRuns != 3 {
+		t.Fatalf("measured as %+v", s)
+	}
+	c.workers["a"].startMS++
+	c.forgetIncarnation("a")
+	c.learnSpeeds(now.Add(speedsInterval))
+	if s := c.speeds["a"]; s != nil {
+		t.Errorf("open runs of the earlier incarnation still count: %+v", s)
+	}
+	c.speeds["a"] = &speed{runs: 30, sum: 31.5 * math.Log(0.6)}
+	for restart, want := range []float64{1.5, 0} {
+		c.workers["a"].startMS++
+		c.forgetIncarnation("a")
+		got := 0.0
+		if s := c.speeds["a"]; s != nil {
+			got = s.runs
+		}
+		if got != want {
+			t.Errorf("after %d restarts the speed rests on %.2f runs, want %.2f", restart+1, got, want)
+		}
+	}
+}
+
 // Guards against planners that alternate and forget, with each change, a part of what is known.
 func TestSpeedsSurviveAlternatingPlanners(t *testing.T) {
 	c := newMeasuredCore(2, 30)
@@ -162,6 +205,44 @@
 	}
 }
 
+// Guards against a record every second for a worker whose speed is near the threshold.
+func TestSpeedNearThresholdIsRecordedOnce(t *testing.T) {
+	for _, factors := range [][2]float64{{0.90, 0.915}, {1.11, 1.09}} {
+		c := New(Bounds{}, 2, time.Unix(1_000_000, 0))
+		c.workerFor("a").startMS = 1
+		c.speeds["a"] = &speed{runs: 30}
+		records := 0
+		for i := range 20 {
+			c.roundAt = c.startedAt.Add(time.Duration(i) * stateInterval)
+			c.speeds["a"].sum = (30 + speedPrior) * math.Log(factors[i%2])
+			c.speedRecords.due = true
+			records += len(c.Changes())
+		}
+		if records != 1 {
+			t.Errorf("%d records of a worker between %v", records, factors)
+		}
+		c.roundAt = c.roundAt.Add(stateInterval)
+		c.speeds["a"].sum, c.speedRecords.due = 0, true
+		if got := c.Changes(); len(got) != 1 || len(got[0].Value) != 0 {
+			t.Errorf("an average worker is still recorded: %+v", got)
+		}
+	}
+}
+
+// Guards against one bad entry, or one of another part, that discards all others of the record.
+func TestBadSpeedEntryIsLeftOut(t *testing.T) {
+	part := speedPart("a")
+	other := 0
+	for speedPart(fmt.Sprint(other)) == part {
+		other++
+	}
+	state := fmt.Sprintf(`{"t":2,"s":["a,1,-50,3","a,1,-50,9","%d,1,-50,3"]}`, other)
+	c := restoreInto([]Record{{Key: fmt.Sprintf("%sspeeds/%d", StatePrefix, part), Value: []byte(state)}}, 3)
+	if e := c.Events(); len(c.speeds) != 1 || c.speeds["a"] == nil || len(e) != 1 || e[0].Name != EventStateIgnored {
+		t.Errorf("%d speeds, events %+v", len(c.speeds), e)
+	}
+}
+
 // BenchmarkChangedSpeeds measures the search for changed classes at the target size, once a second.
 func BenchmarkChangedSpeeds(b *testing.B) {
 	c := newMeasuredCore(2, 18_000)
--- a/workload/control/spells_test.go
+++ b/workload/control/spells_test.go
@@ -100,6 +100,29 @@
 	}
 }
 
+// Guards against workers that count as slowed while all are, since the windows of the others end
+// before or because the first verdict leaves fewer to compare with.
+func TestNoWorkerIsSlowedIfAllAre(t *testing.T) {
+	for _, gang := range []bool{true, false} {
+		for ms := 3000; ms < 4700; ms += 100 {
+			s := newSpellScenario()
+			if gang {
+				s.addGang(jobA)
+			} else {
+				for i := range 6 {
+					s.add(workload.JobID(fmt.Sprintf("%016x", 100+i)), nil, workload.Step{Count: 1, Need: need(2), EstimateMS: 12000})
+				}
+			}
+			s.advance(time.Duration(ms) * time.Millisecond)
+			s.isSlow = func(string) bool { return true }
+			s.advance(4 * time.Second)
+			if len(s.slowed) != 0 {
+				t.Errorf("gang %t, slow from %d ms: slowed workers: %v", gang, ms, s.slowed)
+			}
+		}
+	}
+}
+
 // Guards against a verdict that outlasts the worker's incarnation, and one that a new planner needs
 // its predecessor for.
 func TestSpellEndsWithItsIncarnationAndItsPlanner(t *testing.T) {
@@ -126,3 +149,30 @@
 		t.Errorf("the job is %s", s.jobState(jobA))
 	}
 }
+
+// Guards against new work of any priority on a slowed worker while others have room: there it takes
+// several times as long.
+func TestSlowedWorkerComesLast(t *testing.T) {
+	for _, step := range []workload.Step{
+		{Count: 1, Need: need(1), EstimateMS: 3000},
+		{Count: 4, Gang: true, PerWorker: 1, Need: need(1), EstimateMS: 3000},
+	} {
+		for priority := range 3 {
+			s := newSpellScenario()
+			s.addGang(jobA)
+			s.advance(4 * time.Second)
+			s.isSlow = func(worker string) bool { return worker == "w0" }
+			s.advance(3 * time.Second)
+			id := s.add(jobB, func(j *workload.Job) { j.QueueSettings.Priority = priority }, step)
+			s.advance(time.Second)
+			if s.slowed["w0"] == "" || len(s.starts(id)) != step.Count {
+				t.Fatalf("priority %d, gang %t: slowed %v, starts %+v", priority, step.Gang, s.slowed, s.starts(id))
+			}
+			for _, e := range s.starts(id) {
+				if e.Worker == "w0" {
+					t.Errorf("priority %d, gang %t: a task starts on the slowed worker", priority, step.Gang)
+				}
+			}
+		}
+	}
+}
