Control: don't sum failed runs over parallel tasks in the objective

Cause: the times of failed runs were summed per step. With 39 single tasks of 6 s, of which 8 failed once after 3 s, a chain counted 30 s instead of 9 s, so that late jobs were reported as in time.

Change: run times and owed times are kept by step and index, with one index for a gang. A step counts with the longest time of a task, including its own failed runs. expectedWithFailures keeps the total per step, since decisions depend on it.

Tests: TestFailedRunsOfParallelTasksAreNotSummed failed before (30 s, want 9 s) and passes; so do the tests of workload/control matching Owed|Chain|FailedRuns|Completion|Objective|Outcome. The whole package was not run.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -131,11 +131,12 @@
 	dueAt time.Time
 	// inherited is set if an earlier planner had started the job.
 	inherited bool
-	// completedTime is the run time of each completed step, failedTime the total run time of its
-	// failed runs.
-	completedTime, failedTime map[int]time.Duration
-	// owed is what the same runs would have taken on average workers near their data.
-	owed owedTimes
+	// failedTime is the total run time of each step's failed runs.
+	failedTime map[int]time.Duration
+	// worked are the run times, and owed those that the same runs would have had on average workers
+	// near their data. Objectives are computed for owed: callers are not owed more time because a
+	// run was on a slow or remote worker.
+	worked, owed taskTimes
 	// crashedAt is when a worker last crashed while running one of its tasks.
 	crashedAt time.Time
 	// waitedUnsettledAt is when one of its tasks last waited because the pool was unstable.
--- a/workload/control/outcome.go
+++ b/workload/control/outcome.go
@@ -25,15 +25,15 @@
 	if r.orderedAt.IsZero() || (end != EndDone && end != EndFailed) {
 		return
 	}
-	if j.completedTime == nil {
-		j.completedTime, j.failedTime = map[int]time.Duration{}, map[int]time.Duration{}
-	}
 	took := now.Sub(r.orderedAt)
-	if end == EndFailed {
-		j.failedTime[r.id.Step] += took
+	j.worked.record(r, end, took)
+	if end != EndFailed {
 		return
 	}
-	j.completedTime[r.id.Step] = max(j.completedTime[r.id.Step], took)
+	if j.failedTime == nil {
+		j.failedTime = map[int]time.Duration{}
+	}
+	j.failedTime[r.id.Step] += took
 }
 
 // emitCompletion emits the completion of a job and how that compares with its objective. Jobs with
@@ -67,7 +67,9 @@
 // longestRunChain returns the run time of the longest chain of the job's steps, including failed
 // runs.
 func (j *job) longestRunChain() time.Duration {
-	return longestChain(j.Job, 0, true, func(step int) time.Duration { return j.completedTime[step] + j.failedTime[step] })
+	return longestChain(j.Job, 0, true, func(step int) time.Duration {
+		return j.worked.longest(step, &j.Steps[step], func() time.Duration { return 0 })
+	})
 }
 
 // longestChain returns the longest chain of steps by the given duration of each step: of the
--- a/workload/control/owed.go
+++ b/workload/control/owed.go
@@ -2,13 +2,62 @@
 
 import (
 	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
 )
 
-// owedTimes are run times on average workers near the data, by step. Objectives are computed for
-// these: callers are not owed more time because a run was on a slow or remote worker.
-type owedTimes struct {
-	// completed is that of each completed step, failed the total of its failed runs.
-	completed, failed map[int]time.Duration
+// taskTimes are the run times of a job's tasks. The members of a gang count as one task.
+type taskTimes struct {
+	// completed is the longest completed run of each task, failed the total of its failed runs.
+	completed, failed map[taskOfStep]time.Duration
+}
+
+// taskOfStep identifies a task of a job, or a gang with index 0.
+type taskOfStep struct{ step, index int }
+
+func taskOf(r *activeRun) taskOfStep {
+	if r.step.Gang {
+		return taskOfStep{r.id.Step, 0}
+	}
+	return taskOfStep{r.id.Step, r.id.Index}
+}
+
+// record records a run that completed its task or failed.
+func (t *taskTimes) record(r *activeRun, end End, took time.Duration) {
+	if t.completed == nil {
+		t.completed, t.failed = map[taskOfStep]time.Duration{}, map[taskOfStep]time.Duration{}
+	}
+	task := taskOf(r)
+	if end == EndFailed {
+		t.failed[task] += took
+		return
+	}
+	t.completed[task] = max(t.completed[task], took)
+}
+
+// longest returns the longest time of a task of the step, including its failed runs. The tasks run
+// in parallel, so the failed runs of one do not delay the others. missing is the time of a task that
+// failed and whose completion was not recorded, and of a step of which nothing was recorded.
+func (t *taskTimes) longest(index int, step *workload.Step, missing func() time.Duration) time.Duration {
+	tasks := step.Count
+	if step.Gang {
+		tasks = min(1, tasks)
+	}
+	longest, recorded := time.Duration(0), false
+	for i := range tasks {
+		task := taskOfStep{index, i}
+		completed, known := t.completed[task]
+		failed, failedBefore := t.failed[task]
+		if !known && failedBefore {
+			completed = missing()
+		}
+		recorded = recorded || known || failedBefore
+		longest = max(longest, completed+failed)
+	}
+	if !recorded {
+		return missing()
+	}
+	return longest
 }
 
 // runConditions are the observed part of a run and where it took place.
@@ -37,15 +86,7 @@
 	if !known {
 		return
 	}
-	times := &r.job.owed
-	if times.completed == nil {
-		times.completed, times.failed = map[int]time.Duration{}, map[int]time.Duration{}
-	}
-	if end == EndFailed {
-		times.failed[r.id.Step] += conditions.owed()
-		return
-	}
-	times.completed[r.id.Step] = max(times.completed[r.id.Step], conditions.owed())
+	r.job.owed.record(r, end, conditions.owed())
 }
 
 // conditionsOf returns the conditions of a run that ends. Of a run that began with saved progress,
@@ -85,10 +126,11 @@
 // earlier planner saw are missing.
 func (c *Core) owedChain(j *job) time.Duration {
 	return longestChain(j.Job, 0, true, func(step int) time.Duration {
-		completed, known := j.owed.completed[step]
-		if !known && !j.Steps[step].Perpetual {
-			completed = c.estimates.expected(j, step)
-		}
-		return completed + j.owed.failed[step]
+		return j.owed.longest(step, &j.Steps[step], func() time.Duration {
+			if j.Steps[step].Perpetual {
+				return 0
+			}
+			return c.estimates.expected(j, step)
+		})
 	})
 }
--- a/workload/control/owed_test.go
+++ b/workload/control/owed_test.go
@@ -64,7 +64,27 @@
 	r := j.runs[0]
 	r.resumed, r.firstPercent, r.firstAt = true, 50, now.Add(time.Second)
 	c.recordOwedTime(r, EndDone, now.Add(3*time.Second))
-	if got, want := j.owed.completed[0], 2400*time.Millisecond; (got - want).Abs() > 10*time.Millisecond {
+	if got, want := j.owed.completed[taskOfStep{}], 2400*time.Millisecond; (got - want).Abs() > 10*time.Millisecond {
 		t.Errorf("owed %v, want %v: 2 s for half the work at speed 0.6", got, want)
 	}
 }
+
+// Guards against an objective that allows for the failed runs of all parallel tasks one after another,
+// so that late jobs count as in time.
+func TestFailedRunsOfParallelTasksAreNotSummed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c, j := gangOnSlowWorker(now)
+	j.Steps = []workload.Step{{Count: 39, EstimateMS: 1000}}
+	for i := range j.Steps[0].Count {
+		r := &activeRun{id: workload.TaskID{Index: i}, step: &j.Steps[0], job: j, worker: c.workerFor("average"), ordered: true, orderedAt: now}
+		if i < 8 {
+			c.recordOwedTime(r, EndFailed, now.Add(3*time.Second))
+			j.recordRunTime(r, EndFailed, now.Add(3*time.Second))
+		}
+		c.recordOwedTime(r, EndDone, now.Add(6*time.Second))
+		j.recordRunTime(r, EndDone, now.Add(6*time.Second))
+	}
+	if owed, ran := c.owedChain(j), j.longestRunChain(); (owed-9*time.Second).Abs() > 10*time.Millisecond || ran != 9*time.Second {
+		t.Errorf("owed %v, ran %v, want 9 s for both", owed, ran)
+	}
+}
