Report: a gang that failed by itself is not restarted

Cause: the members of a failed gang are stopped as gang-failed. The report took this for a restart, although the objective allows for own failures.

Change: gang-failed is neither the reason of a restart nor marks its step as restarted. Other reasons that begin with gang- still do.

Tests: the new case of TestReasonsOfRestarts and TestFailedGangIsNoRestartedStep failed before. go test ./events/... passes.

--- a/events/report/lateness.go
+++ b/events/report/lateness.go
@@ -107,12 +107,15 @@
 	return d
 }
 
-// restartReasonOf returns why a line's run has to run again, or "". Runs that failed by themselves
-// are not among them, since the objective allows for them.
+// gangFailed is the reason for which a gang's other members are stopped when one has failed.
+const gangFailed = "gang-failed"
+
+// restartReasonOf returns why a line's run has to run again, or "". Runs and gangs that failed by
+// themselves are not among them, since the objective allows for them.
 func restartReasonOf(event events.Name, why string) string {
 	switch event {
 	case "run-stopping":
-		if why != "job-over" && why != "done-before" {
+		if why != "job-over" && why != "done-before" && why != gangFailed {
 			return why
 		}
 	case "run-lost":
--- a/events/report/lateness_test.go
+++ b/events/report/lateness_test.go
@@ -32,7 +32,7 @@
 // are counted as restarts although the objective allows for them.
 func TestReasonsOfRestarts(t *testing.T) {
 	for _, test := range []struct{ event, why, want string }{
-		{"run-stopping", "preempted", "preempted"}, {"run-stopping", "job-over", ""}, {"run-stopping", "done-before", ""},
+		{"run-stopping", "preempted", "preempted"}, {"run-stopping", "job-over", ""}, {"run-stopping", "done-before", ""}, {"run-stopping", "gang-failed", ""}, {"run-stopping", "gang-lapsed", "gang-lapsed"},
 		{"run-lost", "lease-over", "lease-over"}, {"run-vanished", "", "vanished"}, {"run-ended", "failed", ""}, {"run-ended", "stopped", ""},
 	} {
 		if got := restartReasonOf(events.Name(test.event), test.why); got != test.want {
@@ -41,6 +41,15 @@
 	}
 }
 
+// Guards against waits that count for a restart after a gang has failed by itself.
+func TestFailedGangIsNoRestartedStep(t *testing.T) {
+	j := &job{restartedSteps: map[string]bool{}}
+	j.addRestart(events.Line{Event: "run-stopping", Fields: events.Fields{"task": "x.0.0"}}, "gang-failed")
+	if j.restartReason != "" || len(j.restartedSteps) != 0 {
+		t.Errorf("restart for %q of %v, want none", j.restartReason, j.restartedSteps)
+	}
+}
+
 // restartLog is the log of a late job that starts at once, is preempted after 2 s and waits for 3 s
 // until it runs again, and of one whose slow member takes 3 s for work of 1.8 s.
 var restartLog = logLine("job-accepted", "x", "", "", 1) + logLine("unit-started", "x", "", "", 1) +
