Planner: log summaries without rounds, and one before planner-ends

Cause: only Round built summaries. While readings were stale there were none, and what was pending when a planner ended was not logged, so that the report missed stops and ends whose lines were left out.

Change: a due summary is built whenever the planner's events are logged, at most once a second. The remaining events and a summary are logged before planner-ends. Events of orders that end after that are not logged, as before. The simulation calls EmitDueSummary as the planner does.

--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -39,7 +39,6 @@
 	c.emitLoad(plan, s, now)
 	c.reportShares(s, now)
 	c.measureBacklogs(plan, s, now)
-	c.emitSummary(now)
 }
 
 // loadInterval is how often the pool's load is emitted.
--- a/workload/control/round_summary.go
+++ b/workload/control/round_summary.go
@@ -36,14 +36,25 @@
 	(*m)[reason] = t
 }
 
-// emitSummary emits the stops and ends since the last summary, if there are any.
-func (c *Core) emitSummary(now time.Time) {
-	s := &c.summary
-	if (len(s.stops) == 0 && len(s.ends) == 0) || now.Before(s.due) {
+// EmitDueSummary emits the stops and ends since the last summary, if there are any, at most once in
+// summaryInterval. It is to be called before Events also when no round was made: runs end and are
+// stopped between rounds too.
+func (c *Core) EmitDueSummary(now time.Time) {
+	if now.Before(c.summary.due) || !c.EmitSummary() {
 		return
 	}
+	c.summary.due = now.Add(summaryInterval)
+}
+
+// EmitSummary emits the stops and ends since the last summary, and reports whether there were any.
+func (c *Core) EmitSummary() bool {
+	s := &c.summary
+	if len(s.stops) == 0 && len(s.ends) == 0 {
+		return false
+	}
 	c.emit(Event{Name: EventRoundSummary, Detail: "stops=" + formatTotals(s.stops) + " ends=" + formatTotals(s.ends)})
-	*s = roundSummary{due: now.Add(summaryInterval)}
+	s.stops, s.ends = nil, nil
+	return true
 }
 
 // formatTotals formats totals as REASON:RUNS:CORE_SECONDS, separated by commas.
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -360,6 +360,7 @@
 			sim.sendRenewal(p, o)
 		}
 	}
+	p.core.EmitDueSummary(sim.now)
 	for _, n := range p.core.Events() {
 		if n.Name == control.EventRunUnsettled {
 			sim.unsettledRuns = append(sim.unsettledRuns, fmt.Sprintf("%s %s run %d %s", n.Task, n.Worker, n.Run, n.Detail))
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -123,7 +123,7 @@
 	s.planning.Store(false)
 	s.metrics.SetAccountGauges(nil)
 	cancel()
-	s.events.Info(events.PlannerEnds, events.Fields{"token": token, "why": reason})
+	p.logEnd(reason)
 	p.goroutines.Wait()
 }
 
@@ -136,6 +136,16 @@
 	})
 }
 
+// logEnd logs the remaining events with a summary, which the report would otherwise miss, and the end
+// of the planner.
+func (p *planner) logEnd(reason string) {
+	p.mu.Lock()
+	p.core.EmitSummary()
+	p.logNotes()
+	p.mu.Unlock()
+	p.s.events.Info(events.PlannerEnds, events.Fields{"token": p.token, "why": reason})
+}
+
 func (p *planner) run(ctx context.Context) string {
 	timer := time.NewTicker(roundInterval)
 	defer timer.Stop()
@@ -263,6 +273,7 @@
 
 // logNotes logs the core's notes as events.
 func (p *planner) logNotes() {
+	p.core.EmitDueSummary(p.s.clock.Now())
 	for _, n := range p.core.Events() {
 		fields := events.Fields{"token": p.token, "version": p.configVersion}
 		addField(fields, "job", string(n.Job))
