--- a/workload/service/claim_leases_test.go
+++ b/workload/service/claim_leases_test.go
@@ -164,7 +164,9 @@
 	p.addSlowWorkers(20)
 	log := &deafLog{claimLog: &claimLog{sharedLog: p.log}}
 	first := p.startWithLeases("edge-0", granted, log, p.workers)
+	first.succession.mu.Lock()
 	first.succession.leases.horizon = claimed
+	first.succession.mu.Unlock()
 	p.awaitPlanner()
 	cutOff := func(worker string) bool { return worker < "w0010" }
 	second := p.startWithLeases("edge-1", leaseBounds, p.log, &partitionedWorkers{p.workers, cutOff})
