--- a/events/log.go
+++ b/events/log.go
@@ -93,7 +93,7 @@
 var essential = map[Name]bool{
 	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true, DetailsDropped: true, ClaimTaken: true,
 	"job-completed": true, "job-failed": true, PlannerBegins: true, PlannerEnds: true, PlannerTimings: true,
-	Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
+	"round-summary": true, Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
 }
 
 // essentialReserve is the part of the queue that is reserved for essential events.
@@ -149,7 +149,7 @@
 // reasonFields maps events that carry a reason to the field that contains it. Reasons
 // are codes of a closed set.
 var reasonFields = map[Name]string{
-	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why",
+	JobRefused: "reason", "run-ended": "why", "start-refused": "why", "run-stopping": "why", "unit-departs": "why",
 	RecordUnreadable: "reason", "run-lost": "why", "unit-waits": "why", "job-completed": "why", "job-failed": "why", "worker-gone": "why", "duty-answered": "why", "end-unknown": "why",
 }
 
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/decide"
+	"github.com/cobalttide/cobalttide/workload/share"
 )
 
 // Core is the planner's state machine. It is not safe for concurrent use.
@@ -38,19 +40,30 @@
 	pendingStops     []StopOrder
 	pendingThrottles []ThrottleOrder
 	pendingEvents    []Event
-	estimates        *estimates
+	// stopLines are the stops of gangs among pendingEvents.
+	stopLines map[stopKey]*stopLine
+	summary   roundSummary
+	estimates *estimates
+	// spells are the workers that are slowed.
+	spells map[string]*spell
 	// speeds are the workers' speeds, last updated at speedsUpdatedAt.
 	speeds          map[string]*speed
 	speedsUpdatedAt time.Time
+	speedRecords    speedRecords
 	// headroom is the capacity that the first priority is expected to need at once.
 	headroom headroom
 	arrivals arrivals
 	// urgency is the share of the first priority's units that can't wait for a stop.
 	urgency urgency
+	// shares are the accounts' shares of the pool beyond their guarantees.
+	shares accountShares
 	// inheritedLeasesEnd is when leases given by earlier planners to workers that have not
 	// answered yet must have expired.
 	inheritedLeasesEnd time.Time
-	deposed            bool
+	// lastWrite is when this planner's last successful append was first sent.
+	lastWrite time.Time
+	silent    silentWorkers
+	deposed   bool
 	// tokenRaises counts how often worker tokens were raised.
 	tokenRaises int64
 	centres     map[string]*centre
@@ -79,11 +92,20 @@
 	unpersistedDuties   []DutyOrder
 	dutiesAllowedFrom   time.Time
 	// startedAt is when this planner started.
-	startedAt time.Time
+	startedAt  time.Time
+	departures departures
 	// loadReportedAt is when the pool's load was last emitted.
 	loadReportedAt time.Time
+	// backlogs are the work that waits or runs, by service, as measured at backlogsAt.
+	backlogs   map[string]*[admission.Classes]admission.Backlog
+	backlogsAt time.Time
 	// adviceInFlight is set while a call for advice is in flight.
 	adviceInFlight bool
+	// stateKinds are the kinds of state for a successor. stateWrittenAt is when a record of any was
+	// last due, stateKindWrittenAt when one of each kind was.
+	stateKinds         []stateKind
+	stateWrittenAt     time.Time
+	stateKindWrittenAt map[string]time.Time
 	// wallMS is the wall-clock time of the last round, roundAt its monotonic time.
 	wallMS  int64
 	roundAt time.Time
@@ -109,9 +131,12 @@
 	dueAt time.Time
 	// inherited is set if an earlier planner had started the job.
 	inherited bool
-	// completedTime is the run time of each completed step, failedTime the total run time of its
-	// failed runs.
-	completedTime, failedTime map[int]time.Duration
+	// failedTime is the total run time of each step's failed runs.
+	failedTime map[int]time.Duration
+	// worked are the run times, and owed those that the same runs would have had on average workers
+	// near their data. Objectives are computed for owed: callers are not owed more time because a
+	// run was on a slow or remote worker.
+	worked, owed taskTimes
 	// crashedAt is when a worker last crashed while running one of its tasks.
 	crashedAt time.Time
 	// waitedUnsettledAt is when one of its tasks last waited because the pool was unstable.
@@ -130,6 +155,10 @@
 	worker *worker
 	run    int64
 	saved  string
+	// resumed is set if it began with saved progress.
+	resumed bool
+	// savedAt is when its worker last reported newly saved progress.
+	savedAt time.Time
 	// ordered is set if this planner sent the start order. Otherwise the run was adopted or its
 	// order is not sent yet.
 	ordered    bool
@@ -172,13 +201,15 @@
 	// firstPercent is the first percentage that was reported, at firstAt.
 	firstPercent int
 	firstAt      time.Time
+	rateCheck    rateCheck
 }
 
 // New returns the state machine of a planner that has just claimed the token. It places tasks of
 // unreachable workers elsewhere only after the leases that its predecessor gave must have
 // expired.
 func New(bounds Bounds, token int64, now time.Time) *Core {
-	if bounds.Plan == nil {
+	canReserve := bounds.Plan == nil
+	if canReserve {
 		bounds.Plan = decide.MakePlan
 	}
 	return &Core{
@@ -193,6 +224,7 @@
 		finishedJobs:       map[workload.JobID]bool{},
 		runs:               map[workload.TaskID]*activeRun{},
 		speeds:             map[string]*speed{},
+		spells:             map[string]*spell{},
 		centres:            map[string]*centre{},
 		evacuations:        map[string]*evacuation{},
 		advice:             map[decide.UnitKey]*advice{},
@@ -202,28 +234,18 @@
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
+		stateKinds:         stateKinds,
+		stopLines:          map[stopKey]*stopLine{},
+		silent:             silentWorkers{inheritedEnds: map[string]time.Time{}, recorded: map[string]int64{}, held: map[string]bool{}},
+		shares:             newAccountShares(),
+		stateKindWrittenAt: map[string]time.Time{},
+		departures:         departures{overstay: stopMargin, leaving: map[string]bool{}, canReserve: canReserve},
 		dirty:              map[workload.JobID]bool{},
 		estimates:          newEstimates(),
 		inheritedLeasesEnd: leasesEnd(now.Add(bounds.AuthorityPeriod), bounds),
 	}
 }
 
-// leasesEnd returns when all leases must have expired if no order was sent after the given time.
-func leasesEnd(since time.Time, bounds Bounds) time.Time {
-	return since.Add(maxLeaseTime(bounds.Lease) + lapseSlack)
-}
-
-// SetPredecessorSilentSince records that no earlier planner has sent an order after the given time.
-func (c *Core) SetPredecessorSilentSince(since time.Time) {
-	if end := leasesEnd(since, c.bounds); end.Before(c.inheritedLeasesEnd) {
-		c.inheritedLeasesEnd = end
-	}
-}
-
-// InheritedLeasesEnd returns when leases that earlier planners gave to workers which have not
-// answered yet must have expired.
-func (c *Core) InheritedLeasesEnd() time.Time { return c.inheritedLeasesEnd }
-
 // Deposed reports whether a worker or host has refused this planner's token.
 func (c *Core) Deposed() bool { return c.deposed }
 
@@ -231,12 +253,16 @@
 func (c *Core) Jobs() int { return len(c.jobs) }
 
 // Configure sets the configuration.
-func (c *Core) Configure(config Configuration) { c.config = config }
+func (c *Core) Configure(config Configuration) {
+	c.config = config
+	c.shares.weights = share.NewWeights(config.Weights, config.Guaranteed)
+}
 
 // Events returns the events since the last call.
 func (c *Core) Events() []Event {
 	out := c.pendingEvents
 	c.pendingEvents = nil
+	clear(c.stopLines)
 	return out
 }
 
@@ -245,7 +271,7 @@
 func (c *Core) addRun(j *job, id workload.TaskID, t *workload.Task) *activeRun {
 	r := &activeRun{
 		id: id, key: decide.UnitKey{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step},
-		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.LastCheckpoint,
+		step: &j.Steps[id.Step], job: j, run: t.Run, saved: t.LastCheckpoint, resumed: t.LastCheckpoint != "",
 		worker: c.workerFor(t.Worker),
 	}
 	c.runs[id] = r
@@ -355,7 +381,7 @@
 		}
 		out = append(out, Record{Key: workload.ProgressKey(id), Value: value})
 	}
-	out = c.addWaveRecords(out)
+	out = c.addStateRecords(c.addWaveRecords(out))
 	c.dirty = map[workload.JobID]bool{}
 	c.batchStarts = c.pendingStarts
 	c.pendingStarts = nil
@@ -377,6 +403,7 @@
 			delete(c.unpersisted, w)
 		}
 	}
+	c.confirmSilent(now)
 	c.withdrawStarts()
 	var out []StartOrder
 	for _, r := range c.batchStarts {
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -3,6 +3,11 @@
 // The events that a planner emits. Each carries the planner's token and the version of the
 // configuration, and job, task, run and worker where they apply.
 const (
+	// EventAccountShares: the client accounts' shares of the pool beyond their guarantees, once a
+	// second while such work waits; detail has how many accounts wait, and for those with the
+	// lowest levels the guaranteed accelerators, the use as a share of the pool, the level (use
+	// relative to the fair part) and the waiting tasks.
+	EventAccountShares = "account-shares"
 	// EventAdviceTaken: the advice service reported which workers may run a step; detail is how
 	// many of how many.
 	EventAdviceTaken = "advice-taken"
@@ -38,7 +43,9 @@
 	// EventWaveTaken: a maintenance wave was read.
 	EventWaveTaken = "wave-taken"
 	// EventJobCompleted: all tasks of a job are done; why is how it compares with its objective,
-	// detail its queue and times.
+	// detail its queue and times: worked_ms is the longest chain of its runs, owed_ms that chain on
+	// average workers near the data, from which the objective is computed. inherited means that an
+	// earlier planner had started the job, and that steps that only it saw are estimated.
 	EventJobCompleted = "job-completed"
 	// EventJobFailed: a task or gang has used its attempts, or crashes its workers; task and
 	// worker are those of the last failure, why is which of the two, detail how many workers
@@ -69,8 +76,14 @@
 	EventRunPaced = "run-paced"
 	// EventRunStandsStill: a run shows no progress and is stopped.
 	EventRunStandsStill = "run-stands-still"
-	// EventRunStopping: a run is to be stopped; why is the reason, detail the lost work in
-	// core-seconds.
+	// EventRoundSummary: the runs that were stopped, and those whose ends were listed, since the
+	// last summary, at most once a second; detail has stops and ends, each a list of
+	// REASON:RUNS:CORE_SECONDS. The core-seconds of stops are lost work, those of ends are the
+	// work of the runs.
+	EventRoundSummary = "round-summary"
+	// EventRunStopping: a run is to be stopped, or all members of a gang by one decision; why is
+	// the reason, detail the lost work in core-seconds, and for a gang the number of members and
+	// INDEX@WORKER of each.
 	EventRunStopping = "run-stopping"
 	// EventRunUnsettled: a worker that answers has listed neither a run nor its end for longer
 	// than an order to start it can be in transit; detail is what is known of the run.
@@ -84,11 +97,25 @@
 	EventStartRefused = "start-refused"
 	// EventStartUnanswered: a start order was not answered; it is repeated.
 	EventStartUnanswered = "start-unanswered"
+	// EventStateIgnored: a state record of an earlier planner can't be used, or one of this planner
+	// could not be encoded; why is the problem, detail the key and size.
+	EventStateIgnored = "state-ignored"
+	// EventStateRestored: a state record of an earlier planner was taken over; detail is its key and
+	// size.
+	EventStateRestored = "state-restored"
+	// EventSilentRecorded: the record of silent workers for a successor has changed; detail is
+	// their number.
+	EventSilentRecorded = "silent-recorded"
 	// EventStrangeRun: a worker runs a task that the planner has not placed there; the run is
 	// stopped.
 	EventStrangeRun = "strange-run"
 	// EventTokenRefused: a worker has seen the token of a newer planner; this planner stops.
 	EventTokenRefused = "token-refused"
+	// EventUnitDeparts: a worker of a running gang or task leaves; why is what is done with all
+	// members (let-end, save, stop), detail their number, the time left, the expected time to the
+	// end, how long they have been running, the work in core-seconds that is expected to be lost,
+	// and the time until they are stopped. It is emitted with the first decision and with the stop.
+	EventUnitDeparts = "unit-departs"
 	// EventUnitStarted: tasks of a step were placed; detail has index:run@worker of each, why the
 	// values behind the decision.
 	EventUnitStarted = "unit-started"
@@ -116,6 +143,12 @@
 	EventWorkerRestarted = "worker-restarted"
 	// EventWorkerSilent: a worker did not answer; its lease is not extended from now on.
 	EventWorkerSilent = "worker-silent"
+	// EventWorkerRecovered: a slowed worker is as fast as before, or there was no evidence of the
+	// opposite for some time; why is which, detail how long it counted as slowed.
+	EventWorkerRecovered = "worker-recovered"
+	// EventWorkerSlowed: all runs on a worker have fallen behind their own earlier rates at once;
+	// detail is their pace as a share of these, the expected progress and the number of runs.
+	EventWorkerSlowed = "worker-slowed"
 	// EventWorkerUnreadable: a worker's newest entry in the list, or the start time that it
 	// reported, can't be decoded. If it is the entry, the worker gets no new work, while leases
 	// of its runs are still renewed.
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -40,8 +40,9 @@
 	anchorAt time.Time
 	// newestConnection is the newest connection that leads to this incarnation, or nowhere.
 	newestConnection int64
-	// deadlineMS is the latest deadline that any order has set, by the worker's clock.
-	deadlineMS int64
+	// deadlineMS is the latest deadline that any order may have set, by the worker's clock,
+	// grantedMS the latest that an order of this planner has.
+	deadlineMS, grantedMS int64
 	// reachable is set if it has answered a lease renewal under this planner's token, and every
 	// call since.
 	reachable bool
@@ -159,21 +160,20 @@
 	w.incarnation = newIncarnation(w.number+1, answer.StartMS)
 	w.previousDrained = false
 	c.forgetIncarnation(w.ID)
-	if order.Token <= w.lastOrderToken {
-		// Orders for the previous incarnation carry the token of this answer, and may still
-		// arrive.
-		c.raiseToken(w)
-		w.nextRenewalAt = now
-	}
+	// Orders for the previous incarnation carry the token of this answer, and may still arrive: a
+	// lease renewal would set a deadline by the previous incarnation's clock.
+	c.raiseToken(w)
+	w.nextRenewalAt = now
 	for _, r := range givenUp {
 		c.failForCrashes(r)
 	}
 }
 
-// forgetIncarnation drops whatever else is kept under the worker's id: its speed, its tickets,
-// and that jobs avoid it.
+// forgetIncarnation drops whatever else is kept under the worker's id: its tickets, and that jobs
+// avoid it. Its speed counts for less from now on.
 func (c *Core) forgetIncarnation(id string) {
-	delete(c.speeds, id)
+	c.ageSpeed(id)
+	delete(c.spells, id)
 	for _, j := range c.jobs {
 		delete(j.avoidedWorkers, id)
 	}
@@ -189,6 +189,7 @@
 	r.orderedAt = now
 	r.percent, r.runningSinceMS, r.firstPercent, r.throttledPercent = 0, 0, 0, 0
 	r.progressedAt, r.reportedAt, r.firstAt = time.Time{}, time.Time{}, time.Time{}
+	r.rateCheck = rateCheck{}
 	if r.stopping {
 		r.stopAccepted = false
 		r.retryAt = now
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
@@ -24,7 +23,6 @@
 	r.attempts++
 	r.sentAt = now
 	r.incarnation, r.token = r.worker.number, r.worker.token
-	r.worker.lastOrderToken = r.token
 	return StartOrder{
 		Worker: r.worker.ID, Address: r.worker.Address, Incarnation: r.worker.number, Task: r.id, Run: r.run, Spec: r.job.Spec,
 		Checkpoint: r.saved, Ticket: c.ticketFor(r), DeadlineMS: c.nextDeadline(r.worker, now), Token: r.worker.token, Try: r.attempts,
@@ -153,11 +151,11 @@
 	}
 	r.stopping = true
 	r.evicted = !strings.HasPrefix(reason, gangStopPrefix)
-	detail := ""
+	lost := 0.0
 	if !r.settled {
-		detail = fmt.Sprintf("core_s=%.1f", c.lostWork(r, c.roundAt))
+		lost = c.lostWork(r, c.roundAt)
 	}
-	c.emit(Event{Name: EventRunStopping, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Reason: reason, Detail: detail})
+	c.emitStop(r, reason, lost)
 	c.pendingStops = append(c.pendingStops, newStopOrder(r.worker, r.id, r.run))
 }
 
@@ -212,7 +210,7 @@
 		case c.withdrawIfClosed(r):
 			// The worker may start nothing more or is full, so the run was given up: the repeated
 			// order might be the one that starts it.
-		case !r.worker.reachable:
+		case !r.worker.reachable || c.isHeld(r.worker):
 			// The next answer may come from another incarnation. A start that crashed the
 			// previous one would crash it too, so wait for a lease renewal first.
 			r.retryAt = now.Add(orderRetryPause)
@@ -234,7 +232,7 @@
 		case c.hasLapsed(w, now):
 			c.releaseRuns(w, reasonLeaseOver, now)
 			w.clockMS = 0
-			w.deadlineMS = 0
+			w.deadlineMS, w.grantedMS = 0, 0
 		}
 	}
 }
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -31,7 +31,9 @@
 	}
 	delete(c.unpersisted, c.workers[id])
 	delete(c.workers, id)
-	delete(c.speeds, id)
+	c.keepMissingSpeed(id)
+	delete(c.departures.leaving, id)
+	delete(c.spells, id)
 	delete(c.unlisted, id)
 }
 
@@ -81,6 +83,9 @@
 	w.listed = false
 	w.unlistedAt = now
 	w.departed = c.hasLeft(w, now)
+	if w.departed {
+		c.observeOverstay(w, now)
+	}
 	c.listedCount--
 	c.releaseAddress(w)
 	c.emit(Event{Name: EventWorkerUnlisted, Worker: id, Detail: w.removalDetail(now)})
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -11,7 +11,8 @@
 	// RenewalRetryPause is the pause after an unanswered lease renewal.
 	RenewalRetryPause = 200 * time.Millisecond
 	// ackPause is how long the next lease renewal waits for ends to reach the log, so that it can
-	// acknowledge them.
+	// acknowledge them, or for the record without a held worker. Either may take as long as the log
+	// is out of reach.
 	ackPause = 400 * time.Millisecond
 	// pollPause is the pause after a lease renewal that returned at once.
 	pollPause = 50 * time.Millisecond
@@ -26,6 +27,7 @@
 	w.renewalInFlight = false
 	switch answer.Result {
 	case Accepted:
+		w.unansweredSince = time.Time{}
 		c.recordAnswer(w, now)
 		c.handleAccepted(w, order, answer, sent, now)
 	case Fenced:
@@ -36,6 +38,10 @@
 	default:
 		c.recordProblem(w, answer.Problem)
 		c.recordStrayOrder(w, sent)
+		if w.unansweredSince.IsZero() {
+			// A long poll is answered after its wait. A call may also fail before.
+			w.unansweredSince = earlier(sent.Add(order.Wait), now)
+		}
 		c.recordNoAnswer(w, sent.Add(order.Wait), now)
 		c.markSilent(w, now)
 		w.nextRenewalAt = now.Add(RenewalRetryPause)
@@ -61,6 +67,7 @@
 	if answer.StartMS != 0 {
 		w.startMS = answer.StartMS
 	}
+	c.compareSpeedIncarnation(w)
 	c.recordProblem(w, answer.Problem)
 	w.restartSuspected = false
 	if !w.everReached {
@@ -90,9 +97,10 @@
 	if !answer.More {
 		c.settleMissing(w, reported, order.Token, sent)
 	}
+	c.updateSpell(w, now)
 	c.adjustThrottling(w, now)
 	switch {
-	case w.receivedEnd > w.persistedEnd:
+	case w.receivedEnd > w.persistedEnd || c.isHeld(w):
 		w.nextRenewalAt = now.Add(ackPause)
 	case order.Wait == 0:
 		w.nextRenewalAt = now.Add(pollPause)
@@ -154,9 +162,18 @@
 		r.progressedAt = now
 	}
 	if row.Checkpoint != "" {
+		if row.Checkpoint != r.saved {
+			r.savedAt = now
+		}
 		r.saved = row.Checkpoint
 	}
-	r.updateRating()
+	if r.isRated() {
+		if gap {
+			r.rateCheck.restart(row.Percent, now)
+		}
+		r.rateCheck.observe(row.Percent, c.spells[r.worker.ID] != nil, now)
+		r.updateRating()
+	}
 	r.metric = row.Metric
 	if r.step.Perpetual {
 		r.percent = row.Percent
@@ -183,9 +200,10 @@
 		c.handleLateEnd(w, row)
 		return
 	}
-	c.emit(Event{Name: EventRunEnded, Job: r.id.Job, Task: r.id.String(), Worker: w.ID, Run: r.run, Reason: string(row.End), Detail: fmt.Sprintf("number=%d", row.Number)})
+	c.emitRunEnd(r, row, now)
 	c.learnFromEnd(w, r, row.End, now)
 	r.job.recordRunTime(r, row.End, now)
+	c.recordOwedTime(r, row.End, now)
 	c.settleRun(r, row.End, row.Checkpoint)
 }
 
@@ -255,9 +273,13 @@
 	}
 	r.settled = true
 	c.markDirty(j)
+	savedByStop := saved != "" && end == EndStopped
 	if saved == "" {
 		saved = r.saved
 	}
+	if r.step.Checkpoint && !c.takesProgress(r, savedByStop) {
+		saved = ""
+	}
 	if end == EndDone && !r.step.Perpetual {
 		c.completeTask(r)
 		return
@@ -378,3 +400,10 @@
 	}
 	c.finalize(j)
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/workload/control/round.go
+++ b/workload/control/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
@@ -23,6 +24,7 @@
 	c.stopOnLeavingWorkers(now)
 	c.advanceWaves(now)
 	c.learnSpeeds(now)
+	c.expireSpells(now)
 	s, units := c.snapshot(now, wallMS)
 	c.sortAdviceWanted()
 	plan := decide.Plan{}
@@ -35,6 +37,8 @@
 	c.applyStarts(s, units, plan.Starts, now)
 	c.emitWaitReasons(s, units, plan.Deferred)
 	c.emitLoad(plan, s, now)
+	c.reportShares(s, now)
+	c.measureBacklogs(plan, s, now)
 }
 
 // loadInterval is how often the pool's load is emitted.
@@ -85,9 +89,13 @@
 		// The workers are only needed if something may start.
 		c.addWorkers(s, now)
 	}
+	c.updateShares(s, now)
 	s.NoRecentArrivals = c.arrivals.isQuiet(now)
 	s.Headroom = c.headroom.observe(c.topPriorityDemand(s), s.NoRecentArrivals, now)
 	s.UrgentShare = c.urgency.share
+	if len(units) > 0 {
+		c.addReservations(s, guaranteed, now, wallMS)
+	}
 	return s, units
 }
 
@@ -97,7 +105,7 @@
 		if w.gone || !w.listed {
 			continue
 		}
-		out := decide.Worker{ID: w.ID, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speedFactor(w, now)}
+		out := decide.Worker{ID: w.ID, Rack: w.Rack, Service: w.Service, Labels: w.labels, Capacity: w.Capacity, Free: w.Capacity, Speed: c.speedFactor(w, now), Slowed: c.spells[w.ID] != nil}
 		reason := c.closedReason(w, now)
 		out.Closed = reason != notClosed
 		out.Evacuated = reason == closedEvacuated
@@ -158,13 +166,21 @@
 	}
 }
 
+// timePerPercent returns the time per percent of progress observed so far, or 0 if there is none.
+func (r *activeRun) timePerPercent() time.Duration {
+	if r.percent <= r.firstPercent || !r.progressedAt.After(r.firstAt) {
+		return 0
+	}
+	return r.progressedAt.Sub(r.firstAt) / time.Duration(r.percent-r.firstPercent)
+}
+
 // remainingByProgress returns the time until the run ends at the progress rate observed so far,
 // or 0 if there is none.
 func (r *activeRun) remainingByProgress(now time.Time) time.Duration {
-	if r.percent <= r.firstPercent || !r.progressedAt.After(r.firstAt) {
+	each := r.timePerPercent()
+	if each == 0 {
 		return 0
 	}
-	each := r.progressedAt.Sub(r.firstAt) / time.Duration(r.percent-r.firstPercent)
 	return max(time.Millisecond, each*time.Duration(100-r.percent)-now.Sub(r.progressedAt))
 }
 
@@ -213,7 +229,7 @@
 	if !o.IsStepReady(j.Job, step) {
 		return decide.Unit{}, false
 	}
-	u := decide.Unit{Key: key, Step: spec, Guaranteed: guaranteed}
+	u := decide.Unit{Key: key, Account: j.Account, Step: spec, Guaranteed: guaranteed}
 	for i := range o.Steps[step] {
 		if o.Steps[step][i].Phase != workload.Waiting {
 			continue
@@ -239,6 +255,14 @@
 		j.waitingSince[u.Key] = now
 	}
 	u.ReadySince = j.waitingSince[u.Key]
+	c.describeTerms(u, j, o, now, wallMS)
+	if first && u.Priority == 0 {
+		c.urgency.observe(decide.IsUrgent(u.LatestStart.Sub(now), c.bounds.StopTimeout))
+	}
+}
+
+// describeTerms sets the terms of a unit's queue and its latest starts.
+func (c *Core) describeTerms(u *decide.Unit, j *job, o *workload.Occurrence, now time.Time, wallMS int64) {
 	terms := c.queueSettings(j)
 	u.Priority = terms.Priority
 	u.Service = terms.Service
@@ -248,9 +272,6 @@
 	objective := time.Duration(terms.Stretch*float64(expectedTotal)) + time.Duration(terms.TargetMS)*time.Millisecond
 	u.RunTime = c.estimates.expected(j, u.Key.Step)
 	u.LatestStart = due.Add(objective - expectedRest)
-	if first && u.Priority == 0 {
-		c.urgency.observe(decide.IsUrgent(u.LatestStart.Sub(now), c.bounds.StopTimeout))
-	}
 	u.WorthlessAfter = due.Add(lateFactor*objective - expectedRest)
 	if u.Step.PerWorker > 0 {
 		u.Placed = j.runsPerWorker(u.Key)
@@ -259,7 +280,7 @@
 }
 
 // lateFactor is the multiple of its objective up to which a job is still worth something.
-const lateFactor = 3
+const lateFactor = admission.LateFactor
 
 func (j *job) runsPerWorker(key decide.UnitKey) map[string]int {
 	out := map[string]int{}
@@ -292,7 +313,7 @@
 		id := workload.TaskID{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: a.Index}
 		r := c.addRun(u.job, id, t)
 		r.remote = a.Remote
-		r.slow = decide.IsSlow(c.speedFactor(r.worker, now))
+		r.slow = decide.IsSlow(c.speedFactor(r.worker, now)) || c.spells[r.worker.ID] != nil
 		slow[key] = slow[key] || r.slow
 		c.pendingStarts = append(c.pendingStarts, r)
 		u.job.progress.Started = true
--- a/workload/control/round_bench_test.go
+++ b/workload/control/round_bench_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/admission"
 	"github.com/cobalttide/cobalttide/workload/control"
+	"github.com/cobalttide/cobalttide/workload/decide"
 )
 
 // Benchmarks of one round by the number of workers, mostly over a full pool with waiting work. The
@@ -21,6 +24,8 @@
 	now  time.Time
 	rng  *rand.Rand
 	jobs int
+	// accounts is the number of client accounts, which submit jobs in turns.
+	accounts int
 	// ends is the number of each worker's last end.
 	ends map[string]int64
 	// runs are the runs on each worker, as it reports them.
@@ -30,17 +35,27 @@
 const poolToken = 5
 
 func newLoadedPool(workers int) *loadedPool {
-	p := &loadedPool{now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewSource(1)), ends: map[string]int64{}, runs: map[string][]control.RunningRow{}}
+	equal := make([]int64, 24)
+	for i := range equal {
+		equal[i] = 200
+	}
+	return newPoolOfAccounts(workers, equal, nil)
+}
+
+// newPoolOfAccounts returns a pool whose accounts "0", "1" and so on have these guarantees.
+func newPoolOfAccounts(workers int, guaranteed []int64, disabled decide.DisabledMechanisms) *loadedPool {
+	p := &loadedPool{now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewSource(1)), accounts: len(guaranteed), ends: map[string]int64{}, runs: map[string][]control.RunningRow{}}
 	p.core = control.New(control.Bounds{
 		Lease: 6 * time.Second, AuthorityPeriod: 6 * time.Second, StopTimeout: 400 * time.Millisecond, GangTimeout: 5 * time.Second,
-		ReclaimWithin: 2900 * time.Millisecond, RemoteFactor: 3, RestoreCost: 600 * time.Millisecond, PollWait: 1500 * time.Millisecond,
+		ReclaimWithin: 2900 * time.Millisecond, RemoteFactor: 3, RestoreCost: 600 * time.Millisecond, PollWait: 1500 * time.Millisecond, Notice: 5500 * time.Millisecond,
+		Disabled: disabled,
 	}, poolToken, p.now)
 	config := control.Configuration{Version: 1, Queues: map[string]workload.QueueSettings{}, Guaranteed: map[domain.AccountID]int64{}}
 	for i, queue := range []string{"quote", "forecast", "check"} {
 		config.Queues[queue] = workload.QueueSettings{Service: "pool", Priority: i, MaxAttempts: 2, Stretch: []float64{1.5, 3, 3}[i], TargetMS: []int64{250, 1000, 3000}[i]}
 	}
-	for i := range 24 {
-		config.Guaranteed[domain.AccountID(fmt.Sprint(i))] = 200
+	for i, n := range guaranteed {
+		config.Guaranteed[domain.AccountID(fmt.Sprint(i))] = n
 	}
 	p.core.Configure(config)
 	var list []control.Listing
@@ -76,7 +91,7 @@
 	case 2:
 		step = workload.Step{EstimateMS: 6100, Checkpoint: p.rng.Intn(10) < 4, Count: 78, Need: workload.Resources{MilliCPU: 2800, MemoryMiB: 4100, Accelerators: 1}}
 	}
-	job := &workload.Job{ID: id, Account: domain.AccountID(fmt.Sprint(p.jobs % 24)), Queue: []string{"quote", "forecast", "check"}[class], Spec: "spec", Steps: []workload.Step{step}, AcceptedMS: p.now.UnixMilli()}
+	job := &workload.Job{ID: id, Account: domain.AccountID(fmt.Sprint(p.jobs % p.accounts)), Queue: []string{"quote", "forecast", "check"}[class], Spec: "spec", Steps: []workload.Step{step}, AcceptedMS: p.now.UnixMilli()}
 	p.core.Adopt(id, workload.Entry{Job: job, State: workload.Queued})
 }
 
@@ -123,13 +138,37 @@
 	}
 }
 
+// unequalGuarantees differ by a factor of 16.
+var unequalGuarantees = []int64{696, 320, 200, 150, 100, 80, 60, 50, 44, 43}
+
+// BenchmarkRoundOfUnequalAccounts measures a round whose capacity is divided among accounts, and the
+// same without the mechanism.
+func BenchmarkRoundOfUnequalAccounts(b *testing.B) {
+	for _, size := range []struct{ workers, waiting int }{{350, 1000}, {1100, 3000}} {
+		for _, disabled := range []bool{true, false} {
+			b.Run(fmt.Sprintf("workers=%d/waiting=%d/shares=%t", size.workers, size.waiting, !disabled), func(b *testing.B) {
+				p := newPoolOfAccounts(size.workers, unequalGuarantees, decide.DisabledMechanisms{decide.FairShares: disabled})
+				p.fill(size.workers, size.waiting)
+				for range 3 {
+					p.round()
+				}
+				for b.Loop() {
+					p.round()
+				}
+			})
+		}
+	}
+}
+
 // idlePoolRuns is the number of runs per worker in a mostly idle pool, in which three of four
 // workers are idle.
 const idlePoolRuns = 0.37
 
 // newIdlePool returns a mostly idle pool without waiting work.
-func newIdlePool(workers int) *loadedPool {
-	p := newLoadedPool(workers)
+func newIdlePool(workers int) *loadedPool { return newLoadedPool(workers).idle(workers) }
+
+// idle loads a new pool so that it is mostly idle.
+func (p *loadedPool) idle(workers int) *loadedPool {
 	for tasks := 0.0; tasks < idlePoolRuns*float64(workers); tasks += 26 {
 		p.submit(1)
 		p.round()
@@ -152,6 +191,21 @@
 	}
 }
 
+// BenchmarkRoundOfIdlePoolOfUnequalAccounts is the same where capacity is divided among accounts, and
+// without the mechanism.
+func BenchmarkRoundOfIdlePoolOfUnequalAccounts(b *testing.B) {
+	for _, workers := range []int{350, 1100, 6000} {
+		for _, disabled := range []bool{true, false} {
+			b.Run(fmt.Sprintf("workers=%d/shares=%t", workers, !disabled), func(b *testing.B) {
+				p := newPoolOfAccounts(workers, unequalGuarantees, decide.DisabledMechanisms{decide.FairShares: disabled}).idle(workers)
+				for b.Loop() {
+					p.round()
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkWorkersToRenew measures the search for due lease renewals when none is due.
 func BenchmarkWorkersToRenew(b *testing.B) {
 	for _, workers := range []int{350, 1100, 6000} {
@@ -176,3 +230,57 @@
 		})
 	}
 }
+
+// BenchmarkSummarizePool measures the summary that the planner makes once a second, with what it
+// remembers of the pool.
+func BenchmarkSummarizePool(b *testing.B) {
+	for _, workers := range []int{350, 18_000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := newLoadedPool(workers)
+			memory := admission.NewMemory(nil, p.now)
+			for b.Loop() {
+				services, readable := p.core.SummarizePool(p.now)
+				pool := memory.Observe(services, readable, p.now)
+				pool.Encode()
+			}
+		})
+	}
+}
+
+// BenchmarkRoundWhileWorkersLeave measures rounds of a full pool of which a tenth of the workers
+// drains, with 0.8 s left, so that their units are stopped and capacity is reserved for the next
+// runs. The clock stands still, so that each round has these reservations.
+func BenchmarkRoundWhileWorkersLeave(b *testing.B) {
+	for _, workers := range []int{350, 1100} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			p := newLoadedPool(workers)
+			// Single tasks that are running before the pool is full are not preempted at once.
+			for range workers / 5 {
+				p.submit(2)
+			}
+			for range 6 {
+				p.round()
+			}
+			p.fill(workers, 500)
+			for range 3 {
+				p.round()
+			}
+			p.renewAll()
+			for i := 0; i < workers; i += 10 {
+				p.core.UpdateWorker(control.Listing{
+					ID: fmt.Sprintf("%016x", i*7919), Address: fmt.Sprint(i), Service: "pool", DataCentre: fmt.Sprint(i / 20 % 5), Rack: fmt.Sprint(i / 20),
+					Capacity: workload.Resources{MilliCPU: 32000, MemoryMiB: 65536, Accelerators: 8}, ClockMS: 1, Draining: true, RemainingMS: 800,
+				}, p.now)
+			}
+			p.core.Round(p.now, p.now.UnixMilli())
+			stopsForDeparture := func(e control.Event) bool { return e.Name == control.EventRunStopping && e.Reason == "worker-leaves" }
+			if !slices.ContainsFunc(p.core.Events(), stopsForDeparture) {
+				b.Fatal("nothing was stopped, so nothing is reserved")
+			}
+			for b.Loop() {
+				p.core.Round(p.now, p.now.UnixMilli())
+				p.core.Events()
+			}
+		})
+	}
+}
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -44,6 +44,8 @@
 	planners         []*planner
 	deliveries       []delivery
 	unreachableUntil map[string]time.Time
+	// notice is the planners' Bounds.Notice.
+	notice time.Duration
 	// drainRemainingMS is how long each draining worker still runs.
 	drainRemainingMS map[string]int64
 	faulty           bool
@@ -89,6 +91,12 @@
 	unansweredJobs map[workload.JobID]bool
 	// startDelays are the delivery delays of some jobs' start orders, which get no answer.
 	startDelays map[workload.JobID]time.Duration
+	// horizon is the planners' Bounds.Horizon, of which their successors know; 0 is none. lastAppend
+	// is when the log last carried out an append.
+	horizon    time.Duration
+	lastAppend time.Time
+	// replaced are the workers that have left.
+	replaced map[string]bool
 }
 
 // planner is a planner with its core, its token and its connections to workers.
@@ -103,6 +111,9 @@
 	// writingUntil is when its write to the log is answered.
 	writingUntil time.Time
 	dead         bool
+	// cutOff are the workers that it can't reach. From logLostAt on the log does not answer it.
+	cutOff    map[string]bool
+	logLostAt time.Time
 	// seenGaps is the number of the registry's gaps that were reported to it.
 	seenGaps int
 }
@@ -246,7 +257,9 @@
 	if mutate != nil {
 		mutate(p.core)
 	}
+	sim.takeOverLeases(p)
 	p.core.Configure(control.Configuration{Version: 1, Guaranteed: map[domain.AccountID]int64{"": 16}})
+	sim.restoreState(p.core)
 	for _, id := range sim.jobIDs {
 		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
 	}
@@ -280,7 +293,7 @@
 	if p.dead || sim.now.Before(p.frozenUntil) || p.core.Deposed() {
 		return
 	}
-	if sim.now.Before(p.writingUntil) {
+	if sim.now.Before(p.writingUntil) || p.hasLostLog(sim.now) {
 		sim.sendOrders(p)
 		return
 	}
@@ -305,7 +318,7 @@
 		}
 		sim.log[r.Key] = sim.mutant.alterRecord(r.Value)
 	}
-	p.written = sim.now
+	sim.recordAppend(p)
 	if takes := sim.logWriteTime(); takes > 0 {
 		p.writingUntil = sim.now.Add(takes)
 		sim.schedule(takes, func() { sim.deliver(p, func() { sim.sendPersisted(p) }) })
@@ -327,6 +340,12 @@
 }
 
 func (sim *simulation) sendOrders(p *planner) {
+	if !sim.hasAuthority(p) {
+		return
+	}
+	if sim.mutant.grantsRecorded {
+		p.core.ReleaseRecorded()
+	}
 	for _, o := range p.core.RetryOrders(sim.now) {
 		sim.sendStart(p, o)
 	}
@@ -341,6 +360,7 @@
 			sim.sendRenewal(p, o)
 		}
 	}
+	p.core.EmitDueSummary(sim.now)
 	for _, n := range p.core.Events() {
 		if n.Name == control.EventRunUnsettled {
 			sim.unsettledRuns = append(sim.unsettledRuns, fmt.Sprintf("%s %s run %d %s", n.Task, n.Worker, n.Run, n.Detail))
@@ -529,7 +549,12 @@
 // bounds returns the planners' bounds, altered by the mutant.
 func (sim *simulation) bounds() control.Bounds {
 	b := simBounds
+	b.Notice = sim.notice
 	b.Lease -= sim.mutant.extraLease
+	if sim.horizon > 0 {
+		b.AuthorityPeriod = horizonAuthority
+		b.Horizon = sim.horizon + sim.mutant.extraHorizon
+	}
 	if sim.mutant.heartbeatFactor > 0 {
 		b.Heartbeat *= sim.mutant.heartbeatFactor
 	}
--- a/workload/control/speeds.go
+++ b/workload/control/speeds.go
@@ -21,6 +21,12 @@
 	// sum and runs are from jobs that have ended, openSum and openRuns from the others.
 	sum, runs         float64
 	openSum, openRuns float64
+	// startMS is when the worker's incarnation started that was last seen; 0 is unknown.
+	startMS int64
+	// recorded is the class of the worker in the newest record for a successor.
+	recorded keptClass
+	// missingSince is since when there is no worker with this id; zero if there is one.
+	missingSince time.Time
 }
 
 const (
@@ -56,10 +62,14 @@
 	return math.Exp(s.logFactor())
 }
 
+// isRated reports whether the progress of a run shows how fast its worker is.
+func (r *activeRun) isRated() bool { return !r.step.Perpetual && !r.step.BestEffortCPU }
+
 // updateRating updates the progress rate of a run, for a gang's member with its own share. Remote
-// runs are not rated: they are slow on any worker.
+// runs are not rated: they are slow on any worker. Neither are those on slowed workers, which are
+// slow only for some seconds.
 func (r *activeRun) updateRating() {
-	if r.remote || r.step.Perpetual || r.step.BestEffortCPU {
+	if r.remote || r.rateCheck.slowed {
 		return
 	}
 	progress, took := r.percent-r.firstPercent, r.progressedAt.Sub(r.firstAt)
@@ -83,12 +93,14 @@
 	for _, s := range c.speeds {
 		s.openSum, s.openRuns = 0, 0
 	}
+	c.dropMissingSpeeds(now)
 	for _, id := range sortedKeys(c.jobs) {
 		c.compareRuns(c.jobs[id], func(s *speed, by float64) {
 			s.openSum += by
 			s.openRuns++
 		})
 	}
+	c.speedRecords.due = true
 }
 
 // keepSpeeds keeps the comparison of a job's runs after its end.
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -16,6 +16,9 @@
 	Heartbeat time.Duration
 	// AuthorityPeriod is how long a planner may send orders after its last write.
 	AuthorityPeriod time.Duration
+	// Horizon is how long after a planner's last write any lease that it grants may last; 0 is no
+	// limit beyond Lease.
+	Horizon time.Duration
 	// StopTimeout is the maximum time that a stop takes on a worker.
 	StopTimeout time.Duration
 	// GangTimeout is how long a gang's member waits for the others.
@@ -36,6 +39,9 @@
 	// PollWait is how long a worker may delay the answer to a lease renewal while it has nothing to
 	// report.
 	PollWait time.Duration
+	// Notice is the time between the announcement of a planned departure and the departure; 0 is
+	// unknown, and departures are then not planned for whole units.
+	Notice time.Duration
 	// Disabled are the disabled mechanisms of the policy.
 	Disabled decide.DisabledMechanisms
 	// Plan replaces decide.MakePlan, for measurements; nil is decide.MakePlan.
@@ -51,6 +57,8 @@
 	Queues  map[string]workload.QueueSettings
 	// Guaranteed is the number of guaranteed accelerators per client account.
 	Guaranteed map[domain.AccountID]int64
+	// Weights are the weights of client accounts that are set.
+	Weights map[domain.AccountID]float64
 }
 
 // Listing is a worker's entry in the platform's list.
--- a/workload/decide/decide.go
+++ b/workload/decide/decide.go
@@ -10,7 +10,9 @@
 import (
 	"time"
 
+	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/share"
 )
 
 // Worker is a worker that may be given tasks.
@@ -32,6 +34,9 @@
 	Capacity workload.Resources
 	// Speed is the worker's speed relative to the average; 0 if unknown.
 	Speed float64
+	// Slowed reports whether the worker has turned slow for some seconds. It is used only if a unit
+	// does not fit on the others.
+	Slowed bool
 	// Closed workers get no new tasks, for example because they are draining, silent or
 	// distrusted.
 	Closed bool
@@ -60,8 +65,10 @@
 // Unit is work that waits to start: a whole gang, or those tasks of a step that may start one by
 // one.
 type Unit struct {
-	Key  UnitKey
-	Step *workload.Step
+	Key UnitKey
+	// Account is the client account of the job.
+	Account domain.AccountID
+	Step    *workload.Step
 	// Service is the pool whose workers run the queue's tasks.
 	Service string
 	// Indexes are the tasks of the step that are to start.
@@ -74,6 +81,9 @@
 	Suspect bool
 	// Exclusive reports whether the unit may only run on a worker without runs of other jobs.
 	Exclusive bool
+	// Departing reports whether the unit is still running and is stopped because a worker leaves.
+	// Nothing starts; capacity for its next run is reserved.
+	Departing bool
 	// Priority is the priority of the queue; lower values go first.
 	Priority int
 	// Guaranteed reports whether the unit is within its account's guarantee.
@@ -148,6 +158,9 @@
 	// RemoteFactor is the factor by which a task runs longer away from its data, or in a gang that
 	// spans racks although it prefers one; 0 means no longer.
 	RemoteFactor float64
+	// Shares are the accounts' uses of the pool beyond their guarantees; nil if capacity is not
+	// divided by them.
+	Shares *share.Levels
 	// Disabled is the set of disabled mechanisms.
 	Disabled DisabledMechanisms
 }
@@ -208,8 +221,9 @@
 // MakePlan plans which units start and which groups stop.
 func MakePlan(s *Snapshot) Plan {
 	p := newPlanner(s)
-	for _, i := range order(s) {
-		p.place(i)
+	q := newQueue(s)
+	for i, ok := q.next(); ok; i, ok = q.next() {
+		q.charge(p.place(i))
 	}
 	return p.plan
 }
@@ -228,6 +242,8 @@
 	stopped   map[int]bool
 	// skipsReserved reports whether the unit being placed may not use reserved racks.
 	skipsReserved bool
+	// allocated is the number of tasks of that unit that start or have capacity reserved.
+	allocated int
 	// Upper bounds on what fits in free capacity, in capacity being freed and in an empty pool.
 	freeLimits, freeingLimits, totalLimits fitLimits
 	// groups is built when the first unit looks for victims.
@@ -301,8 +317,8 @@
 		capacity = capacity.Add(workers[i].Capacity)
 		free = free.Add(workers[i].Free)
 	}
-	accelerators := share(capacity.Accelerators-free.Accelerators, capacity.Accelerators)
-	cpu := share(capacity.MilliCPU-free.MilliCPU, capacity.MilliCPU)
+	accelerators := usedShare(capacity.Accelerators-free.Accelerators, capacity.Accelerators)
+	cpu := usedShare(capacity.MilliCPU-free.MilliCPU, capacity.MilliCPU)
 	return min(accelerators, cpu), max(accelerators, cpu)
 }
 
@@ -317,7 +333,7 @@
 	return most < starvationShare
 }
 
-func share(part, whole int64) float64 {
+func usedShare(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
 	}
@@ -358,14 +374,20 @@
 	return p.canWait(u) && p.snapshot.Now.Before(u.LatestStart.Add(cost))
 }
 
-func (p *planner) place(i int) {
+// place plans a unit and returns how many of its tasks start or have capacity reserved.
+func (p *planner) place(i int) (tasks int) {
 	u := &p.snapshot.Waiting[i]
 	p.skipsReserved = p.avoidsReserved(u)
-	if u.Step.Gang {
+	p.allocated = 0
+	switch {
+	case u.Departing:
+		p.reserveGang(u, freeingCapacity)
+	case u.Step.Gang:
 		p.placeGang(i, u)
-		return
+	default:
+		p.placeSingles(i, u)
 	}
-	p.placeSingles(i, u)
+	return p.allocated
 }
 
 // allocate takes capacity for a task. Free capacity becomes negative where the task waits for
@@ -375,6 +397,7 @@
 func (p *planner) assign(unit, index int, w *workerState, remote bool) {
 	p.plan.Starts = append(p.plan.Starts, Assignment{Unit: unit, Index: index, Worker: w.ID, Remote: remote})
 	w.recordStart(&p.snapshot.Waiting[unit])
+	p.allocated++
 }
 
 func (p *planner) deferUnit(unit int, reason Reason) {
--- a/workload/decide/mechanism.go
+++ b/workload/decide/mechanism.go
@@ -33,19 +33,33 @@
 	TreatColdAsSlow Mechanism = "mind-cold"
 	// StopBeforeDeparture stops runs that would not end before their worker leaves.
 	StopBeforeDeparture Mechanism = "leave-early"
+	// UnitDepartures decides for whole units what is done when a worker leaves.
+	UnitDepartures Mechanism = "unit-departures"
 	// IsolateSuspects isolates tasks under which a worker has crashed from one another and from
 	// other runs that have just started.
 	IsolateSuspects Mechanism = "suspects-apart"
+	// KeepSpeeds keeps what a planner has learnt of workers' speeds for its successor, and for the
+	// next incarnation of a worker.
+	KeepSpeeds Mechanism = "keep-speeds"
+	// FairShares orders work beyond guarantees by its account's weighted share of the pool.
+	FairShares Mechanism = "fair-shares"
+	// SlowSpells treats workers that have turned slow for some seconds as slow until they recover.
+	SlowSpells Mechanism = "slow-spells"
 )
 
+// Admission refuses jobs that can never run or would start too late. Instances apply it before a
+// job reaches the planner, so it is no mechanism of the policy and has no pattern in a replay; it
+// is only disabled in the same way.
+const Admission Mechanism = "admission"
+
 // Mechanisms lists all mechanisms.
-var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects}
+var Mechanisms = []Mechanism{ReserveRacks, WorkerSpeeds, StopBeyondGuarantee, WaitForLocality, LearnEstimates, Distrust, StopBeforeDeparture, KeepReservedIdle, CloseSilentCentres, TreatColdAsSlow, IsolateSuspects, KeepSpeeds, FairShares, UnitDepartures, SlowSpells}
 
 // RecentMechanisms lists the mechanisms added by the last round of changes to the policy: with them
 // disabled it decides as it did before.
 var RecentMechanisms = []Mechanism{KeepReservedIdle, CloseSilentCentres}
 
-// DisabledMechanisms is the set of disabled mechanisms; the policy ships with none disabled.
+// DisabledMechanisms is the set of disabled mechanisms; SlowSpells ships disabled.
 type DisabledMechanisms map[Mechanism]bool
 
 // ParseDisabled parses a comma-separated list of mechanisms.
@@ -55,8 +69,8 @@
 		if name = strings.TrimSpace(name); name == "" {
 			continue
 		}
-		if !slices.Contains(Mechanisms, Mechanism(name)) {
-			return nil, fmt.Errorf("unknown mechanism %q: name some of %v", name, Mechanisms)
+		if name != string(Admission) && !slices.Contains(Mechanisms, Mechanism(name)) {
+			return nil, fmt.Errorf("unknown mechanism %q: name some of %v, or %s", name, Mechanisms, Admission)
 		}
 		out[Mechanism(name)] = true
 	}
--- a/workload/replay/collector.go
+++ b/workload/replay/collector.go
@@ -45,7 +45,9 @@
 	// stopReasons is why runs were ordered to stop.
 	stopReasons map[runKey]string
 	wasted      map[string]float64
+	redone      redoneWork
 	claimed     map[domain.AccountID]int64
+	gangs       map[*Class]gangStarts
 
 	// Sums of the samples taken during the load: accelerators in use, free, and free but unusable
 	// for a gang of half a rack.
@@ -69,7 +71,7 @@
 const sampleInterval = 100 * time.Millisecond
 
 func newCollector(sim *simulation) *collector {
-	return &collector{sim: sim, startTimes: map[runKey]time.Duration{}, stopReasons: map[runKey]string{}, wasted: map[string]float64{}, claimed: map[domain.AccountID]int64{}}
+	return &collector{sim: sim, startTimes: map[runKey]time.Duration{}, stopReasons: map[runKey]string{}, wasted: map[string]float64{}, claimed: map[domain.AccountID]int64{}, gangs: map[*Class]gangStarts{}}
 }
 
 func (m *collector) arrive(t *trackedJob) {
@@ -144,7 +146,7 @@
 		if n.Name != control.EventRunStopping {
 			continue
 		}
-		if id, err := workload.ParseTaskID(n.Task); err == nil {
+		for _, id := range control.StoppedTasks(n) {
 			m.stopReasons[runKey{id, n.Run}] = n.Reason
 		}
 	}
@@ -156,6 +158,7 @@
 	t := m.sim.jobs[e.Task.Job]
 	if e.End == "" {
 		m.startTimes[name] = m.sim.elapsed
+		m.redone.start(e)
 		m.series.countStart()
 		if e.Task.Step == 0 && !t.startedTasks[e.Task] {
 			t.startedTasks[e.Task] = true
@@ -180,6 +183,7 @@
 	if stopReason, ok := m.stopReasons[name]; ok {
 		reason = stopReason
 	}
+	m.redone.end(m.sim, e, step, m.sim.elapsed-startedAt, reason)
 	m.wasted[reason] += m.wastedWork(m.sim.elapsed-startedAt, step)
 }
 
--- a/workload/replay/replay_test.go
+++ b/workload/replay/replay_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -92,6 +94,31 @@
 	return out
 }
 
+// worstAccount is the credit of the client account that was served worst.
+func worstAccount(r *Result) float64 { return slices.Min(slices.Collect(maps.Values(r.Accounts))) }
+
+// lostAtDepartures is the work of steps that save which is done again for other reasons than a
+// preemption or the end of the job. It is negative, as less is better; a factor below 1 bounds it.
+func lostAtDepartures(r *Result) float64 {
+	lost := 0.0
+	for reason, work := range r.Redone {
+		if reason != "preempted" && reason != "job-over" {
+			lost += work.Saving
+		}
+	}
+	return -lost
+}
+
+// redoneInAll is all work that is done again, that of preempted runs included. It is negative, as less
+// is better: work that one mechanism saves must not be lost to another.
+func redoneInAll(r *Result) float64 {
+	sum := 0.0
+	for _, work := range r.Redone {
+		sum += work.All
+	}
+	return -sum
+}
+
 func urgentInTime(r *Result) float64 { return r.Classes[0].InTimeShare() }
 
 // Each mechanism must improve its figure by a factor under the load that it is meant for, on fixed
@@ -110,6 +137,10 @@
 		{decide.ReserveRacks, "burst-urgent", urgentInTime, 1.03, decide.WorkerSpeeds},
 		{decide.WaitForLocality, "large-gangs", urgentInTime, 1.04, ""},
 		{decide.WorkerSpeeds, "two-speeds", urgentInTime, 1.08, ""},
+		{decide.KeepSpeeds, "planner-changes", urgentInTime, 1.1, ""},
+		{decide.FairShares, "unequal-accounts", worstAccount, 1.08, ""},
+		{decide.UnitDepartures, "short-notices", lostAtDepartures, 0.7, ""},
+		{decide.UnitDepartures, "short-notices", redoneInAll, 1.05, ""},
 	} {
 		t.Run(string(c.mechanism), func(t *testing.T) {
 			t.Parallel()
--- a/workload/replay/result.go
+++ b/workload/replay/result.go
@@ -23,6 +23,9 @@
 	// share of the work of all jobs.
 	Wasted      map[string]float64
 	WastedShare float64
+	// Redone is the work, by cause and in core-seconds, of runs that ended without success and from
+	// which no later run resumed. Unlike Wasted it goes by the progress with which tasks start again.
+	Redone map[string]redone
 	// Completion is the mean time from a job's first submission to its end, in seconds.
 	Completion float64
 	// Fragmentation is the share of the free accelerators that a gang of half a rack can't use;
@@ -45,6 +48,8 @@
 	// the objective, Worthless later than that. Refused jobs were refused at every attempt,
 	// Unserved ones got no result.
 	Total, InTime, Late, Worthless, Refused, Unserved int
+	// Gangs is the number of started gangs, SlowGangs that of those with a member on a slow worker.
+	Gangs, SlowGangs int
 	// Credit is 0 to 1. Slowdown is the mean ratio of a job's completion time to the duration of
 	// its longest chain. Waits are the times until all tasks of the first step had started, in
 	// milliseconds.
@@ -95,6 +100,7 @@
 		r.Accounts[name] = s.share()
 	}
 	r.Credit = sum.all.share()
+	r.Redone = sim.metrics.redone.byReason()
 	r.Completion = sum.completionTime / max(1, float64(sum.completed))
 	r.Violations = sum.violations
 	r.ReclaimP99 = float64(sum.reclaimWaits.ValueAtQuantile(99)) / 1000
@@ -109,7 +115,8 @@
 }
 
 func (sum *summary) classResult(c *Class) ClassResult {
-	class := ClassResult{Name: c.Name, Waits: newHistogram()}
+	gangs := sum.sim.metrics.gangs[c]
+	class := ClassResult{Name: c.Name, Gangs: gangs.all, SlowGangs: gangs.slow, Waits: newHistogram()}
 	var credit creditSum
 	slowdown, completed := 0.0, 0
 	for _, a := range sum.sim.arrivals {
--- a/workload/service/planner.go
+++ b/workload/service/planner.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/cobalttide/cobalttide/events"
 	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/workload/control"
@@ -32,6 +30,8 @@
 	decisionTime time.Duration
 	decisionEnd  time.Time
 	stats        roundStats
+	// accountGaugesAt is when the gauges of client accounts were last set.
+	accountGaugesAt time.Time
 	// lastDrop is when the planner last checked for expired jobs.
 	lastDrop time.Time
 	// lastReduce is when records of ended jobs were last reduced.
@@ -48,9 +48,12 @@
 
 	mu   sync.Mutex
 	core *control.Core
-	// lastWrite is when the last successful append was sent.
-	lastWrite     time.Time
+	// lastWrite is when the last successful append was first sent.
+	lastWrite time.Time
+	// heartbeatAt is when the last heartbeat was made.
+	heartbeatAt   time.Time
 	listRead      bool
+	pool          publishedPool
 	configVersion int64
 	listings      map[string]control.Listing
 	// unreadable holds the last logged problem of each entry of the worker list that can't be
@@ -82,10 +85,6 @@
 	// third of the processor, at the price that new input waits for the pause.
 	roundPauseFactor = 2
 	listPause        = 200 * time.Millisecond
-	appendTimeout    = 2 * time.Second
-	appendRetryPause = 50 * time.Millisecond
-	maxBatchRecords  = 200
-	maxBatchBytes    = 1 << 20
 )
 
 // runPlanner plans until another instance has claimed the role, the log has not answered for
@@ -97,13 +96,19 @@
 	p := &planner{
 		s: s, token: token, writer: Writer{Epoch: token, Seq: s.succession.firstSeq() + 1, ExpectedEnd: -1},
 		wakeRound: make(chan struct{}, 1), wakeOrders: make(chan struct{}, 1), statesChanged: make(chan struct{}, 1), core: control.New(s.settings.Bounds, token, now),
-		lastWrite: claimed, listings: map[string]control.Listing{}, unreadable: map[string]string{}, changedListings: map[string]bool{},
+		lastWrite: claimed, pool: s.newPublishedPool(now), listings: map[string]control.Listing{}, unreadable: map[string]string{}, changedListings: map[string]bool{},
 	}
 	if ended := s.succession.ordersEnded(); !ended.IsZero() {
 		p.core.SetPredecessorSilentSince(ended)
 	}
+	if end := s.succession.inheritedLeasesEnd(); !end.IsZero() {
+		p.core.LimitInheritedLeases(end)
+	}
+	p.core.RecordWrite(claimed)
 	s.lastPlanWrite.Store(&claimed)
 	s.planning.Store(true)
+	p.core.SetPredecessor(s.succession.heldPredecessor())
+	s.planState.each(func(e Entry) { p.core.RestoreState(e.Key, e.Value) })
 	s.book.TakeChanged()
 	s.book.ForEach(p.core.Adopt)
 	p.logBegin()
@@ -116,8 +121,9 @@
 	reason := p.run(ctx)
 	s.succession.abandon(token)
 	s.planning.Store(false)
+	s.metrics.SetAccountGauges(nil)
 	cancel()
-	s.events.Info(events.PlannerEnds, events.Fields{"token": token, "why": reason})
+	p.logEnd(reason)
 	p.goroutines.Wait()
 }
 
@@ -130,6 +136,16 @@
 	})
 }
 
+// logEnd logs the remaining events with a summary, which the report would otherwise miss, and the end
+// of the planner.
+func (p *planner) logEnd(reason string) {
+	p.mu.Lock()
+	p.core.EmitSummary()
+	p.logNotes()
+	p.mu.Unlock()
+	p.s.events.Info(events.PlannerEnds, events.Fields{"token": p.token, "why": reason})
+}
+
 func (p *planner) run(ctx context.Context) string {
 	timer := time.NewTicker(roundInterval)
 	defer timer.Stop()
@@ -168,13 +184,17 @@
 		p.stats.rounds.add(p.decisionTime)
 	}
 	p.updateGauges(p.core.EvacuationStatus(p.s.clock.Now()))
+	p.updateAccountGauges(p.s.clock.Now())
 	records := p.core.Changes()
 	p.logNotes()
 	p.mu.Unlock()
 	notify(p.wakeOrders)
 	if len(records) > 0 || p.s.clock.Since(p.lastWrite) > p.s.settings.PlannerTimeout/4 {
 		began := time.Now()
-		if err := p.write(ctx, records); err != nil {
+		if err := p.write(ctx, p.withReading(records)); err != nil {
+			return err.Error()
+		}
+		if err := p.renewAuthority(ctx); err != nil {
 			return err.Error()
 		}
 		p.stats.writes.add(time.Since(began))
@@ -211,7 +231,7 @@
 	p.resigned = true
 	p.mu.Unlock()
 	c := p.s.succession.self
-	c.Resigned = true
+	c.Resigned, c.Ends = true, p.token
 	if _, err := p.append(ctx, []control.Record{c.record()}); err != nil {
 		p.s.events.Info(events.ClaimFailed, events.Fields{"cause": err.Error()})
 	}
@@ -238,15 +258,22 @@
 const (
 	gaugeEvacuatedCentres = "evacuated_centres"
 	gaugeEvacuatedRuns    = "evacuated_runs"
+	gaugeAwaitedLeases    = "awaited_leases"
+	gaugeSlowedWorkers    = "slowed_workers"
+	gaugeKnownSpeeds      = "known_speeds"
 )
 
 func (p *planner) updateGauges(remaining control.EvacuationStatus) {
 	p.s.metrics.SetGauge(gaugeEvacuatedCentres, float64(remaining.Centres))
 	p.s.metrics.SetGauge(gaugeEvacuatedRuns, float64(remaining.Runs))
+	p.s.metrics.SetGauge(gaugeAwaitedLeases, float64(p.core.AwaitedLeases()))
+	p.s.metrics.SetGauge(gaugeSlowedWorkers, float64(p.core.SlowedWorkers()))
+	p.s.metrics.SetGauge(gaugeKnownSpeeds, float64(p.core.KnownSpeeds()))
 }
 
 // logNotes logs the core's notes as events.
 func (p *planner) logNotes() {
+	p.core.EmitDueSummary(p.s.clock.Now())
 	for _, n := range p.core.Events() {
 		fields := events.Fields{"token": p.token, "version": p.configVersion}
 		addField(fields, "job", string(n.Job))
@@ -267,87 +294,6 @@
 	}
 }
 
-// write appends records to the log, in as many calls as the size limits require.
-func (p *planner) write(ctx context.Context, records []control.Record) error {
-	if len(records) == 0 {
-		records = []control.Record{{Key: planHeartbeatKey, Value: []byte("{}")}}
-	}
-	for len(records) > 0 {
-		n := batchSize(records)
-		first, err := p.append(ctx, records[:n])
-		if err != nil {
-			return err
-		}
-		for i, r := range records[:n] {
-			p.s.storePlanRecord(Entry{Offset: first + int64(i), Key: r.Key, Value: r.Value})
-		}
-		records = records[n:]
-	}
-	return nil
-}
-
-func batchSize(records []control.Record) int {
-	bytes := 0
-	for i, r := range records {
-		bytes += len(r.Key) + len(r.Value)
-		if i > 0 && (bytes > maxBatchBytes || i >= maxBatchRecords) {
-			return i
-		}
-	}
-	return len(records)
-}
-
-// append writes to the plans topic. A successful append extends the planner's authority.
-func (p *planner) append(ctx context.Context, records []control.Record) (int64, error) {
-	first, err := p.appendTo(ctx, Plans, &p.writer, records)
-	return first, errors.Wrap(err, "the planner's append failed")
-}
-
-// appendTo repeats an append until the log has answered it. The log recognises a repetition by
-// the sequence number.
-func (p *planner) appendTo(ctx context.Context, topic Topic, writer *Writer, records []control.Record) (int64, error) {
-	began := time.Now()
-	for {
-		sent := p.s.clock.Now()
-		attemptCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		attemptWriter := *writer
-		first, err := p.s.log.Append(attemptCtx, topic, records, &attemptWriter)
-		cancel()
-		if err == nil {
-			writer.Seq++
-			p.recordAppend(topic, sent)
-			return first, nil
-		}
-		if isFenced(err) || ctx.Err() != nil {
-			return 0, err
-		}
-		if _, held := p.s.succession.heldToken(); !held {
-			return 0, errors.New("succeeded while the log did not answer")
-		}
-		if time.Since(began) > appendTimeout {
-			p.s.events.Info(events.AppendRepeated, events.Fields{"token": p.token, "topic": string(topic), "cause": err.Error(), "for_ms": time.Since(began).Milliseconds()})
-		}
-		sleep(ctx, appendRetryPause)
-	}
-}
-
-// recordAppend records when a successful append was sent.
-func (p *planner) recordAppend(topic Topic, sent time.Time) {
-	if topic != Plans {
-		return
-	}
-	p.mu.Lock()
-	p.lastWrite = sent
-	p.mu.Unlock()
-	p.s.lastPlanWrite.Store(&sent)
-}
-
-// hasAuthority reports whether orders may be given: the last write is recent enough that no
-// successor regards this planner's leases as expired.
-func (p *planner) hasAuthority(now time.Time) bool {
-	return now.Sub(p.lastWrite) < p.s.settings.Bounds.AuthorityPeriod
-}
-
 // sendStarts sends the start orders that the last write has made safe.
 func (p *planner) sendStarts(ctx context.Context) {
 	p.mu.Lock()
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -44,6 +44,8 @@
 	Standbys int
 	// Hosts is the platform's service for maintenance; nil if there is none.
 	Hosts Hosts
+	// AdmissionDisabled turns off refusals of jobs that can never run or would start too late.
+	AdmissionDisabled bool
 	// Clock measures ages; nil is the runtime's clock, which stops during a suspension.
 	Clock clock.Clock
 	// OnResume is called after a suspension of this instance; nil is allowed.
@@ -59,6 +61,8 @@
 	clock        clock.Clock
 	log          Log
 	meter        *meter
+	sentAway     *sentAway
+	unanswered   *unanswered
 	decoder      Decoder
 	workers      Workers
 	events       *events.Log
@@ -71,7 +75,9 @@
 	plans        *follower
 	declarations *follower
 	directory    atomic.Pointer[Directory]
+	pool         atomic.Pointer[knownPool]
 	waves        *maintenanceWaves
+	planState    *planState
 	evacuations  *evacuations
 	logRecovered *broadcast
 	planning     atomic.Bool
@@ -88,10 +94,12 @@
 
 // New returns a service that has not read anything yet.
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
-	metered := newMeter(log, metrics)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	away := newSentAway(settings)
+	metered := newMeter(log, metrics, away)
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, unanswered: newUnanswered(), decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
+	s.succession.leases = newInheritedLeases(settings.Bounds)
 	if settings.Address != "" {
 		// Until the rank is known, this instance claims after the others.
 		s.succession.setTurn(turnsPerTimeout)
@@ -199,13 +207,15 @@
 	s.storePlanRecord(e)
 }
 
-// storePlanRecord stores a planner's record of a maintenance wave or a job. It ignores claims and
+// storePlanRecord stores a planner's record of a maintenance wave, its state or a job. It ignores claims and
 // heartbeats.
 func (s *Service) storePlanRecord(e Entry) {
 	switch {
 	case e.Key == claimKey || e.Key == planHeartbeatKey:
 	case control.IsWaveKey(e.Key):
 		s.waves.record(e)
+	case control.IsStateKey(e.Key):
+		s.planState.record(e)
 	default:
 		s.applyJobRecord(e)
 	}
@@ -247,20 +257,31 @@
 // Submit accepts a job. A nil error means that the job is in the log. A refusal with the
 // outcome not-run means that it never will be.
 func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
+	ctx = withSubmission(ctx)
 	if _, known := s.book.Get(job.ID); known {
-		s.events.Info(events.JobRepeated, events.Fields{"job": job.ID})
+		s.logRepeated(job.ID)
 		return nil
 	}
 	if err := job.Validate(); err != nil {
-		return s.refuse(job.ID, err)
+		return s.refuse(ctx, job.ID, err)
+	}
+	if known, refused := s.admit(ctx, job); known || refused != nil {
+		if known {
+			s.logRepeated(job.ID)
+		}
+		return refused
 	}
 	value, err := json.Marshal(job)
 	if err != nil {
-		return s.refuse(job.ID, err)
+		return s.refuse(ctx, job.ID, err)
 	}
 	record := control.Record{Key: workload.AcceptedKey(job.ID), Value: value}
 	began := s.clock.Now()
+	s.unanswered.add(job.ID, began)
 	err = s.commit(ctx, job.ID, record)
+	if err == nil || isCertainlyNotDone(err) {
+		s.unanswered.answered(job.ID)
+	}
 	if err == nil {
 		s.applyJobRecord(Entry{Key: record.Key, Value: value})
 		s.metrics.Observe(telemetry.Acceptance, s.clock.Since(began))
@@ -270,7 +291,7 @@
 	if _, known := s.book.Get(job.ID); known {
 		return nil
 	}
-	return s.refuse(job.ID, logErrorRefusal(err))
+	return s.refuse(ctx, job.ID, logErrorRefusal(err))
 }
 
 // maxLoggedShapeBytes limits the size of a job's steps in an event.
@@ -286,15 +307,6 @@
 	return string(text)
 }
 
-// LogRefusal logs a request that was refused before it reached Submit.
-func (s *Service) LogRefusal(id workload.JobID, err error) { _ = s.refuse(id, err) }
-
-func (s *Service) refuse(id workload.JobID, err error) error {
-	refusal := domain.AsRefusal(err)
-	s.events.Info(events.JobRefused, events.Fields{"job": id, "reason": refusal.Reason, "outcome": refusal.Outcome, "cause": refusal.Message, "version": s.configurationVersion(), "log_age_ms": s.statesAge(s.clock.Now()).Milliseconds()})
-	return refusal
-}
-
 // commit writes a record. It gives up while the caller still has time to try another instance,
 // since only this one may be disconnected.
 func (s *Service) commit(ctx context.Context, id workload.JobID, record control.Record) error {
@@ -309,12 +321,17 @@
 // minCommitTimeout is the minimum time for writing a record.
 const minCommitTimeout = time.Second
 
+// isCertainlyNotDone reports whether an error proves that nothing was or will be written.
+func isCertainlyNotDone(err error) bool {
+	return errors.Is(err, ErrNotDone) && !errors.Is(err, ErrOutcomeUnknown)
+}
+
 // logErrorRefusal converts an error of the log into the refusal whose outcome the error proves.
 func logErrorRefusal(err error) error {
-	if errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, ErrNotDone) {
+	if !isCertainlyNotDone(err) {
 		return domain.OutcomeUnknown(domain.ReasonLogUnavailable, err.Error())
 	}
-	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later").WithRetryAfter(time.Second)
+	return domain.Refuse(domain.ReasonLogUnavailable, "", err.Error(), "come back later")
 }
 
 func (s *Service) configurationVersion() int64 {
@@ -331,7 +348,7 @@
 	if err == nil && state.IsFinal() {
 		s.recordReportedEnd(id, state)
 	}
-	return state, err
+	return state, s.withRetryAfter(ctx, id, err)
 }
 
 // maxReportedEnds limits reportedEnds; at the limit the set is cleared.
@@ -386,14 +403,14 @@
 func (s *Service) Cancel(ctx context.Context, id workload.JobID) error {
 	e, err := s.findJob(ctx, id)
 	if err != nil {
-		return err
+		return s.withRetryAfter(ctx, id, err)
 	}
 	if e.Cancelled || e.State.IsFinal() {
 		return nil
 	}
 	record := control.Record{Key: workload.CancelledKey(id), Value: []byte("{}")}
 	if err := s.commit(ctx, id, record); err != nil {
-		return s.refuse(id, logErrorRefusal(err))
+		return s.refuse(ctx, id, logErrorRefusal(err))
 	}
 	s.applyJobRecord(Entry{Key: record.Key, Value: record.Value})
 	s.events.Info(events.JobCancelled, events.Fields{"job": id})
@@ -401,9 +418,9 @@
 }
 
 // Pending returns the number of accepted jobs of a queue that have not started.
-func (s *Service) Pending(queue string) (int, error) {
+func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
 	if err := s.CheckCurrent(); err != nil {
-		return 0, err
+		return 0, s.withRetryAfter(ctx, "", err)
 	}
 	return s.book.Pending(queue), nil
 }
