--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -151,13 +151,17 @@
 		time.Sleep(4 * time.Second)
 		s.setCut(m, false)
 	}
-	time.Sleep(700 * time.Millisecond)
+	time.Sleep(time.Second)
 	// The rack of the data has room for just these tasks.
 	work := workload.Step{Count: 4 * perRack, Need: workload.Resources{MilliCPU: 4000, MemoryMiB: 4000, Accelerators: 2}, EstimateMS: 14_000, DataRack: s.pool.rack(m)}
 	if err := s.submit(job, work, 14*time.Second); err != nil {
 		return "", err
 	}
-	time.Sleep(400 * time.Millisecond)
+	for end := time.Now().Add(10 * time.Second); s.runsOn(m) == 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			return "", errNotPlayed
+		}
+	}
 	if trouble {
 		s.pool.mu.Lock()
 		s.record.write("store: a heartbeat of minion %s, held up by the cut, arrives", old.id)
@@ -165,11 +169,7 @@
 		s.pool.mu.Unlock()
 		s.setCut(m, true)
 	}
-	time.Sleep(200 * time.Millisecond)
-	if s.runsOn(m) == 0 {
-		return "", errNotPlayed
-	}
-	time.Sleep(4800 * time.Millisecond)
+	time.Sleep(5 * time.Second)
 	if trouble {
 		s.setCut(m, false)
 	}
