--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -64,13 +64,13 @@
 	}
 	c.mu.Unlock()
 	if silent {
-		c.record.write("cloud: /machine-upkeep of %s for wave %d gets no answer", call.Machine, call.Wave)
+		c.record.write("cloud: %s of %s for wave %d gets no answer", wire("upkeep call"), call.Machine, call.Wave)
 		<-r.Context().Done()
 		return
 	}
-	token, _ := strconv.ParseInt(r.Header.Get("Fencing-Token"), 10, 64)
+	token, _ := strconv.ParseInt(r.Header.Get(wire("token header")), 10, 64)
 	status, reason := c.begin(call.Machine, call.Wave, token)
-	c.record.write("cloud: /machine-upkeep of %s for wave %d with token %d: %d %s", call.Machine, call.Wave, token, status, reason)
+	c.record.write("cloud: %s of %s for wave %d with token %d: %d %s", wire("upkeep call"), call.Machine, call.Wave, token, status, reason)
 	reply(out, status, map[string]string{"reason": reason})
 }
 
@@ -110,7 +110,7 @@
 	p.crash(m)
 	p.mu.Lock()
 	m.life.removed = true
-	p.store.Put("keyed.servers", m.life.id, nil)
+	p.store.Put(wire("minions topic"), m.life.id, nil)
 	p.mu.Unlock()
 	time.AfterFunc(maintenanceTime, func() {
 		if p.restart(m) == nil {
--- a/review/stand/machines.go
+++ b/review/stand/machines.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -156,7 +157,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"service": poolName, "address": m.address, "zone": []string{"north-depot", "civic-hall", "south-yard"}[m.index%3], "version": "v1", "slots": 8,
-		"state": "in_service", "cold_left_ms": 0, "seq": sent.UnixMilli(), "capacity": map[string]int64{"cpu": 32000, "mem_mb": 65536, "gpu": 8},
+		"state": "in_service", "cold_left_ms": 0, "seq": sent.UnixMilli(), "capacity": map[string]int64{"cpu": 32000, wire("memory"): 65536, "gpu": 8},
 		"labels": []string{"a", p.rack(m)}, "clock_ms": l.worker.ClockMS(sent),
 	})
 	if err != nil {
@@ -166,7 +167,7 @@
 		p.record.write("store: minion %s is listed", l.id)
 	}
 	l.lastPut, l.removed = now, false
-	p.store.Put("keyed.servers", l.id, value)
+	p.store.Put(wire("minions topic"), l.id, value)
 }
 
 // run writes heartbeats and drops entries that have expired, until the pool is stopped.
@@ -192,7 +193,7 @@
 			if !l.removed && now.Sub(l.lastPut) > entryLife {
 				l.removed = true
 				p.record.write("store: the entry of minion %s has expired", l.id)
-				p.store.Put("keyed.servers", l.id, nil)
+				p.store.Put(wire("minions topic"), l.id, nil)
 			}
 		}
 		p.mu.Unlock()
@@ -210,15 +211,28 @@
 
 // order is the body of a call to a minion.
 type order struct {
-	Task     string `json:"task"`
-	Run      int64  `json:"run"`
-	Spec     string `json:"spec"`
-	Deadline int64  `json:"deadline_ms"`
-	Token    int64  `json:"fencing_token"`
-	Saved    string `json:"saved"`
-	Cursor   int64  `json:"ack_cursor"`
-	WaitMS   int64  `json:"wait_ms"`
-	Percent  int    `json:"percent"`
+	Task, Spec, Saved                    string
+	Run, Deadline, Token, Cursor, WaitMS int64
+	Percent                              int
+}
+
+func decodeOrder(body io.Reader) (order, error) {
+	raw := map[string]json.RawMessage{}
+	if err := json.NewDecoder(body).Decode(&raw); err != nil {
+		return order{}, err
+	}
+	o := order{}
+	for name, field := range map[string]any{
+		"task": &o.Task, "run": &o.Run, "spec": &o.Spec, "deadline_ms": &o.Deadline, wire("token"): &o.Token,
+		"saved": &o.Saved, wire("cursor"): &o.Cursor, "wait_ms": &o.WaitMS, "percent": &o.Percent,
+	} {
+		if text, sent := raw[name]; sent {
+			if err := json.Unmarshal(text, field); err != nil {
+				return order{}, err
+			}
+		}
+	}
+	return o, nil
 }
 
 var conflicts = map[control.Result]string{control.Fenced: "fence", control.Superseded: "old", control.Late: "late", control.Full: "room"}
@@ -244,17 +258,17 @@
 // handler serves the calls to one incarnation.
 func (p *pool) handler(l *life) http.Handler {
 	return http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Target-Instance") != l.id {
-			p.record.write("minion %s answers 421 to %s for %s", l.id, r.URL.Path, r.Header.Get("Target-Instance"))
+		if r.Header.Get(wire("target header")) != l.id {
+			p.record.write("minion %s answers 421 to %s for %s", l.id, r.URL.Path, r.Header.Get(wire("target header")))
 			out.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		o := order{}
-		if json.NewDecoder(r.Body).Decode(&o) != nil {
+		o, err := decodeOrder(r.Body)
+		if err != nil {
 			out.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if r.URL.Path == "/hold" {
+		if r.URL.Path == wire("hold call") {
 			p.hold(r.Context(), out, l, o)
 			return
 		}
@@ -267,16 +281,16 @@
 		now := time.Now()
 		var a control.Answer
 		switch r.URL.Path {
-		case "/run-start":
+		case wire("start call"):
 			a = l.worker.Start(control.StartOrder{Task: id, Run: o.Run, Spec: o.Spec, Checkpoint: o.Saved, DeadlineMS: o.Deadline, Token: o.Token}, now)
-		case "/run-stop":
+		case wire("stop call"):
 			a = l.worker.Stop(control.StopOrder{Task: id, Run: o.Run, Token: o.Token}, now)
-		case "/pace":
+		case wire("pace call"):
 			a = l.worker.Throttle(control.ThrottleOrder{Task: id, Run: o.Run, Percent: o.Percent, Token: o.Token}, now)
 		}
 		p.mu.Unlock()
-		if r.URL.Path == "/run-start" {
-			p.record.write("minion %s: /run-start of %s run %d with token %d: %s", l.id, o.Task, o.Run, o.Token, a.Result)
+		if r.URL.Path == wire("start call") {
+			p.record.write("minion %s: %s of %s run %d with token %d: %s", l.id, r.URL.Path, o.Task, o.Run, o.Token, a.Result)
 		}
 		answer(out, a)
 	})
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -109,8 +109,8 @@
 // submit hands a job of one step in at the first instance that accepts it.
 func (s *system) submit(id string, step workload.Step, takes time.Duration) error {
 	body, err := json.Marshal(map[string]any{"spec": "review " + id, "steps": []map[string]any{{
-		"count": step.Count, "cpu": step.Need.MilliCPU, "mem_mb": step.Need.MemoryMiB, "gpu": step.Need.Accelerators, "estimate_ms": step.EstimateMS,
-		"data_rack": step.DataRack, "perpetual": step.Perpetual, "may_miss": step.MaxUnavailable,
+		"count": step.Count, "cpu": step.Need.MilliCPU, wire("memory"): step.Need.MemoryMiB, "gpu": step.Need.Accelerators, "estimate_ms": step.EstimateMS,
+		"data_rack": step.DataRack, "perpetual": step.Perpetual, wire("may miss"): step.MaxUnavailable,
 	}}})
 	if err != nil {
 		return err
@@ -271,12 +271,12 @@
 		s.cloud.unanswered = 1
 		s.cloud.mu.Unlock()
 	}
-	wave, err := json.Marshal(map[string]any{"wave": 1, "machines": []string{machineName(empty.index)}, "within_s": 30, "maximum": 1})
+	wave, err := json.Marshal(map[string]any{"wave": 1, "machines": []string{machineName(empty.index)}, wire("within"): 30, "maximum": 1})
 	if err != nil {
 		return "", err
 	}
 	s.record.write("operator: op/wave/1 %s", wave)
-	s.store.Put("keyed.op", "wave/1", wave)
+	s.store.Put(wire("config topic"), "wave/1", wave)
 	time.Sleep(1500 * time.Millisecond)
 	lasting := workload.Step{Count: 4, Need: workload.Resources{MilliCPU: 4000, MemoryMiB: 4000, Accelerators: 2}, EstimateMS: 1000, Perpetual: true, MaxUnavailable: 1}
 	if err := s.submit(job, lasting, time.Hour); err != nil {
@@ -298,5 +298,5 @@
 	if ended <= mayMiss {
 		return ""
 	}
-	return fmt.Sprintf("AVAIL: an upkeep ended %d tasks of job %s that were at work, may_miss is %d", ended, job, mayMiss)
+	return fmt.Sprintf("AVAIL: an upkeep ended %d tasks of job %s that were at work, %s is %d", ended, job, wire("may miss"), mayMiss)
 }
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -99,15 +99,15 @@
 	s := &system{store: standin.NewStore(), record: record, directory: directory, client: &http.Client{Timeout: 4 * time.Second}}
 	config, err := json.Marshal(map[string]any{
 		"version":  3,
-		"routes":   []map[string]any{{"name": "district-rebuild", "host": host, "path_prefix": prefix, "service": poolName, "priority": 1, "max_attempts": 4, "stretch": 3, "target_latency_ms": 1000}},
+		"routes":   []map[string]any{{"name": "district-rebuild", "host": host, wire("prefix"): prefix, "service": poolName, "priority": 1, "max_attempts": 4, "stretch": 3, "target_latency_ms": 1000}},
 		"services": []map[string]any{{"name": poolName, "rejects_overload": true}},
-		"tenants":  []map[string]any{{"name": "authority", "api_keys": []string{apiKey}, "guaranteed": map[string]int{"gpu": 16}}},
+		"tenants":  []map[string]any{{"name": "authority", wire("keys"): []string{apiKey}, "guaranteed": map[string]int{"gpu": 16}}},
 		"limits":   map[string]int{"body_bytes": 262144},
 	})
 	if err != nil {
 		return nil, err
 	}
-	s.store.Put("keyed.op", "config", config)
+	s.store.Put(wire("config topic"), "config", config)
 	if s.pool, err = newPool(s.store, machines, record); err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 	}
 	defer log.Close()
 	i.command = exec.Command(program)
-	i.command.Env = append(os.Environ(), "COBALTTIDE_BOOT="+path)
+	i.command.Env = append(os.Environ(), wire("settings variable")+"="+path)
 	i.command.Stdout, i.command.Stderr = log, log
 	// An instance does not outlive the stand-in, however that ends.
 	i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -215,7 +215,7 @@
 	}
 	request.Host = host
 	request.Header.Set("Api-Key", apiKey)
-	request.Header.Set("Time-Remaining", "3000")
+	request.Header.Set(wire("remaining header"), "3000")
 	response, err := s.client.Do(request)
 	if err != nil {
 		s.record.write("client: %s %s at %s: %v", method, id, i.name, err)
