--- a/review/stand/cloud.go
+++ b/review/stand/cloud.go
@@ -106,6 +106,7 @@
 func (p *pool) beginUpkeep(m *machine, wave int64) {
 	p.mu.Lock()
 	m.state, m.waves[wave] = "upkeep", true
+	p.upkeeps[m.life.id] = time.Now()
 	p.mu.Unlock()
 	p.crash(m)
 	p.mu.Lock()
--- a/review/stand/machines.go
+++ b/review/stand/machines.go
@@ -61,11 +61,13 @@
 	takes  map[workload.JobID]time.Duration
 	record *recorder
 	events []workertest.Event
+	// upkeeps is when the upkeep of each minion's machine began.
+	upkeeps map[string]time.Time
 	stop   chan struct{}
 }
 
 func newPool(store *standin.Store, machines int, record *recorder) (*pool, error) {
-	p := &pool{store: store, steps: map[workload.JobID][]workload.Step{}, takes: map[workload.JobID]time.Duration{}, record: record, stop: make(chan struct{})}
+	p := &pool{store: store, steps: map[workload.JobID][]workload.Step{}, takes: map[workload.JobID]time.Duration{}, upkeeps: map[string]time.Time{}, record: record, stop: make(chan struct{})}
 	p.fleet = &workertest.Fleet{
 		Limits: workertest.Limits{MaxLease: 6 * time.Second, StopTimeout: 150 * time.Millisecond, GangTimeout: 3 * time.Second, CheckpointEvery: time.Second, Restore: 100 * time.Millisecond},
 		Step:   p.stepOf,
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -290,8 +290,17 @@
 // may be away by the system's orders (AVAIL).
 func (s *system) endedByUpkeep(job string, mayMiss int) string {
 	ended := 0
+	begun := map[workload.TaskID]time.Time{}
 	for _, e := range s.pool.snapshot() {
-		if string(e.Task.Job) == job && e.End == control.EndLapsed {
+		if e.End == "" {
+			// A task that lasts is at work from its start here.
+			begun[e.Task] = e.At
+			continue
+		}
+		s.pool.mu.Lock()
+		at, upkeep := s.pool.upkeeps[e.Worker]
+		s.pool.mu.Unlock()
+		if string(e.Task.Job) == job && e.End == control.EndLapsed && upkeep && e.At.Sub(at).Abs() < 100*time.Millisecond && begun[e.Task].Before(at) {
 			ended++
 		}
 	}
