--- a/review/stand/machines.go
+++ b/review/stand/machines.go
@@ -63,7 +63,7 @@
 	events []workertest.Event
 	// upkeeps is when the upkeep of each minion's machine began.
 	upkeeps map[string]time.Time
-	stop   chan struct{}
+	stop    chan struct{}
 }
 
 func newPool(store *standin.Store, machines int, record *recorder) (*pool, error) {
