Control: an entry at a worker's address does not prove that the worker has ended

Cause: a worker crashes behind a cut and another one starts at its address. A heartbeat that the first one had sent before arrives after the cut and lists it again. If the second one's entry then expires, because it is cut off from the store alone, SettleUnlisted took the first one's entry at the address for proof that the second one had ended. It settled all of its runs as lost while they went on, and started their tasks elsewhere in the same round. The entry was taken for proof even where the planner knew that its worker had ended.

Fix: the list only suggests an end. If several workers are known at an address, each is polled at once and gets no new work before it has answered. What ends an incarnation is the answer: 421 there, another incarnation's answer under the id, or a departure that the age of the entry proves. A worker that gives no answer keeps its runs until its lease must have expired, as before. Workers that are known to have ended are remembered for a minute, so that a late heartbeat neither has them polled nor their crash counted again.

Why it was not found: the simulated list never showed two workers at one address, and a heartbeat arrived when it was sent or never. Heartbeats that a cut holds up, crashes behind cuts with a successor at the address, and cuts from the store alone are now drawn with the departures.

Tests changed: TestOnlyCrashesCountAgainstTasks expected a crash from a listing alone, which is the fault; it now expects none from the listing and one from the answer. A planner's statement that a worker is gone is now checked for every reason, not only for departures.

Ruled out: trusting the entry with the later start time (the time of day may be set back, and both may show none); trusting the newest entry (the fault itself).

--- a/workload/control/closed.go
+++ b/workload/control/closed.go
@@ -22,7 +22,8 @@
 	closedCentreSilent closedReason = "centre-silent"
 	// closedSilent: the worker does not answer, or a record in the log still says so.
 	closedSilent closedReason = "silent"
-	// closedRestarted: the worker list shows another incarnation than the one that has answered.
+	// closedRestarted: the worker list shows another incarnation under its id or at its address than
+	// the one that has answered.
 	closedRestarted closedReason = "restarted"
 	// closedUnexpectedRuns: it runs tasks that the planner has not placed there.
 	closedUnexpectedRuns closedReason = "strange-runs"
@@ -44,7 +45,7 @@
 		return closedCentreSilent
 	case !w.reachable || c.isHeld(w):
 		return closedSilent
-	case w.restartSuspected:
+	case w.endSuspected:
 		return closedRestarted
 	case len(w.unexpectedRuns) > 0:
 		return closedUnexpectedRuns
--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -24,12 +24,14 @@
 	// workersByID are the workers sorted by id, jobsByAcceptance the jobs in order of acceptance.
 	workersByID      []*worker
 	jobsByAcceptance []*job
-	// idsByAddress is the id of the worker last listed at each address, unlisted the workers that
-	// are no longer in the list, unpersisted those with ends that are not in the log yet.
-	idsByAddress map[string]string
+	// idsByAddress are the ids of the known workers at each address, unlisted the workers that are no
+	// longer in the list, unpersisted those with ends that are not in the log yet.
+	idsByAddress map[string][]string
 	unlisted     map[string]bool
 	unpersisted  map[*worker]bool
-	jobs         map[workload.JobID]*job
+	// endedIncarnations are incarnations that have ended, by the ids of workers that were dropped.
+	endedIncarnations map[string]endedIncarnation
+	jobs              map[workload.JobID]*job
 	// finishedJobs are the ended jobs of which no run can be active any more. It is nil once it is
 	// no longer needed (unknown_ends.go).
 	finishedJobs     map[workload.JobID]bool
@@ -217,7 +219,8 @@
 		token:              token,
 		makePlan:           bounds.Plan,
 		workers:            map[string]*worker{},
-		idsByAddress:       map[string]string{},
+		idsByAddress:       map[string][]string{},
+		endedIncarnations:  map[string]endedIncarnation{},
 		unlisted:           map[string]bool{},
 		unpersisted:        map[*worker]bool{},
 		jobs:               map[workload.JobID]*job{},
--- a/workload/control/crash_evidence_test.go
+++ b/workload/control/crash_evidence_test.go
@@ -15,6 +15,10 @@
 	fallSilent := func(s *cutOffScenario) {
 		s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Unanswered}, s.now, s.now)
 	}
+	succeed := func(s *cutOffScenario) {
+		s.c.SetWorkers([]Listing{remaining, other}, s.now)
+		s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	}
 	expireLease := func(s *cutOffScenario) {
 		s.now = s.now.Add(8 * time.Second)
 		s.round()
@@ -26,7 +30,8 @@
 		"another incarnation answers": {func(s *cutOffScenario) {
 			s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
 		}, 1},
-		"another incarnation is listed": {func(s *cutOffScenario) { s.c.SetWorkers([]Listing{remaining, other}, s.now) }, 1},
+		"another incarnation is listed":             {func(s *cutOffScenario) { s.c.SetWorkers([]Listing{remaining, other}, s.now) }, 0},
+		"another incarnation is listed and answers": {succeed, 1},
 		"run lasted for many leases": {func(s *cutOffScenario) {
 			for range 6 {
 				s.renew("w0", []RunningRow{{Task: s.firstStepTask(0), Run: 1, Percent: 1}, {Task: s.firstStepTask(1), Run: 1, Percent: 1}}, nil)
@@ -36,11 +41,11 @@
 		}, 0},
 		"worker was draining": {func(s *cutOffScenario) {
 			s.c.workers["w0"].Draining = true
-			s.c.SetWorkers([]Listing{remaining, other}, s.now)
+			succeed(s)
 		}, 0},
 		"host is in maintenance": {func(s *cutOffScenario) {
 			s.c.vacating["w0"] = true
-			s.c.SetWorkers([]Listing{remaining, other}, s.now)
+			succeed(s)
 		}, 0},
 		"lease expired, still listed": {func(s *cutOffScenario) { fallSilent(s); expireLease(s) }, 0},
 		"lease expired, no longer listed": {func(s *cutOffScenario) {
--- a/workload/control/crash_model_test.go
+++ b/workload/control/crash_model_test.go
@@ -61,12 +61,22 @@
 // isListed reports whether the entry of a crashed worker is still in the list.
 func (m *crashModel) isListed(id string, now time.Time) bool { return now.Before(m.entryExpiresAt[id]) }
 
+// occupant returns the worker that was started last at the address of the given one.
+func (m *crashModel) occupant(id string) string {
+	for m.successors[id] != "" {
+		id = m.successors[id]
+	}
+	return id
+}
+
 // callResult returns the result of a call to a crashed worker, and the time that it takes.
-func (m *crashModel) callResult(id string) (control.Result, time.Duration) {
+func (sim *simulation) callResult(id string) (control.Result, time.Duration) {
+	m := &sim.crashes
+	occupant := m.occupant(id)
 	switch {
-	case m.successors[id] != "":
+	case occupant != id && !sim.fleet.Workers[occupant].Dead:
 		return control.Gone, 5 * time.Millisecond
-	case !m.entryExpiresAt[id].IsZero():
+	case occupant != id || !m.entryExpiresAt[id].IsZero():
 		// Its address refuses connections, and a call in flight is aborted.
 		return control.Unanswered, 5 * time.Millisecond
 	}
@@ -78,13 +88,21 @@
 func (sim *simulation) onCrash(id string, by workload.TaskID, _ time.Time) {
 	sim.crashes.crashCount[by]++
 	sim.crashes.entryExpiresAt[id] = sim.now.Add(entryLifetime)
-	address, rack := sim.crashes.location(id, "")
-	sim.schedule(sim.crashes.restartDelay, func() {
-		successor := fmt.Sprintf("%s-%d", address, len(sim.fleet.Workers))
-		sim.crashes.successors[id] = successor
-		sim.crashes.locations[successor] = location{address, rack}
-		sim.fleet.Add(successor, sim.fleet.Workers[id].Capacity, 0.99, sim.now)
-	})
+	sim.schedule(sim.crashes.restartDelay, func() { sim.startSuccessor(id, "") })
+}
+
+// startSuccessor starts another worker at the address of one that has ended. A cut of the machine
+// goes on.
+func (sim *simulation) startSuccessor(id, rack string) {
+	address, rack := sim.crashes.location(id, rack)
+	successor := fmt.Sprintf("%s-%d", address, len(sim.fleet.Workers))
+	sim.crashes.successors[id] = successor
+	sim.crashes.locations[successor] = location{address, rack}
+	sim.unreachableUntil[successor] = sim.unreachableUntil[id]
+	if sim.registry != nil {
+		sim.registry.unreachableUntil[successor] = sim.registry.unreachableUntil[id]
+	}
+	sim.fleet.Add(successor, sim.fleet.Workers[id].Capacity, 0.99, sim.now)
 }
 
 // maxStartsAfterLimit is how often a task may be started after it has crashed crashLimit workers.
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -47,7 +47,7 @@
 const (
 	reasonLeaseOver          = "lease-over"
 	reasonAnotherIncarnation = "another-life"
-	reasonAddressTakenOver   = "address-taken-over"
+	reasonEndedBefore        = "ended-before"
 	reasonRestarted          = "worker-restarted"
 	reasonLeft               = "worker-left"
 )
--- a/workload/control/departures_test.go
+++ b/workload/control/departures_test.go
@@ -10,9 +10,10 @@
 	"github.com/cobalttide/cobalttide/workload/workertest"
 )
 
-// maxDepartures is the maximum number of workers that drain in a simulation, maxStoreOutages the
-// maximum number of outages of its store.
-const maxDepartures, maxStoreOutages = 8, 3
+// maxDepartures is the maximum number of workers that drain in a simulation, maxSuccessions that of
+// workers that crash behind a cut and are succeeded at their addresses, and maxStoreOutages that of
+// outages of the store.
+const maxDepartures, maxSuccessions, maxStoreOutages = 8, 8, 3
 
 // extraWorkers is the number of additional workers, so that there is capacity besides those that
 // leave.
@@ -25,7 +26,8 @@
 const readLagChanges = 20
 
 // newDepartureSimulation returns a simulation whose workers drain and then leave, crash, or are cut
-// off and run on. The list is read late, and the store has outages.
+// off and run on, and crash behind cuts and are succeeded at their addresses. The list is read late,
+// and the store has outages.
 func newDepartureSimulation(seed int64, faulty bool) *simulation {
 	sim := newSimulation(seed, faulty)
 	sim.registry = newRegistry()
@@ -38,6 +40,9 @@
 	for range 1 + sim.rng.Intn(maxDepartures) {
 		sim.schedule(time.Duration(sim.rng.Intn(int(faultPeriod))), sim.drainWorker)
 	}
+	for range sim.rng.Intn(maxSuccessions + 1) {
+		sim.schedule(time.Duration(sim.rng.Intn(int(faultPeriod))), sim.crashBehindCut)
+	}
 	for range sim.rng.Intn(maxStoreOutages + 1) {
 		sim.schedule(time.Duration(sim.rng.Intn(int(faultPeriod))), sim.storeOutage)
 	}
@@ -57,6 +62,30 @@
 	}
 }
 
+// crashBehindCut cuts off a random worker, which crashes and is succeeded at its address before the
+// cut ends. Heartbeats that the cut held up arrive afterwards. Soon after the cut, the successor is
+// cut off from the store alone.
+func (sim *simulation) crashBehindCut() {
+	id := sim.randomWorker()
+	if sim.fleet.Workers[id].Dead || sim.crashes.successors[id] != "" {
+		return
+	}
+	cut := sim.randomDuration(2000, 6000)
+	sim.cutOff(id, cut, cut)
+	sim.schedule(sim.randomDuration(0, 2000), func() {
+		if sim.fleet.Workers[id].Dead {
+			return
+		}
+		sim.fleet.Kill(id, sim.now)
+		sim.schedule(sim.randomDuration(300, 1800), func() { sim.startSuccessor(id, sim.registry.entries[id].Rack) })
+	})
+	sim.schedule(cut+sim.randomDuration(0, 4000), func() {
+		if successor := sim.crashes.occupant(id); successor != id {
+			sim.registry.unreachableUntil[successor] = sim.now.Add(sim.randomDuration(2000, 9000))
+		}
+	})
+}
+
 // longWork returns work that takes far longer than the step's estimate. A third of it lasts longer
 // than a lease.
 func (sim *simulation) longWork(id workload.TaskID, run int64, worker string) workertest.Work {
--- a/workload/control/entry_age_test.go
+++ b/workload/control/entry_age_test.go
@@ -42,7 +42,7 @@
 		"the entry shows no clock":         {func(_ *Core, w *worker) { w.ClockMS = 0 }, false},
 		"no lease renewal was answered":    {func(_ *Core, w *worker) { w.incarnation = newIncarnation(1, 7) }, false},
 		"entry of another incarnation":     {func(_ *Core, w *worker) { w.StartMS = 8 }, false},
-		"the worker may have restarted":    {func(_ *Core, w *worker) { w.restartSuspected = true }, false},
+		"the worker may have restarted":    {func(_ *Core, w *worker) { w.endSuspected = true }, false},
 		"clocks of two incarnations":       {func(_ *Core, w *worker) { w.ClockMS += 60_000 }, false},
 		"the list was interrupted since":   {func(c *Core, _ *worker) { c.RecordListGap(now.Add(-500 * time.Millisecond)) }, false},
 		"the list was interrupted earlier": {func(c *Core, _ *worker) { c.RecordListGap(now.Add(-5 * time.Second)) }, true},
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -131,8 +131,7 @@
 	// An incarnation that was draining was followed by one that is not: that was no crash.
 	w.previousDrained = w.Draining && !l.Draining
 	if w.everReached && l.StartMS != 0 && l.StartMS != w.startMS {
-		w.restartSuspected = true
-		w.nextRenewalAt = now
+		w.suspectEnd(now)
 	}
 }
 
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -45,6 +45,8 @@
 	heartbeatFactor time.Duration
 	// datedByRead: entries show the time at which they were read instead of written.
 	datedByRead bool
+	// listedSuccessors: an unlisted worker counts as ended if another one is listed at its address.
+	listedSuccessors bool
 	// hiddenGaps: planners are not notified that the list could not be read for a while.
 	hiddenGaps bool
 }
@@ -74,6 +76,23 @@
 	return result
 }
 
+// endUnlisted has a planner take the unlisted workers to have ended at whose addresses others are
+// listed.
+func (m mutant) endUnlisted(sim *simulation, p *planner, list []control.Listing) {
+	if !m.listedSuccessors {
+		return
+	}
+	listed, addresses := map[string]bool{}, map[string]bool{}
+	for _, l := range list {
+		listed[l.ID], addresses[l.Address] = true, true
+	}
+	for _, id := range sortedIDs(sim.fleet.Workers) {
+		if address, _ := sim.crashes.location(id, ""); !listed[id] && addresses[address] {
+			p.core.HandleRenewal(control.RenewalOrder{Worker: id}, control.RenewalAnswer{Result: control.Gone}, sim.now, sim.now)
+		}
+	}
+}
+
 // mutantSeeds is the number of simulations in which a mutant must be detected.
 const mutantSeeds = 120
 
@@ -124,6 +143,24 @@
 	t.Fatalf("not detected in %d simulations", mutantSeeds)
 }
 
+// Guards against worlds in which no late heartbeat of an ended incarnation shows it at its
+// successor's address.
+func TestSimulationDetectsListedSuccessorTakenForProof(t *testing.T) {
+	for seed := range mutantSeeds {
+		unmutated, sim := newDepartureSimulation(int64(seed), false), newDepartureSimulation(int64(seed), false)
+		sim.mutant.listedSuccessors = true
+		sim.run(nil)
+		if len(sim.violations) == 0 {
+			continue
+		}
+		if unmutated.run(nil); len(unmutated.violations) == 0 {
+			t.Logf("detected at seed %d: %s", seed, sim.violations[0])
+			return
+		}
+	}
+	t.Fatalf("not detected in %d simulations", mutantSeeds)
+}
+
 func TestSimulationDetectsIncarnationMutants(t *testing.T) {
 	for name, m := range map[string]mutant{
 		"incarnations not told apart":              {anonymousIncarnations: true},
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -25,7 +25,9 @@
 
 func compareID(w *worker, id string) int { return cmp.Compare(w.ID, id) }
 
-func (c *Core) dropWorker(id string) {
+func (c *Core) dropWorker(id string, now time.Time) {
+	c.rememberEnded(c.workers[id], now)
+	c.removeAddress(c.workers[id])
 	if at, ok := slices.BinarySearchFunc(c.workersByID, id, compareID); ok {
 		c.workersByID = slices.Delete(c.workersByID, at, at+1)
 	}
@@ -57,17 +59,22 @@
 // UpdateWorker and RemoveWorker.
 func (c *Core) UpdateWorker(l Listing, now time.Time) {
 	w := c.workerFor(l.ID)
-	if w.listed && w.Address != l.Address {
-		c.releaseAddress(w)
-	}
+	appears := !w.listed || w.Address != l.Address
 	if !w.listed {
 		w.listed, w.departed = true, false
 		c.listedCount++
 		delete(c.unlisted, l.ID)
 		c.emit(Event{Name: EventWorkerListed, Worker: l.ID, Detail: l.Rack})
 	}
-	c.idsByAddress[l.Address] = l.ID
+	if w.Address != l.Address {
+		c.removeAddress(w)
+		c.idsByAddress[l.Address] = append(c.idsByAddress[l.Address], l.ID)
+	}
 	c.takeListing(w, l, now)
+	if appears {
+		c.checkRememberedEnd(w)
+		c.questionSharedAddress(l.Address, now)
+	}
 }
 
 // RemoveWorker records that a worker's entry was removed from the list.
@@ -87,30 +94,17 @@
 		c.observeOverstay(w, now)
 	}
 	c.listedCount--
-	c.releaseAddress(w)
 	c.emit(Event{Name: EventWorkerUnlisted, Worker: id, Detail: w.removalDetail(now)})
 }
 
-// releaseAddress records that a worker is no longer listed at its address.
-func (c *Core) releaseAddress(w *worker) {
-	if c.idsByAddress[w.Address] == w.ID {
-		delete(c.idsByAddress, w.Address)
-	}
-}
-
-// SettleUnlisted settles the runs of workers that are not listed: they are lost if another worker
-// is listed at the address. Workers without runs are forgotten.
+// SettleUnlisted forgets the workers without runs that are not listed.
 func (c *Core) SettleUnlisted(now time.Time) {
 	if len(c.unlisted) == 0 {
 		return
 	}
 	for _, id := range sortedKeys(c.unlisted) {
-		w := c.workers[id]
-		if c.idsByAddress[w.Address] != "" && w.Address != "" {
-			c.declareGone(w, reasonAddressTakenOver, now)
-		}
-		if len(w.runs) == 0 {
-			c.dropWorker(id)
+		if len(c.workers[id].runs) == 0 {
+			c.dropWorker(id, now)
 		}
 	}
 }
--- a/workload/control/registry_test.go
+++ b/workload/control/registry_test.go
@@ -34,6 +34,15 @@
 	losesEntries bool
 	// firstReadings are the first readings of each worker's newest entry.
 	firstReadings map[string]clockReading
+	// heldUp are heartbeats that a cut has held up.
+	heldUp []heldUpHeartbeat
+}
+
+// heldUpHeartbeat is a heartbeat that arrives after the cut that has held it up, also if its sender
+// has ended.
+type heldUpHeartbeat struct {
+	arrivesAt time.Time
+	listing   control.Listing
 }
 
 // registryEntry is a worker's entry and when it was written.
@@ -83,26 +92,59 @@
 
 // writeEntries writes the entries that are due.
 func (sim *simulation) writeEntries() bool {
-	changed := false
+	changed := sim.deliverHeldUp()
 	for _, id := range sortedIDs(sim.fleet.Workers) {
-		if sim.fleet.Workers[id].Dead || sim.now.Before(sim.registry.nextHeartbeat[id]) || sim.now.Before(sim.registry.unreachableUntil[id]) {
+		if sim.fleet.Workers[id].Dead || sim.now.Before(sim.registry.nextHeartbeat[id]) {
+			continue
+		}
+		if healsAt := sim.registry.unreachableUntil[id]; sim.now.Before(healsAt) {
+			sim.holdUp(id, healsAt)
 			continue
 		}
 		sim.registry.entries[id] = registryEntry{sim.listing(id), sim.now}
-		sim.registry.nextHeartbeat[id] = sim.now.Add(heartbeatInterval * time.Duration(90+sim.rng.Intn(21)) / 100)
+		sim.registry.nextHeartbeat[id] = sim.nextHeartbeatAt()
 		changed = true
 	}
 	return changed
 }
 
+func (sim *simulation) nextHeartbeatAt() time.Time {
+	return sim.now.Add(heartbeatInterval * time.Duration(90+sim.rng.Intn(21)) / 100)
+}
+
+// maxHoldUpMS is how long after a cut a heartbeat arrives at the latest that was sent before its end.
+const maxHoldUpMS = 2000
+
+// holdUp sends a heartbeat that a cut holds up. The worker writes its next entry when the cut ends.
+func (sim *simulation) holdUp(id string, healsAt time.Time) {
+	r := sim.registry
+	r.heldUp = append(r.heldUp, heldUpHeartbeat{healsAt.Add(sim.randomDuration(0, maxHoldUpMS)), sim.listing(id)})
+	r.nextHeartbeat[id] = healsAt
+}
+
+// deliverHeldUp writes the entries of the held-up heartbeats that arrive.
+func (sim *simulation) deliverHeldUp() (changed bool) {
+	r := sim.registry
+	r.heldUp = slices.DeleteFunc(r.heldUp, func(h heldUpHeartbeat) bool {
+		arrives := !sim.now.Before(h.arrivesAt)
+		if arrives {
+			r.entries[h.listing.ID] = registryEntry{h.listing, sim.now}
+			changed = true
+		}
+		return arrives
+	})
+	return changed
+}
+
 // racks are the racks of workers with an even and an odd number.
 var racks = []string{"r0", "r1"}
 
 func (sim *simulation) listing(id string) control.Listing {
 	worker := sim.fleet.Workers[id]
 	sent := time.Duration(sim.rng.Intn(300)) * time.Millisecond
+	address, rack := sim.crashes.location(id, racks[id[len(id)-1]%2])
 	return control.Listing{
-		ID: id, Address: id, Rack: racks[id[len(id)-1]%2], Capacity: worker.Capacity, StartMS: worker.StartMS,
+		ID: id, Address: address, Rack: rack, Capacity: worker.Capacity, StartMS: worker.StartMS,
 		ClockMS: worker.ClockMS(sim.now.Add(-sent)), Draining: sim.drainRemainingMS[id] > 0, RemainingMS: sim.drainRemainingMS[id],
 	}
 }
@@ -140,7 +182,9 @@
 		p.seenGaps = sim.registry.gaps
 		p.core.RecordListGap(sim.now)
 	}
-	p.core.SetWorkers(sim.registry.currentList(sim), sim.now)
+	list := sim.registry.currentList(sim)
+	p.core.SetWorkers(list, sim.now)
+	sim.mutant.endUnlisted(sim, p, list)
 }
 
 // currentList returns the list as it was last read.
@@ -170,14 +214,16 @@
 	}
 }
 
-// checkDeparture checks that a worker which a planner reports as having left is not running.
+// checkDeparture checks that a worker which a planner takes to have left or ended is not running.
 func (sim *simulation) checkDeparture(n control.Event) {
-	if n.Name != control.EventWorkerGone || n.Reason != "worker-left" {
+	if n.Name != control.EventWorkerGone {
 		return
 	}
-	sim.departures++
+	if n.Reason == "worker-left" {
+		sim.departures++
+	}
 	if !sim.fleet.Workers[n.Worker].Dead {
-		sim.violation("%s is reported as having left, but is still running", n.Worker)
+		sim.violation("%s is taken to have ended (%s), but is still running", n.Worker, n.Reason)
 	}
 }
 
--- a/workload/control/removals.go
+++ b/workload/control/removals.go
@@ -33,7 +33,7 @@
 // entryWrittenAfter returns the earliest time at which the worker can have written its newest
 // entry, computed from the clock reading in the entry. ok is false if that is unknown.
 func (w *worker) entryWrittenAfter() (at time.Time, ok bool) {
-	if w.restartSuspected || w.anchorAt.IsZero() || w.ClockMS == 0 || w.StartMS != w.startMS {
+	if w.endSuspected || w.anchorAt.IsZero() || w.ClockMS == 0 || w.StartMS != w.startMS {
 		return time.Time{}, false
 	}
 	after := time.Duration(w.ClockMS-w.anchorMS) * time.Millisecond
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -69,7 +69,7 @@
 	}
 	c.compareSpeedIncarnation(w)
 	c.recordProblem(w, answer.Problem)
-	w.restartSuspected = false
+	w.endSuspected = false
 	if !w.everReached {
 		// Its entry may have shown the clock of an earlier incarnation.
 		w.clockMS = 0
--- a/workload/control/restarts_test.go
+++ b/workload/control/restarts_test.go
@@ -86,7 +86,7 @@
 }
 
 // maxRestarts is the maximum number of restarts in a simulation.
-const maxRestarts = 8
+const maxRestarts = 12
 
 // newRestartSimulation returns a simulation whose workers crash and restart under the same id
 // between 0.3 s and 1.8 s later.
--- a/workload/control/simulation_connections_test.go
+++ b/workload/control/simulation_connections_test.go
@@ -45,7 +45,7 @@
 		return kept.incarnation, true
 	}
 	target := sim.fleet.Workers[worker]
-	if sim.now.Before(sim.unreachableUntil[worker]) || target == nil || target.Dead {
+	if sim.isUnreachable(worker) || target == nil || target.Dead {
 		return target, true
 	}
 	p.connections.add(worker, target)
--- a/workload/control/simulation_orders_test.go
+++ b/workload/control/simulation_orders_test.go
@@ -14,7 +14,7 @@
 // drawDelivery draws the delay of an order and whether the order or its answer gets lost.
 func (sim *simulation) drawDelivery(worker string) (delay time.Duration, answered bool, lost bool) {
 	delay = time.Duration(1+sim.rng.Intn(20)) * time.Millisecond
-	if sim.now.Before(sim.unreachableUntil[worker]) {
+	if sim.isUnreachable(worker) {
 		return 0, false, true
 	}
 	if !sim.faulty {
@@ -31,6 +31,11 @@
 	return delay, true, false
 }
 
+// isUnreachable reports whether no planner reaches the address of a worker.
+func (sim *simulation) isUnreachable(worker string) bool {
+	return sim.now.Before(sim.unreachableUntil[sim.crashes.occupant(worker)])
+}
+
 // answerTimeout is how long a sender waits for the answer to an order.
 const answerTimeout = 600 * time.Millisecond
 
@@ -52,7 +57,7 @@
 			target := sim.fleet.Workers[worker]
 			if target == nil || target.Dead || (incarnation != nil && target != incarnation) {
 				if answered {
-					result, after := sim.crashes.callResult(worker)
+					result, after := sim.callResult(worker)
 					sim.schedule(after, func() { sim.deliver(p, func() { fail(result) }) })
 				}
 				return
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -137,6 +137,7 @@
 		running: map[workload.TaskID]map[string]int64{}, doneRun: map[workload.TaskID]int64{},
 		acknowledgedDone: map[workload.TaskID]bool{}, failures: map[workload.TaskID]int{}, restartedAfterDone: map[runKey]bool{}, voidRuns: map[runKey]bool{}, delayedStarts: map[string]bool{},
 		entryExpiresAt: map[string]time.Time{}, listedBorn: map[string]int64{}, maxAcknowledged: map[string]int64{},
+		crashes: crashModel{locations: map[string]location{}, successors: map[string]string{}},
 	}
 	sim.fleet = &workertest.Fleet{Limits: simLimits, Step: sim.lookUpStep, Work: sim.randomWork, OnEvent: sim.checkEvent, OnCrash: sim.onCrash}
 	for i := range 6 {
--- a/workload/control/speed_records_test.go
+++ b/workload/control/speed_records_test.go
@@ -90,7 +90,7 @@
 		t.Errorf("%d records without a change of class", len(got))
 	}
 	c.speeds[slow].sum = 0
-	c.dropWorker(fast)
+	c.dropWorker(fast, c.roundAt)
 	c.dropMissingSpeeds(c.roundAt.Add(2 * missingSpeedTime))
 	for _, r := range write(true) {
 		if len(r.Value) != 0 {
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -38,9 +38,9 @@
 	slowSince time.Time
 	// leavesAt is when a draining worker may be gone; zero is never.
 	leavesAt time.Time
-	// restartSuspected is set if the list shows another incarnation than the one that has
-	// answered, previousDrained if the incarnation before that was draining.
-	restartSuspected, previousDrained bool
+	// endSuspected is set if the list shows another incarnation under its id or at its address,
+	// previousDrained if the incarnation before that was draining.
+	endSuspected, previousDrained bool
 	// token fences the worker's orders.
 	token int64
 	// strayOrdersUntil is until when an unanswered order may still be carried out.
@@ -193,7 +193,7 @@
 	if len(w.runs) > 0 || len(w.unexpectedRuns) > 0 || w.persistedEnd > w.acknowledgedEnd || len(w.unappliedEnds) > 0 {
 		return true
 	}
-	return w.listed && (!w.reachable || w.restartSuspected || now.Before(w.strayOrdersUntil))
+	return w.listed && (!w.reachable || w.endSuspected || now.Before(w.strayOrdersUntil))
 }
 
 // isProbed reports whether an idle worker is polled to check whether its data centre is reachable
@@ -210,7 +210,7 @@
 	w.renewalNumber++
 	w.renewalClockMS = w.clockMS
 	order := RenewalOrder{Worker: id, Address: w.Address, Incarnation: w.number, Number: w.renewalNumber, Token: w.token}
-	if w.reachable && !w.restartSuspected && w.persistedEnd > w.acknowledgedEnd {
+	if w.reachable && !w.endSuspected && w.persistedEnd > w.acknowledgedEnd {
 		// One acknowledgement is enough. It must not be sent while it is unknown which
 		// incarnation answers: another one would drop as many ends that the planner has not
 		// read.
@@ -224,7 +224,7 @@
 	} else {
 		order.DeadlineMS = c.lastDeadline(w)
 	}
-	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd || c.isHeld(w) {
+	if len(w.unexpectedRuns) > 0 || w.receivedEnd > w.persistedEnd || c.isHeld(w) || w.endSuspected {
 		// Ends that are still listed would be returned at once anyway. A lease that may not be
 		// extended yet must be as soon as it may.
 		order.Wait = 0
