Control: an answer from an earlier incarnation's address does not end the current one

A worker restarts under its id at another address. A late entry of the previous incarnation shows the old address, where another worker answers 421. The planner took this for the end of the current incarnation, which runs on at its own address, and started its tasks elsewhere (TWICE). The answer now counts only from the address at which the incarnation has answered, or at which it is listed if it has never answered. A late 421 to a stop that was sent to an earlier incarnation ended the current one. Starts and renewals already ignored such answers; stops do now too.

An order whose 421 proves no end is sent again; a start that had met a worker's former address twice was never repeated.

TestAnswerFromAddressOfEarlierIncarnationDoesNotEndTheCurrentOne (0 of 2 runs left) and TestAnswerToStopOfEarlierIncarnationDoesNotEndTheCurrentOne fail on the code before.

--- a/workload/control/incarnation_changes_test.go
+++ b/workload/control/incarnation_changes_test.go
@@ -95,6 +95,35 @@
 	}
 }
 
+// Guards against a task that runs twice because a late entry shows its worker at the address of an
+// earlier incarnation, where another worker answers.
+func TestAnswerFromAddressOfEarlierIncarnationDoesNotEndTheCurrentOne(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1, Address: "0"}, RenewalAnswer{Result: Accepted, ClockMS: 1, StartMS: 8}, s.now, s.now)
+	s.round()
+	s.c.UpdateWorker(Listing{ID: "w0", Address: "elsewhere", Rack: "r", Capacity: workload.Resources{Accelerators: 8}, ClockMS: 1, StartMS: 7}, s.now)
+	order, _ := s.c.NextRenewal("w0", s.now)
+	s.c.HandleRenewal(order, RenewalAnswer{Result: Gone}, s.now, s.now)
+	if order.Address != "elsewhere" || len(s.c.runs) != 2 || s.c.workers["w0"].gone {
+		t.Fatalf("%d of 2 runs are left after an answer from %s", len(s.c.runs), order.Address)
+	}
+}
+
+// Guards against settling runs because of a late answer to a stop that was sent to an earlier
+// incarnation.
+func TestAnswerToStopOfEarlierIncarnationDoesNotEndTheCurrentOne(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.c.workers["w0"].startMS = 7
+	s.round()
+	r := s.c.runs[s.firstStepTask(0)]
+	stop := newStopOrder(r.worker, r.id, r.run)
+	s.answerAsIncarnation(t, "w0", 8, 10)
+	s.c.HandleStopAnswer(stop, Answer{Result: Gone}, s.now)
+	if s.c.workers["w0"].gone {
+		t.Fatal("the worker is taken to have ended")
+	}
+}
+
 // Runs that a planner adopted and saw running must be lost with their worker's incarnation, and the
 // crash must count, as for runs that it ordered itself.
 func TestAdoptedRunsAreLostWithTheirWorkersIncarnation(t *testing.T) {
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -43,6 +43,8 @@
 	// deadlineMS is the latest deadline that any order may have set, by the worker's clock,
 	// grantedMS the latest that an order of this planner has.
 	deadlineMS, grantedMS int64
+	// answeredAddress is the address at which it last answered a lease renewal; "" is none.
+	answeredAddress string
 	// reachable is set if it has answered a lease renewal under this planner's token, and every
 	// call since.
 	reachable bool
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -67,6 +67,9 @@
 		r.retryAt = now
 	case Gone:
 		c.handleGone(w, order.Address, now)
+		if !w.gone {
+			r.retryAt = now.Add(orderRetryPause)
+		}
 	case Superseded:
 		c.handleSuperseded(r, now)
 	case Unanswered:
@@ -172,8 +175,9 @@
 	case Fenced:
 		c.handleFenced(w, order.Token)
 	case Gone:
-		c.handleGone(w, order.Address, now)
-		return
+		if order.Incarnation == w.number {
+			c.handleGone(w, order.Address, now)
+		}
 	}
 	r := c.runs[order.Task]
 	if r == nil || r.run != order.Run || r.worker != w {
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -86,6 +86,7 @@
 	}
 	w.reachable = true
 	w.everReached = true
+	w.answeredAddress = order.Address
 	w.newestConnection = max(w.newestConnection, answer.NewestConnection)
 	if order.Incarnation == w.number {
 		w.acknowledgedEnd = max(w.acknowledgedEnd, order.AcknowledgedEnd)
--- a/workload/control/workers.go
+++ b/workload/control/workers.go
@@ -122,10 +122,17 @@
 	return w.deadlineMS == 0 || now.After(w.leaseEnd())
 }
 
-// handleGone handles an answer that another worker is at an address. It is ignored if the worker
-// has left that address.
+// handleGone handles an answer that another worker is at an address. It proves that the incarnation
+// has ended only if that is the address at which it has answered, or at which it is listed if it has
+// never answered. A late entry may show the address of an earlier incarnation under the id.
 func (c *Core) handleGone(w *worker, address string, now time.Time) {
-	if address == w.Address || address == "" {
+	switch {
+	case address != "" && address != w.Address:
+		// The order was sent before the worker was listed at another address.
+	case address != "" && w.answeredAddress != "" && address != w.answeredAddress:
+		c.markSilent(w, now)
+		w.nextRenewalAt = now.Add(RenewalRetryPause)
+	default:
 		c.declareGone(w, reasonAnotherIncarnation, now)
 	}
 }
