Control: a start that met an ended worker is no evidence of a crash

Cause: a rack loses power, and its workers are succeeded at their addresses while their entries are still listed. A start that is sent to such an entry is answered 421. The worker was then taken to have ended, rightly, and its crash was counted against the tasks of all runs recorded there: also of the run whose start had just been refused, and of runs that were planned and not sent yet. The fourth such count failed the job, whatever the evidence.

Fix: what is known of a run's start decides what its worker's crash says of it. - Not sent, or its only order answered 421 or not delivered: the run never began. The crash does not count. An answer that comes after that of another order to the same worker takes the count back. - Accepted by the worker or listed by it: it had begun. Counts as before. - Sent by this planner, without an answer: unknown. The crash counts towards the limit on starts, as unproven, and is no evidence. The count of unproven crashes is in the progress record; instances that don't know it drop it.

Runs that an earlier planner ordered count as before: that planner may have had the answer.

Why it was not found: no simulated rack lost power while its entries stayed, and jobs were not bound to a rack. newRackOutageSimulation does both.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -83,6 +83,9 @@
 	vacating    map[string]bool
 	// lastCrashAt is when a worker last crashed at each address.
 	lastCrashAt map[string]time.Time
+	// unprovenStarts are the runs with a crash that counts as unproven and with a single start order,
+	// whose answer may still show that the run never began.
+	unprovenStarts map[workload.TaskID]int64
 	// hasSuspects is set if any job is suspected of crashing workers.
 	hasSuspects  bool
 	crashHistory crashHistory
@@ -234,6 +237,7 @@
 		waves:              map[int64]*wave{},
 		vacating:           map[string]bool{},
 		lastCrashAt:        map[string]time.Time{},
+		unprovenStarts:     map[workload.TaskID]int64{},
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
@@ -429,6 +433,7 @@
 		if j.progress.State.IsFinal() && j.progress.Open == nil && !c.dirty[id] {
 			c.keepSpeeds(j)
 			c.recordFinished(id)
+			maps.DeleteFunc(c.unprovenStarts, func(task workload.TaskID, _ int64) bool { return task.Job == id })
 			c.dropJob(j)
 		}
 	}
--- a/workload/control/crash_evidence_test.go
+++ b/workload/control/crash_evidence_test.go
@@ -74,6 +74,85 @@
 	}
 }
 
+// startMeetingAnswers has the job's tasks started on w0 until the planner starts no more, and answers
+// each start. After that, another incarnation answers for w0, which is then listed as the next one.
+// It returns the number of rounds.
+func (s *cutOffScenario) startMeetingAnswers(t *testing.T, answer Result) int {
+	t.Helper()
+	for startMS := int64(1); startMS <= 8; startMS++ {
+		s.c.UpdateWorker(Listing{ID: "w0", Address: "0", Rack: "r", Capacity: workload.Resources{Accelerators: 8}, ClockMS: 1, StartMS: startMS}, s.now)
+		s.answerAsIncarnation(t, "w0", startMS, 10)
+		s.now = s.now.Add(s.c.unstablePeriod() + time.Second)
+		s.c.Round(s.now, s.now.UnixMilli())
+		s.c.Changes()
+		orders := s.c.Persisted(s.now)
+		if len(orders) == 0 {
+			return int(startMS) - 1
+		}
+		for _, o := range orders {
+			s.c.HandleStartAnswer(o, Answer{Result: answer}, s.now)
+		}
+		s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	}
+	return 8
+}
+
+// Guards against failing a job, no run of which has begun, because its starts met workers that had
+// ended: other incarnations answered 421 at their addresses, or nobody answered.
+func TestStartsThatMeetEndedWorkersDoNotFailJob(t *testing.T) {
+	for answer, wantCrashes := range map[Result]bool{Gone: false, Unreachable: false, Unanswered: true} {
+		t.Run(string(answer), func(t *testing.T) {
+			s := newCutOffScenario(false)
+			j := s.c.jobs[s.id]
+			rounds := s.startMeetingAnswers(t, answer)
+			if j.progress.State == workload.Failed {
+				t.Fatalf("the job failed after %d starts, none of which was carried out", rounds)
+			}
+			task := j.progress.FindTask(s.firstStepTask(0))
+			if task.ProvenCrashes() != 0 || (task.TotalCrashes() > 0) != wantCrashes {
+				t.Errorf("%d crashes are counted, %d of them under runs that had begun", task.TotalCrashes(), task.ProvenCrashes())
+			}
+		})
+	}
+}
+
+// A run that is planned and not sent yet is no evidence when its worker crashes.
+func TestCrashBeforeStartIsSentDoesNotCount(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.c.Round(s.now, s.now.UnixMilli())
+	s.c.Changes()
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.TotalCrashes() != 0 || task.Phase != workload.Waiting {
+		t.Errorf("%d crashes are counted under a run that was not sent: %+v", task.TotalCrashes(), *task)
+	}
+}
+
+// Crashes under runs that are not known to have begun must not fail a job alone, but must count
+// towards the limit on the starts of a task under which two workers have crashed.
+func TestUnprovenCrashesCountOnlyBesideProvenOnes(t *testing.T) {
+	for _, c := range []struct {
+		crashes, unproven int
+		fails             bool
+	}{
+		{crashes: 3, unproven: 3},
+		{crashes: 6, unproven: 6},
+		{crashes: 4, unproven: 3},
+		{crashes: 5, unproven: 4, fails: true},
+		{crashes: 2, unproven: 1},
+		{crashes: 3, unproven: 1, fails: true},
+		{crashes: 4, unproven: 2, fails: true},
+	} {
+		s := newCutOffScenario(true)
+		s.round()
+		task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
+		*task = workload.Task{Phase: workload.Placed, Worker: "w0", Run: 1, Crashes: c.crashes, Unproven: c.unproven, CrashMS: 2000}
+		s.renew("w0", nil, []EndedRow{{Number: 1, Task: s.firstStepTask(0), Run: 1, End: EndBroken}})
+		if failed := s.c.jobs[s.id].progress.State == workload.Failed; failed != c.fails {
+			t.Errorf("%d crashes, %d of them unproven: the job failed %t, want %t", c.crashes, c.unproven, failed, c.fails)
+		}
+	}
+}
+
 // A task must be cleared once its worker reports it as running for longer than it had at any crash.
 // A delayed answer must not clear it.
 func TestLongRunClearsTaskOfCrashes(t *testing.T) {
--- a/workload/control/crash_model_test.go
+++ b/workload/control/crash_model_test.go
@@ -27,6 +27,8 @@
 	// crashCount counts the workers that crashed under each task, and startsAfterLimit the starts of
 	// each task after crashLimit crashes.
 	crashCount, startsAfterLimit map[workload.TaskID]int
+	// lostRuns counts the workers that crashed while a run of each task was in progress there.
+	lostRuns map[workload.TaskID]int
 	// gangsOnly is set if all steps of jobs that crash their workers are gangs.
 	gangsOnly bool
 }
@@ -39,7 +41,7 @@
 // enableCrashes makes the tasks of jobs crash their workers the given times after their start.
 func (sim *simulation) enableCrashes(after map[workload.JobID]time.Duration, back time.Duration) {
 	sim.crashes = crashModel{
-		crashAfter: after, restartDelay: back, locations: map[string]location{}, successors: map[string]string{},
+		lostRuns: map[workload.TaskID]int{}, crashAfter: after, restartDelay: back, locations: map[string]location{}, successors: map[string]string{},
 		entryExpiresAt: map[string]time.Time{}, crashCount: map[workload.TaskID]int{}, startsAfterLimit: map[workload.TaskID]int{},
 	}
 	work := sim.fleet.Work
@@ -135,6 +137,61 @@
 	return sim
 }
 
+// maxRackOutages is the maximum number of times that a rack loses power in a simulation, in which
+// each of powerRacks racks has workersPerRack workers.
+const maxRackOutages, powerRacks, workersPerRack = 6, 3, 8
+
+// newRackOutageSimulation returns a simulation with larger racks that lose power. Their workers are
+// succeeded at their addresses while their entries are still listed. Half of the jobs need a certain
+// rack.
+func newRackOutageSimulation(seed int64) *simulation {
+	sim := newCrashSimulation(seed)
+	sim.rackLabels = true
+	rng := rand.New(rand.NewSource(seed))
+	for i := range powerRacks * workersPerRack {
+		id := fmt.Sprintf("p%02d", i)
+		sim.crashes.locations[id] = location{id, powerRack(i / workersPerRack)}
+		sim.listedBorn[id] = sim.fleet.Add(id, workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, 0.99, sim.now).StartMS
+	}
+	for range 1 + rng.Intn(maxRackOutages) {
+		rack, down := powerRack(rng.Intn(powerRacks)), time.Duration(100+rng.Intn(1500))*time.Millisecond
+		sim.schedule(time.Duration(rng.Intn(int(faultPeriod))), func() { sim.cutPower(rack, down) })
+	}
+	return sim
+}
+
+func powerRack(i int) string { return fmt.Sprintf("power%d", i) }
+
+// cutPower crashes all workers of a rack, and starts their successors after the downtime.
+func (sim *simulation) cutPower(rack string, down time.Duration) {
+	for _, id := range sortedIDs(sim.fleet.Workers) {
+		if sim.fleet.Workers[id].Dead || sim.crashes.locations[id].rack != rack {
+			continue
+		}
+		sim.fleet.Kill(id, sim.now)
+		sim.crashes.entryExpiresAt[id] = sim.now.Add(entryLifetime)
+		sim.schedule(down, func() { sim.startSuccessor(id, rack) })
+	}
+}
+
+// groundlesslyFailedJobs returns the jobs that failed although none of their tasks has reached the
+// maximum number of failures, or has lost two workers on which it had begun.
+func (sim *simulation) groundlesslyFailedJobs() []string {
+	var out []string
+	for _, id := range sim.jobIDs {
+		job, lost := workload.JobID(id), 0
+		for task, n := range sim.crashes.lostRuns {
+			if task.Job == job {
+				lost = max(lost, n)
+			}
+		}
+		if sim.jobState(job) == workload.Failed && sim.maxFailures(job) < maxAttempts && lost < 2 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // newCrowdedCrashSimulation returns a simulation of three workers in which the tasks of one job in
 // three crash their workers, so that other jobs can't be kept away from them. If gangs is set, these
 // jobs have only gangs.
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -26,6 +26,9 @@
 	// has so many crashes only if it meets one faulty worker after the other, or is started into
 	// one outage after the other.
 	maxCrashes = 3
+	// minProvenCrashes is the number of workers that must have crashed after a run of the task had
+	// begun there before its job may fail for crashes.
+	minProvenCrashes = 2
 	// runsAfterMaxCrashes is how many runs a task gets after maxCrashes,
 	// runsAfterMaxCrashesExonerated if the job of another task failed for one of these crashes.
 	// The task may have caused that crash all the same, and a third run would exceed the limit on
@@ -86,6 +89,17 @@
 	return !w.reachable && !r.orderedAt.IsZero() && !w.silentSince.IsZero() && r.orderedAt.After(w.silentSince)
 }
 
+// hasBegun reports whether a run is known to have begun on its worker: the worker has accepted its
+// start or listed it. An order without an answer proves nothing.
+func (r *activeRun) hasBegun() bool { return r.answered || r.confirmed }
+
+// isUnproven reports whether this planner ordered a run and has no proof that it began. The planner
+// that ordered an adopted run may have had the proof.
+func (r *activeRun) isUnproven() bool { return r.ordered && !r.hasBegun() }
+
+// neverBegan reports whether a run is known not to have begun on its worker.
+func (c *Core) neverBegan(r *activeRun) bool { return r.unstarted || c.inBatch(r) }
+
 // isLongRunning reports whether a run had been running for so long when its worker crashed that
 // it is not the cause. Otherwise work that takes hours would be suspected for hours, and keep
 // other work off its worker.
@@ -127,6 +141,7 @@
 		return
 	}
 	t.ResetCrashes()
+	delete(c.unprovenStarts, r.id)
 	c.crashHistory.dropTask(r.id)
 	c.markDirty(r.job)
 }
@@ -144,6 +159,10 @@
 	var jobs []workload.JobID
 	var givenUp []*activeRun
 	for _, r := range lost {
+		if c.neverBegan(r) {
+			r.unstarted = true
+			continue
+		}
 		jobs = append(jobs, r.id.Job)
 		t := c.task(r)
 		if t == nil || r.settled || t.Run != r.run || r.wasOrderedTooLate() {
@@ -154,12 +173,18 @@
 			continue
 		}
 		c.countCrash(r, t, now)
-		if c.isInOutage(cr.silentAt, r.id.Job) {
+		switch {
+		case r.isUnproven():
+			t.Unproven++
+			if r.attempts == 1 {
+				c.unprovenStarts[r.id] = r.run
+			}
+		case c.isInOutage(cr.silentAt, r.id.Job):
 			c.excludeCrash(r.id)
-		} else {
+		default:
 			cr.tasks = append(cr.tasks, r.id)
 		}
-		if t.TotalCrashes() > maxCrashes || (reason != reasonLeaseOver && c.isConclusive(r, t, lost, now)) {
+		if (t.TotalCrashes() > maxCrashes && mayGiveUp(t)) || (reason != reasonLeaseOver && c.isConclusive(r, t, lost, now)) {
 			givenUp = append(givenUp, r)
 		}
 	}
@@ -181,13 +206,39 @@
 	c.markDirty(r.job)
 }
 
+// mayGiveUp reports whether a task's job may fail for the crashes under it. Beyond one crash more than
+// maxCrashes a single proven one is enough: the starts after the third crash are limited.
+func mayGiveUp(t *workload.Task) bool {
+	proven := t.ProvenCrashes()
+	return proven >= minProvenCrashes || (proven > 0 && t.TotalCrashes() > maxCrashes+1)
+}
+
+// retractCrash uncounts a worker's crash under a run whose only start order turns out not to have been
+// carried out: its answer came after that of another order which met the worker's successor.
+func (c *Core) retractCrash(order StartOrder) {
+	run, known := c.unprovenStarts[order.Task]
+	if !known || run != order.Run {
+		return
+	}
+	delete(c.unprovenStarts, order.Task)
+	j := c.jobs[order.Task.Job]
+	if j == nil {
+		return
+	}
+	if t := j.progress.FindTask(order.Task); t != nil && t.Unproven > 0 {
+		t.Unproven--
+		t.Crashes--
+		c.markDirty(j)
+	}
+}
+
 // isLast reports whether a run is the last one that its task gets after maxCrashes.
 func (r *activeRun) isLast(t *workload.Task) bool {
 	left := int64(runsAfterMaxCrashes)
 	if t.Exonerated > 0 {
 		left = runsAfterMaxCrashesExonerated
 	}
-	return t.TotalCrashes() >= maxCrashes && r.run-t.CrashRun >= left
+	return t.TotalCrashes() >= maxCrashes && mayGiveUp(t) && r.run-t.CrashRun >= left
 }
 
 // isSpent reports whether the end of a run fails its job. A run that never started, or that was
@@ -205,7 +256,7 @@
 // started, the crash came soon after its start, and all other jobs' runs there had been running
 // for longer.
 func (c *Core) implicates(r *activeRun, lost []*activeRun, now time.Time) bool {
-	if took, known := r.runTime(now); !known || took > c.earlyWindow(r) || (!r.answered && !r.confirmed) {
+	if took, known := r.runTime(now); !known || took > c.earlyWindow(r) || !r.hasBegun() {
 		return false
 	}
 	for _, other := range lost {
@@ -263,5 +314,5 @@
 }
 
 func crashDetail(t *workload.Task) string {
-	return fmt.Sprintf("crashes=%d excluded=%d exonerated=%d", t.Crashes, t.Excluded, t.Exonerated)
+	return fmt.Sprintf("crashes=%d excluded=%d unproven=%d exonerated=%d", t.Crashes, t.Excluded, t.Unproven, t.Exonerated)
 }
--- a/workload/control/crashes_test.go
+++ b/workload/control/crashes_test.go
@@ -82,7 +82,7 @@
 
 // runCrashSimulations runs simulations in parallel, reports their violations and wrongly failed
 // jobs as errors, and returns the number of crashes.
-func runCrashSimulations(t *testing.T, seeds []int64) (crashes int) {
+func runCrashSimulations(t *testing.T, seeds []int64, newSim func(seed int64) *simulation) (crashes int) {
 	t.Helper()
 	sims := make([]*simulation, len(seeds))
 	var group sync.WaitGroup
@@ -91,7 +91,7 @@
 		group.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			sims[i] = newCrashSimulation(seed)
+			sims[i] = newSim(seed)
 			sims[i].run(nil)
 		})
 	}
@@ -106,6 +106,9 @@
 		if wronglyFailed := sim.wronglyFailedJobs(); len(wronglyFailed) > 0 {
 			t.Errorf("seed %d: wrongly failed jobs: %v", seeds[i], wronglyFailed)
 		}
+		if groundless := sim.groundlesslyFailedJobs(); len(groundless) > 0 {
+			t.Errorf("seed %d: jobs failed without two lost workers: %v", seeds[i], groundless)
+		}
 	}
 	return crashes
 }
@@ -132,7 +135,8 @@
 	for i := range seeds {
 		seeds[i] = from + int64(i)
 	}
-	t.Logf("%d simulations, %d crashes", count, runCrashSimulations(t, seeds))
+	t.Logf("%d simulations, %d crashes", count, runCrashSimulations(t, seeds, newCrashSimulation))
+	t.Logf("%d simulations with rack outages, %d crashes", count, runCrashSimulations(t, seeds, newRackOutageSimulation))
 }
 
 // Guards against gangs that crash their workers and are started without limit, as seen once in 3,000
@@ -140,17 +144,17 @@
 // since each run ended with the crash of one member, and the runs of the others were not counted. In
 // the second, a member that waited for its gang for 0.7 s counted as running, and was cleared.
 func TestStartsOfCrashingGangsAreBounded(t *testing.T) {
-	runCrashSimulations(t, []int64{2666, 5958})
+	runCrashSimulations(t, []int64{2666, 5958}, newCrashSimulation)
 }
 
 // Guards against clearing a task that crashes its workers because the run time of an adopted run was
 // counted from its adoption.
 func TestAdoptedRunsDoNotClearCrashesTooEarly(t *testing.T) {
-	runCrashSimulations(t, []int64{2462, 2657})
+	runCrashSimulations(t, []int64{2462, 2657}, newCrashSimulation)
 }
 
 // Guards against starting tasks that crash workers of a small pool more often than allowed because
 // the crashes caused by other jobs were taken for an outage.
 func TestStartsOfCrashingTasksAreBoundedInSmallPool(t *testing.T) {
-	runCrashSimulations(t, []int64{173, 180, 2201, 284, 700, 1815, 2730, 3664})
+	runCrashSimulations(t, []int64{173, 180, 2201, 284, 700, 1815, 2730, 3664}, newCrashSimulation)
 }
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -45,6 +45,11 @@
 	heartbeatFactor time.Duration
 	// datedByRead: entries show the time at which they were read instead of written.
 	datedByRead bool
+	// unansweredBegan: a start order that was not carried out counts as carried out, as far as crashes
+	// are concerned.
+	unansweredBegan bool
+	// separateAddresses: the list does not show that workers have the same address.
+	separateAddresses bool
 	// listedSuccessors: an unlisted worker counts as ended if another one is listed at its address.
 	listedSuccessors bool
 	// hiddenGaps: planners are not notified that the list could not be read for a while.
@@ -120,7 +125,7 @@
 }
 
 // crashFields matches the crash counts in a progress record.
-var crashFields = regexp.MustCompile(`,?"[cmuon]":[0-9]+`)
+var crashFields = regexp.MustCompile(`,?"[cmuobn]":[0-9]+`)
 
 // alterRecord returns the record as it is written to the log.
 func (m mutant) alterRecord(value []byte) []byte {
@@ -143,6 +148,26 @@
 	t.Fatalf("not detected in %d simulations", mutantSeeds)
 }
 
+// Guards against worlds in which too few starts meet ended workers to fail a job for them. The list
+// does not show that these have successors, so that the planner does not poll them first.
+func TestSimulationDetectsStartsTakenForCrashEvidence(t *testing.T) {
+	for seed := range mutantSeeds {
+		unmutated, sim := newRackOutageSimulation(int64(seed)), newRackOutageSimulation(int64(seed))
+		unmutated.mutant.separateAddresses = true
+		sim.mutant = mutant{separateAddresses: true, unansweredBegan: true}
+		sim.run(nil)
+		failed := sim.groundlesslyFailedJobs()
+		if len(failed) == 0 {
+			continue
+		}
+		if unmutated.run(nil); len(unmutated.groundlesslyFailedJobs()) == 0 {
+			t.Logf("detected at seed %d: %v failed without two lost workers", seed, failed)
+			return
+		}
+	}
+	t.Fatalf("not detected in %d simulations", mutantSeeds)
+}
+
 // Guards against worlds in which no late heartbeat of an ended incarnation shows it at its
 // successor's address.
 func TestSimulationDetectsListedSuccessorTakenForProof(t *testing.T) {
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -45,6 +45,9 @@
 	if w != nil && answer.Result == Unanswered {
 		c.recordStrayOrder(w, now)
 	}
+	if answer.Result == Gone || answer.Result == Unreachable {
+		c.retractCrash(order)
+	}
 	if r == nil || r.run != order.Run || r.worker != w {
 		return
 	}
@@ -66,8 +69,11 @@
 		c.handleFenced(w, order.Token)
 		r.retryAt = now
 	case Gone:
+		// Only an earlier attempt can have been carried out.
+		r.unstarted = r.attempts == 1
 		c.handleGone(w, order.Address, now)
 		if !w.gone {
+			r.unstarted = false
 			r.retryAt = now.Add(orderRetryPause)
 		}
 	case Superseded:
--- a/workload/control/simulation_orders_test.go
+++ b/workload/control/simulation_orders_test.go
@@ -116,6 +116,11 @@
 		}
 		return func() { p.core.HandleStartAnswer(o, a, sim.now) }
 	}, func(result control.Result) {
+		if sim.mutant.unansweredBegan {
+			p.core.HandleStartAnswer(o, control.Answer{Result: control.Accepted}, sim.now)
+			p.core.HandleRenewal(control.RenewalOrder{Worker: o.Worker}, control.RenewalAnswer{Result: result}, sent, sim.now)
+			return
+		}
 		p.core.HandleStartAnswer(o, control.Answer{Result: sim.mutant.alterResult(result, control.Full)}, sim.now)
 	})
 }
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -95,6 +95,8 @@
 	// is when the log last carried out an append.
 	horizon    time.Duration
 	lastAppend time.Time
+	// rackLabels is set if half of the jobs need a certain rack.
+	rackLabels bool
 	// replaced are the workers that have left.
 	replaced map[string]bool
 }
@@ -137,7 +139,7 @@
 		running: map[workload.TaskID]map[string]int64{}, doneRun: map[workload.TaskID]int64{},
 		acknowledgedDone: map[workload.TaskID]bool{}, failures: map[workload.TaskID]int{}, restartedAfterDone: map[runKey]bool{}, voidRuns: map[runKey]bool{}, delayedStarts: map[string]bool{},
 		entryExpiresAt: map[string]time.Time{}, listedBorn: map[string]int64{}, maxAcknowledged: map[string]int64{},
-		crashes: crashModel{locations: map[string]location{}, successors: map[string]string{}},
+		crashes: crashModel{locations: map[string]location{}, successors: map[string]string{}, lostRuns: map[workload.TaskID]int{}},
 	}
 	sim.fleet = &workertest.Fleet{Limits: simLimits, Step: sim.lookUpStep, Work: sim.randomWork, OnEvent: sim.checkEvent, OnCrash: sim.onCrash}
 	for i := range 6 {
@@ -176,6 +178,10 @@
 	}
 	delete(sim.running[e.Task], e.Worker)
 	switch e.End {
+	case control.EndLapsed:
+		if sim.fleet.Workers[e.Worker].Dead {
+			sim.crashes.lostRuns[e.Task]++
+		}
 	case control.EndFailed:
 		sim.failures[e.Task]++
 	case control.EndDone:
@@ -235,6 +241,9 @@
 		step.Gang = sim.rng.Intn(2) == 0 || (sim.crashes.gangsOnly && sim.crashes.crashAfter[id] > 0)
 		step.Checkpoint = sim.rng.Intn(2) == 0
 		step.SameRack = sim.rng.Intn(2) == 0
+		if sim.rackLabels && i%2 == 0 {
+			step.Label = powerRack(i / 2 % powerRacks)
+		}
 		if s > 0 {
 			step.DependsOn = []int{0}
 		}
@@ -284,7 +293,10 @@
 			born = shown
 		}
 		address, rack := sim.crashes.location(id, fmt.Sprintf("r%d", i/3))
-		out = append(out, control.Listing{ID: id, Address: address, Rack: rack, Capacity: sim.capacities.listed(id, worker.Capacity, sim.now), ClockMS: worker.ClockMS(sim.now) - 300, Draining: sim.drainRemainingMS[id] > 0, RemainingMS: sim.drainRemainingMS[id], StartMS: born})
+		if sim.mutant.separateAddresses {
+			address = id
+		}
+		out = append(out, control.Listing{ID: id, Address: address, Rack: rack, Labels: []string{rack}, Capacity: sim.capacities.listed(id, worker.Capacity, sim.now), ClockMS: worker.ClockMS(sim.now) - 300, Draining: sim.drainRemainingMS[id] > 0, RemainingMS: sim.drainRemainingMS[id], StartMS: born})
 	}
 	return out
 }
--- a/workload/control/trace_test.go
+++ b/workload/control/trace_test.go
@@ -12,7 +12,7 @@
 
 // TestPrintSimulation prints the events of one task of one simulation, to debug a violation:
 // WORLD_SEED=14 WORLD_TASK=e000000000000004.0.1 go test -run PrintSimulation -v
-// With WORLD_CRASHES=1 tasks crash their workers, with WORLD_CROWDED=jobs or gangs they do so in a
+// With WORLD_CRASHES=1 tasks crash their workers, with WORLD_CRASHES=outages racks lose power too, with WORLD_CROWDED=jobs or gangs they do so in a
 // small pool. With WORLD_RESTARTS=faulty, or any other value for a simulation without faults,
 // workers restart.
 func TestPrintSimulation(t *testing.T) {
@@ -22,7 +22,9 @@
 	}
 	task := os.Getenv("WORLD_TASK")
 	sim := newSimulation(seed, true)
-	if os.Getenv("WORLD_CRASHES") != "" {
+	if mode := os.Getenv("WORLD_CRASHES"); mode == "outages" {
+		sim = newRackOutageSimulation(seed)
+	} else if mode != "" {
 		sim = newCrashSimulation(seed)
 	}
 	if kind := os.Getenv("WORLD_CROWDED"); kind != "" {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -58,6 +58,9 @@
 	// Excluded counts those of the crashes that are no evidence against the task because many
 	// workers crashed at the same time.
 	Excluded int `json:"o,omitempty"`
+	// Unproven counts those of the crashes that are no evidence against the task because its run
+	// there is not known to have begun. Instances that don't know it drop it.
+	Unproven int `json:"b,omitempty"`
 	// Exonerated counts the crashes that were subtracted from Crashes because another job was
 	// abandoned as their cause.
 	Exonerated int `json:"n,omitempty"`
@@ -66,14 +69,17 @@
 }
 
 // Evidence returns the number of crashes that are evidence against the task.
-func (t *Task) Evidence() int { return t.Crashes - t.Excluded }
+func (t *Task) Evidence() int { return t.Crashes - t.Excluded - t.Unproven }
 
 // TotalCrashes returns the number of crashes under the task, including those caused by others.
 func (t *Task) TotalCrashes() int { return t.Crashes + t.Exonerated }
 
+// ProvenCrashes returns the number of crashes of workers on which a run of the task had begun.
+func (t *Task) ProvenCrashes() int { return t.TotalCrashes() - t.Unproven }
+
 // ResetCrashes clears the crashes under the task.
 func (t *Task) ResetCrashes() {
-	t.Crashes, t.CrashMS, t.CrashRun, t.Excluded, t.Exonerated = 0, 0, 0, 0, 0
+	t.Crashes, t.CrashMS, t.CrashRun, t.Excluded, t.Unproven, t.Exonerated = 0, 0, 0, 0, 0, 0
 }
 
 // Occurrence is the progress of one repetition that was created and has not ended.
@@ -121,7 +127,7 @@
 			return fmt.Errorf("step %d has %d tasks, its progress has %d", i, j.Steps[i].Count, len(tasks))
 		}
 		for _, t := range tasks {
-			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Failures < 0 || t.Crashes < 0 || t.CrashMS < 0 || t.Excluded < 0 || t.Excluded > t.Crashes || t.Exonerated < 0 {
+			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Failures < 0 || t.Crashes < 0 || t.CrashMS < 0 || t.Excluded < 0 || t.Unproven < 0 || t.Excluded > t.Crashes-t.Unproven || t.Exonerated < 0 {
 				return fmt.Errorf("step %d has a task with invalid progress: phase %d, run %d, %d failures, %d crashes", i, t.Phase, t.Run, t.Failures, t.Crashes)
 			}
 		}
