Control: a host whose maintenance is ordered stays closed until it has begun

Cause: a host was closed to new work only until the order for its maintenance was recorded. Where the call got no answer, the host was open again until the call was repeated, 2.5 s later in the case, and got the tasks that the maintenance then ended. The same held for a successor that inherits the order, also before it has read the host list. The budget was asked when the host was emptied, not again before a call. What the maintenance ended counted as crashes under the tasks.

Fix: from when an order is recorded until the maintenance is known to have begun, the host gets no new work; the record names its worker, for a successor. Before each call the host has to be empty; what runs there nevertheless is stopped within its budget. The end of a worker whose host's maintenance was ordered is no crash. A paused host still counts against the wave's maximum.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -81,6 +81,8 @@
 	hosts       map[string]HostListing
 	hostsReadAt time.Time
 	vacating    map[string]bool
+	// maintained are the workers whose hosts' maintenance has been ordered. Their ends are no crashes.
+	maintained map[string]bool
 	// lastCrashAt is when a worker last crashed at each address.
 	lastCrashAt map[string]time.Time
 	// unprovenStarts are the runs with a crash that counts as unproven and with a single start order,
@@ -235,6 +237,7 @@
 		evacuations:        map[string]*evacuation{},
 		advice:             map[decide.UnitKey]*advice{},
 		waves:              map[int64]*wave{},
+		maintained:         map[string]bool{},
 		vacating:           map[string]bool{},
 		lastCrashAt:        map[string]time.Time{},
 		unprovenStarts:     map[workload.TaskID]int64{},
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -60,7 +60,7 @@
 // worker list, and its data centre is reachable. In doubt the worker was cut off, which says
 // nothing about its tasks.
 func (c *Core) isCrash(w *worker, reason string) bool {
-	if w.Draining || w.previousDrained || c.vacating[w.ID] {
+	if w.Draining || w.previousDrained || c.vacating[w.ID] || c.maintained[w.ID] {
 		return false
 	}
 	if reason == reasonLeaseOver {
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -175,6 +175,7 @@
 func (c *Core) forgetIncarnation(id string) {
 	c.ageSpeed(id)
 	delete(c.spells, id)
+	delete(c.maintained, id)
 	for _, j := range c.jobs {
 		delete(j.avoidedWorkers, id)
 	}
--- a/workload/control/maintenance.go
+++ b/workload/control/maintenance.go
@@ -83,8 +83,12 @@
 	inFlight    map[string]bool
 	unconfirmed map[string]bool
 	notBefore   map[string]time.Time
-	dirty       bool
-	complete    bool
+	// workers are the workers of ordered hosts when their orders were recorded. silentSince is when
+	// the first of each host's calls failed since one was answered, silentUntil when the last did.
+	workers                  map[string]string
+	silentSince, silentUntil map[string]time.Time
+	dirty                    bool
+	complete                 bool
 	// reported is the state that was last reported; "" is none.
 	reported WaveState
 }
@@ -102,9 +106,11 @@
 type waveRecord struct {
 	SinceMS int64 `json:"since"`
 	// Ordered hosts may go down at any time. The maintenance of Begun ones has begun.
-	Ordered  []string `json:"ordered,omitempty"`
-	Begun    []string `json:"begun,omitempty"`
-	Complete bool     `json:"complete,omitempty"`
+	Ordered []string `json:"ordered,omitempty"`
+	Begun   []string `json:"begun,omitempty"`
+	// Workers are the workers of ordered hosts.
+	Workers  map[string]string `json:"workers,omitempty"`
+	Complete bool              `json:"complete,omitempty"`
 }
 
 const (
@@ -132,6 +138,7 @@
 	v := &wave{
 		Wave: declared, sinceMS: wallMS, phases: map[string]hostPhase{}, begunAt: map[string]time.Time{}, persisted: map[string]bool{},
 		inFlight: map[string]bool{}, unconfirmed: map[string]bool{}, notBefore: map[string]time.Time{}, dirty: true,
+		workers: map[string]string{}, silentSince: map[string]time.Time{}, silentUntil: map[string]time.Time{},
 	}
 	previous := waveRecord{}
 	if len(record) > 0 && json.Unmarshal(record, &previous) == nil {
@@ -143,6 +150,7 @@
 		v.phases[host] = hostOrdered
 		v.persisted[host] = true
 		v.unconfirmed[host] = true
+		v.workers[host] = previous.Workers[host]
 	}
 	for _, host := range previous.Begun {
 		v.phases[host] = hostDown
@@ -162,6 +170,7 @@
 		v := c.waves[id]
 		for _, host := range v.Hosts {
 			v.updateHost(host, c.hosts, requested)
+			v.resumeOrder(host, requested)
 		}
 	}
 }
@@ -205,19 +214,21 @@
 // advanceWaves advances all waves.
 func (c *Core) advanceWaves(now time.Time) {
 	c.vacating = map[string]bool{}
-	if c.hostsReadAt.IsZero() {
-		return
-	}
 	budget := c.newDisruptionBudget(now)
 	for _, id := range sortedKeys(c.waves) {
 		v := c.waves[id]
 		if v.complete {
 			continue
 		}
-		c.chooseHosts(v, now)
+		if !c.hostsReadAt.IsZero() {
+			c.chooseHosts(v, now)
+		}
 		for _, host := range v.Hosts {
-			if v.phases[host] == hostVacating {
+			switch v.phases[host] {
+			case hostVacating:
 				c.vacate(v, host, budget, now)
+			case hostOrdered:
+				c.keepVacated(v, host, budget, now)
 			}
 		}
 		if v.allBegun() {
@@ -294,17 +305,25 @@
 	id := c.hosts[host].Worker
 	c.vacating[id] = true
 	w := c.workers[id]
-	if w != nil {
-		slack := c.slack(v, now)
-		for _, r := range w.sortedRuns() {
-			if !r.stopping && !r.settled && c.outlasts(r, slack, now) && budget.take(r) {
-				c.stopForMaintenance(r, now)
-			}
-		}
-	}
-	if (w == nil || len(w.runs) == 0) && v.downCount() < v.MaxDown {
+	c.stopOutlasting(v, w, budget, now)
+	if w.isVacated() && v.downCount() < v.MaxDown {
 		v.phases[host] = hostOrdered
+		v.workers[host] = id
 		v.dirty = true
+		c.maintained[id] = true
+	}
+}
+
+// stopOutlasting stops the runs of a worker that would not end before its host's maintenance.
+func (c *Core) stopOutlasting(v *wave, w *worker, budget *disruptionBudget, now time.Time) {
+	if w == nil {
+		return
+	}
+	slack := c.slack(v, now)
+	for _, r := range w.sortedRuns() {
+		if !r.stopping && !r.settled && c.outlasts(r, slack, now) && budget.take(r) {
+			c.stopForMaintenance(r, now)
+		}
 	}
 }
 
@@ -321,6 +340,7 @@
 			switch v.phases[host] {
 			case hostOrdered:
 				record.Ordered = append(record.Ordered, host)
+				record.addWorker(host, v.workers[host])
 				c.unpersistedDuties = append(c.unpersistedDuties, DutyOrder{Host: host, Wave: id, Token: c.token})
 			case hostDown, hostDone:
 				record.Begun = append(record.Begun, host)
@@ -355,7 +375,7 @@
 	for _, id := range sortedKeys(c.waves) {
 		v := c.waves[id]
 		for _, host := range v.Hosts {
-			if v.phases[host] != hostOrdered || !v.persisted[host] || v.inFlight[host] || now.Before(v.notBefore[host]) {
+			if v.phases[host] != hostOrdered || !v.persisted[host] || v.inFlight[host] || now.Before(v.notBefore[host]) || v.isPaused(host, now) || !c.isHostVacated(v, host) {
 				continue
 			}
 			v.inFlight[host] = true
@@ -374,6 +394,7 @@
 	v.inFlight[o.Host] = false
 	v.notBefore[o.Host] = now.Add(dutyRetryPause)
 	c.emit(Event{Name: EventDutyAnswered, Reason: string(result), Detail: fmt.Sprintf("wave=%d host=%s", o.Wave, o.Host)})
+	v.recordSilence(o.Host, result == DutyUnanswered, now)
 	switch result {
 	case DutyBegun:
 		v.phases[o.Host] = hostDown
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -35,6 +35,7 @@
 	delete(c.workers, id)
 	c.keepMissingSpeed(id)
 	delete(c.departures.leaving, id)
+	delete(c.maintained, id)
 	delete(c.spells, id)
 	delete(c.unlisted, id)
 }
