Control: an older entry that arrives late does not undo a drain

A heartbeat that a cut held up may arrive after a newer one of the same worker on another connection. The list showed the older entry, and the worker counted as in service again although it drains: tasks were started there (DRAIN), and what ran there was not moved.

Entries of one incarnation now count in the order of their sequence numbers. An older one still shows that the worker is listed. The next incarnation counts from the beginning; without a start time nothing is compared.

TestOlderEntryOfSameIncarnationDoesNotUndoDrain fails without the comparison (2 tasks are started).

--- a/workload/control/address_evidence_test.go
+++ b/workload/control/address_evidence_test.go
@@ -98,3 +98,29 @@
 	s.listAt("predecessor", 5)
 	s.nextPoll(t, "predecessor")
 }
+
+// Guards against tasks that are started on a draining worker because a heartbeat that it had sent
+// before arrives late.
+func TestOlderEntryOfSameIncarnationDoesNotUndoDrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		startMS  int64
+		sequence int64
+		starts   int
+	}{
+		"older entry":                       {startMS: 7, sequence: 3},
+		"newer entry":                       {startMS: 7, sequence: 5, starts: 2},
+		"first entry of a next incarnation": {startMS: 8, sequence: 1, starts: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newCutOffScenario(false)
+			entry := Listing{ID: "w0", Address: "0", Rack: "r", Capacity: workload.Resources{Accelerators: 8}, ClockMS: 1, StartMS: 7, Sequence: 4, Draining: true}
+			s.c.UpdateWorker(entry, s.now)
+			entry.StartMS, entry.Sequence, entry.Draining = c.startMS, c.sequence, false
+			s.c.UpdateWorker(entry, s.now)
+			s.answerAsIncarnation(t, "w0", c.startMS, 10)
+			if n := len(s.round()); n != c.starts {
+				t.Errorf("%d tasks were started, want %d", n, c.starts)
+			}
+		})
+	}
+}
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -60,6 +60,9 @@
 // UpdateWorker and RemoveWorker.
 func (c *Core) UpdateWorker(l Listing, now time.Time) {
 	w := c.workerFor(l.ID)
+	if l.isOlderThan(w.Listing) {
+		l = w.Listing
+	}
 	appears := !w.listed || w.Address != l.Address
 	if !w.listed {
 		w.listed, w.departed = true, false
@@ -78,6 +81,12 @@
 	}
 }
 
+// isOlderThan reports whether the same incarnation wrote another entry later. A heartbeat that was held
+// up may arrive after a newer one, and must not undo what that one says.
+func (l Listing) isOlderThan(other Listing) bool {
+	return l.StartMS != 0 && l.StartMS == other.StartMS && l.Sequence < other.Sequence
+}
+
 // RemoveWorker records that a worker's entry was removed from the list.
 func (c *Core) RemoveWorker(id string, now time.Time) {
 	w := c.workers[id]
--- a/workload/control/registry_test.go
+++ b/workload/control/registry_test.go
@@ -36,6 +36,8 @@
 	firstReadings map[string]clockReading
 	// heldUp are heartbeats that a cut has held up.
 	heldUp []heldUpHeartbeat
+	// lastSequence is the sequence number of the last entry of any worker.
+	lastSequence int64
 }
 
 // heldUpHeartbeat is a heartbeat that arrives after the cut that has held it up, also if its sender
@@ -142,9 +144,10 @@
 func (sim *simulation) listing(id string) control.Listing {
 	worker := sim.fleet.Workers[id]
 	sent := time.Duration(sim.rng.Intn(300)) * time.Millisecond
+	sim.registry.lastSequence++
 	address, rack := sim.crashes.location(id, racks[id[len(id)-1]%2])
 	return control.Listing{
-		ID: id, Address: address, Rack: rack, Capacity: worker.Capacity, StartMS: worker.StartMS,
+		ID: id, Address: address, Rack: rack, Capacity: worker.Capacity, Sequence: sim.registry.lastSequence, StartMS: worker.StartMS,
 		ClockMS: worker.ClockMS(sim.now.Add(-sent)), Draining: sim.drainRemainingMS[id] > 0, RemainingMS: sim.drainRemainingMS[id],
 	}
 }
--- a/workload/control/types.go
+++ b/workload/control/types.go
@@ -78,6 +78,8 @@
 	WarmupMS int64
 	// RemainingMS is the minimum time that a draining worker has left.
 	RemainingMS int64
+	// Sequence counts the entries that the incarnation has written.
+	Sequence int64
 	// ClockMS is a past reading of the worker's clock; 0 is none.
 	ClockMS int64
 	// StartMS is when the incarnation that wrote the entry started, in Unix milliseconds by the
