Control: simulations of maintenance with orders that are lost, late and repeated

A wave now takes each worker down once, while orders are lost, carried out without an answer or up to 12 s later, the platform is away for up to a minute, planners change and all other faults occur.

--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -50,6 +50,8 @@
 	unansweredBegan bool
 	// separateAddresses: the list does not show that workers have the same address.
 	separateAddresses bool
+	// openHosts: hosts whose maintenance is ordered get new work.
+	openHosts bool
 	// listedSuccessors: an unlisted worker counts as ended if another one is listed at its address.
 	listedSuccessors bool
 	// hiddenGaps: planners are not notified that the list could not be read for a while.
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -95,6 +95,8 @@
 	// is when the log last carried out an append.
 	horizon    time.Duration
 	lastAppend time.Time
+	// maintenance is a wave of maintenance; nil is none.
+	maintenance *maintenanceModel
 	// rackLabels is set if half of the jobs need a certain rack.
 	rackLabels bool
 	// replaced are the workers that have left.
@@ -273,6 +275,7 @@
 	for _, id := range sim.jobIDs {
 		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
 	}
+	sim.adoptWave(p.core)
 	sim.planners = append(sim.planners, p)
 }
 
@@ -314,6 +317,9 @@
 		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
 	}
 	sim.updateList(p)
+	if sim.mutant.openHosts {
+		p.core.OpenOrderedHosts()
+	}
 	p.core.Round(sim.now, sim.now.UnixMilli())
 	records := p.core.Changes()
 	if p.token != sim.token && !sim.mutant.unfencedLog {
@@ -359,6 +365,7 @@
 	if sim.mutant.grantsRecorded {
 		p.core.ReleaseRecorded()
 	}
+	sim.sendDuties(p)
 	for _, o := range p.core.RetryOrders(sim.now) {
 		sim.sendStart(p, o)
 	}
@@ -479,14 +486,17 @@
 	sim.unreachableUntil = map[string]time.Time{}
 	sim.clearRegistryFaults()
 	sim.restoreCapacities()
+	if sim.maintenance != nil {
+		sim.maintenance.away, sim.maintenance.faultsEnded = sim.now, true
+	}
 	sim.startPlanner(mutate)
 	for range 3000 {
 		sim.tick(40 * time.Millisecond)
-		if len(sim.violations) > 0 || sim.allFinal() {
+		if len(sim.violations) > 0 || (sim.allFinal() && sim.isMaintained()) {
 			return
 		}
 	}
-	sim.violation("jobs have not ended: %v", sim.unfinished())
+	sim.violation("jobs or maintenance have not ended: %v", sim.unfinished())
 }
 
 func (sim *simulation) allFinal() bool { return len(sim.unfinished()) == 0 }
@@ -563,6 +573,9 @@
 func (sim *simulation) bounds() control.Bounds {
 	b := simBounds
 	b.Notice = sim.notice
+	if sim.maintenance != nil {
+		b.Maintenance, b.DutyLease = hostDownFor, 300*time.Millisecond
+	}
 	b.Lease -= sim.mutant.extraLease
 	if sim.horizon > 0 {
 		b.AuthorityPeriod = horizonAuthority
