--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -55,10 +55,10 @@
 	reasonLeft               = "worker-left"
 )
 
-// isCrash reports whether a worker's incarnation ended by a crash: it was not drained or vacated,
-// and either another incarnation is at its address, or its lease has expired, it is gone from the
-// worker list, and its data centre is reachable. In doubt the worker was cut off, which says
-// nothing about its tasks.
+// isCrash reports whether a worker's incarnation ended by a crash: it was not drained, its host's
+// maintenance was not prepared or ordered, and either another incarnation is at its address, or its
+// lease has expired, it is gone from the worker list, and its data centre is reachable. In doubt the
+// worker was cut off, which says nothing about its tasks.
 func (c *Core) isCrash(w *worker, reason string) bool {
 	if w.Draining || w.previousDrained || c.vacating[w.ID] || c.maintained[w.ID] {
 		return false
--- a/workload/control/maintenance.go
+++ b/workload/control/maintenance.go
@@ -83,9 +83,10 @@
 	inFlight    map[string]bool
 	unconfirmed map[string]bool
 	notBefore   map[string]time.Time
-	// workers are the workers of ordered hosts when their orders were recorded. silentSince is when
-	// the first of each host's calls failed since one was answered, silentUntil when the last did.
-	workers                  map[string]string
+	// workers are the workers of ordered hosts when their orders were recorded.
+	workers map[string]string
+	// silentSince is when the first call for a host got no answer since one was answered, silentUntil
+	// when the last one did.
 	silentSince, silentUntil map[string]time.Time
 	dirty                    bool
 	complete                 bool
@@ -310,7 +311,9 @@
 		v.phases[host] = hostOrdered
 		v.workers[host] = id
 		v.dirty = true
-		c.maintained[id] = true
+		if w != nil {
+			c.maintained[id] = true
+		}
 	}
 }
 
