--- a/workload/control/addresses.go
+++ b/workload/control/addresses.go
@@ -8,8 +8,7 @@
 // One incarnation at a time runs at an address, but several may be listed there: the entry of one
 // that has ended expires late, and a heartbeat that it sent before its end may arrive after its
 // successor's and list it again. So the list only suggests that an incarnation has ended. What
-// proves it is an answer from the address: 421 for the one that has ended, or an answer of its
-// successor.
+// proves it is the answer of another incarnation to a call that was meant for this one.
 
 // endedRetention is how long the planner remembers which incarnations have ended, after their
 // entries were removed from the list.
@@ -31,9 +30,9 @@
 	c.idsByAddress[w.Address] = ids
 }
 
-// questionSharedAddress polls all workers that are known at an address, if there are several. Those
+// pollSharedAddress polls all workers that are known at an address, if there are several. Those
 // that have not answered such a poll get no new work.
-func (c *Core) questionSharedAddress(address string, now time.Time) {
+func (c *Core) pollSharedAddress(address string, now time.Time) {
 	ids := c.idsByAddress[address]
 	if len(ids) < 2 || address == "" {
 		return
--- a/workload/control/pool.go
+++ b/workload/control/pool.go
@@ -77,7 +77,7 @@
 	c.takeListing(w, l, now)
 	if appears {
 		c.checkRememberedEnd(w)
-		c.questionSharedAddress(l.Address, now)
+		c.pollSharedAddress(l.Address, now)
 	}
 }
 
