--- a/workload/control/crashes_test.go
+++ b/workload/control/crashes_test.go
@@ -139,6 +139,12 @@
 	t.Logf("%d simulations with rack outages, %d crashes", count, runCrashSimulations(t, seeds, newRackOutageSimulation))
 }
 
+// Guards against failing harmless jobs whose runs had ended, or had not begun, when their workers were
+// lost: seed 534. In seed 220 two workers were lost under a running task.
+func TestHarmlessJobsDoNotFailWhenRacksLosePower(t *testing.T) {
+	runCrashSimulations(t, []int64{220, 534}, newRackOutageSimulation)
+}
+
 // Guards against gangs that crash their workers and are started without limit, as seen once in 3,000
 // simulations and once in 6,000. In the first, no member had more than three crashes of its own,
 // since each run ended with the crash of one member, and the runs of the others were not counted. In
