Control: the log shows which failures and which crashes were counted

The log told by job-failed that the attempts were used, or how many workers had crashed, but not which runs were counted, up to which limit, and which lost run counted as what, so that the hypotheses of the incident could not be told apart.

attempt-counted is logged with each failure that counts, run-lost has what the loss counts as for its task, crash-excluded and crashes-reset tell what changes that later. No decision changes.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -209,6 +209,8 @@
 	firstPercent int
 	firstAt      time.Time
 	rateCheck    rateCheck
+	// crashWeight is what the loss of its worker counted as.
+	crashWeight crashWeight
 }
 
 // New returns the state machine of a planner that has just claimed the token. It places tasks of
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -55,6 +55,20 @@
 	reasonLeft               = "worker-left"
 )
 
+// crashWeight is what the loss of a worker counts as for the task of a run there.
+type crashWeight string
+
+const (
+	// The loss is no crash, or the run had not begun, was ordered too late, or was settled before.
+	crashIgnored crashWeight = ""
+	// The run had been running for so long that its task is cleared.
+	crashClears   crashWeight = "clears"
+	crashEvidence crashWeight = "evidence"
+	// The crash counts towards the limit on starts, but is no evidence.
+	crashInOutage crashWeight = "outage"
+	crashUnproven crashWeight = "unproven"
+)
+
 // isCrash reports whether a worker's incarnation ended by a crash: it was not drained, its host's
 // maintenance was not prepared or ordered, and either another incarnation is at its address, or its
 // lease has expired, it is gone from the worker list, and its data centre is reachable. In doubt the
@@ -140,6 +154,7 @@
 	if t.TotalCrashes() == 0 || t.Run != r.run {
 		return
 	}
+	c.emit(Event{Name: EventCrashesReset, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Detail: crashDetail(t)})
 	t.ResetCrashes()
 	delete(c.unprovenStarts, r.id)
 	c.crashHistory.dropTask(r.id)
@@ -169,18 +184,20 @@
 			continue
 		}
 		if c.isLongRunning(r, now) {
+			r.crashWeight = crashClears
 			c.resetCrashes(r, t)
 			continue
 		}
 		c.countCrash(r, t, now)
-		switch {
-		case r.isUnproven():
+		r.crashWeight = c.weighCrash(r, &cr)
+		switch r.crashWeight {
+		case crashUnproven:
 			t.Unproven++
 			if r.attempts == 1 {
 				c.unprovenStarts[r.id] = r.run
 			}
-		case c.isInOutage(cr.silentAt, r.id.Job):
-			c.excludeCrash(r.id)
+		case crashInOutage:
+			t.Excluded++
 		default:
 			cr.tasks = append(cr.tasks, r.id)
 		}
@@ -194,6 +211,17 @@
 	return givenUp
 }
 
+// weighCrash returns what a crash that counts against a run's task counts as.
+func (c *Core) weighCrash(r *activeRun, cr *crash) crashWeight {
+	switch {
+	case r.isUnproven():
+		return crashUnproven
+	case c.isInOutage(cr.silentAt, r.id.Job):
+		return crashInOutage
+	}
+	return crashEvidence
+}
+
 func (c *Core) countCrash(r *activeRun, t *workload.Task, now time.Time) {
 	took, known := r.runTime(now)
 	if !known {
@@ -307,6 +335,9 @@
 	if took, known := r.runTime(now); known {
 		detail += fmt.Sprintf(" lasted_ms=%d", took.Milliseconds())
 	}
+	if r.crashWeight != crashIgnored {
+		detail += " counts=" + string(r.crashWeight)
+	}
 	if t := c.task(r); t != nil && t.TotalCrashes() > 0 {
 		detail += " " + crashDetail(t)
 	}
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -47,10 +47,19 @@
 	// average workers near the data, from which the objective is computed. inherited means that an
 	// earlier planner had started the job, and that steps that only it saw are estimated.
 	EventJobCompleted = "job-completed"
-	// EventJobFailed: a task or gang has used its attempts, or crashes its workers; task and
-	// worker are those of the last failure, why is which of the two, detail how many workers
-	// crashed under the task and how soon.
+	// EventJobFailed: a task or gang has used its attempts, or crashes its workers; task, worker and
+	// run are those of the last failure, why is which of the two, detail how many failures were
+	// counted and allowed, or how many workers crashed under the task and how soon.
 	EventJobFailed = "job-failed"
+	// EventAttemptCounted: the failure of a run was counted against its task or gang; detail is how
+	// many were counted and how many are allowed.
+	EventAttemptCounted = "attempt-counted"
+	// EventCrashExcluded: a crash that was evidence against a task turned out to be part of an outage;
+	// detail has the task's crashes.
+	EventCrashExcluded = "crash-excluded"
+	// EventCrashesReset: a run went on without crashing its worker, and its task's crashes no longer
+	// count; detail has what they were.
+	EventCrashesReset = "crashes-reset"
 	// EventLoad: the pool's load, once a second while something waits; detail has the share in
 	// use, whether nothing is kept waiting for a better place (idle), racks kept clear, workers
 	// that get no new work, the share of the first priority's units that can't wait for a stop,
@@ -65,9 +74,9 @@
 	// number, and whether the run had been written off (late).
 	EventRunEnded = "run-ended"
 	// EventRunLost: a run was settled without an outcome; why is the evidence that it has ended,
-	// detail how many others were lost with it, for how long it had been running at most, how
-	// many workers have crashed under its task, and how many of these crashes are no evidence
-	// against it.
+	// detail how many others were lost with it, for how long it had been running at most, what the
+	// loss counts as (one of the crashWeights), how many workers have crashed under its task, and
+	// how many of these crashes are no evidence against it.
 	EventRunLost = "run-lost"
 	// EventRunNeverBegan: a run that an earlier planner ordered is not on its worker, which has
 	// seen this planner's token.
--- a/workload/control/outages.go
+++ b/workload/control/outages.go
@@ -164,6 +164,7 @@
 	if t := j.progress.FindTask(id); t != nil && t.Evidence() > 0 {
 		t.Excluded++
 		c.markDirty(j)
+		c.emit(Event{Name: EventCrashExcluded, Job: id.Job, Task: id.String(), Run: t.CrashRun, Detail: crashDetail(t)})
 	}
 }
 
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -379,10 +379,12 @@
 	counted.Failures++
 	r.job.avoidedWorkers[r.worker.ID] = true
 	attempts := max(1, c.queueSettings(r.job).MaxAttempts)
+	detail := fmt.Sprintf("failures=%d allowed=%d", counted.Failures, attempts)
+	c.emit(Event{Name: EventAttemptCounted, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Detail: detail})
 	if counted.Failures < attempts || r.job.progress.State.IsFinal() {
 		return
 	}
-	c.emit(Event{Name: EventJobFailed, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Reason: "attempts-used"})
+	c.emit(Event{Name: EventJobFailed, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Reason: "attempts-used", Detail: detail})
 	c.failJob(r.job)
 }
 
