Control: crashes in outages alone fail no job

Cause: from the third crash on, a task was given up when its next run ended, whichever way, if two workers had crashed after a run of it had begun. Crashes in outages, which are no evidence, counted as such. Class: a limit on retries that passes a verdict for which there is no evidence.

Now two crashes outside outages are needed. A task that crashes its workers meets the second such crash at its second start after three crashes in outages at the latest, unless further outages hide it; then it is started more often than BUDGET allows.

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -26,9 +26,9 @@
 	// has so many crashes only if it meets one faulty worker after the other, or is started into
 	// one outage after the other.
 	maxCrashes = 3
-	// minProvenCrashes is the number of workers that must have crashed after a run of the task had
-	// begun there before its job may fail for crashes.
-	minProvenCrashes = 2
+	// minAttributableCrashes is the number of workers that must have crashed outside outages, after a
+	// run of the task had begun there, before its job may fail for crashes.
+	minAttributableCrashes = 2
 	// runsAfterMaxCrashes is how many runs a task gets after maxCrashes,
 	// runsAfterMaxCrashesExonerated if the job of another task failed for one of these crashes.
 	// The task may have caused that crash all the same, and a third run would exceed the limit on
@@ -235,10 +235,11 @@
 }
 
 // mayGiveUp reports whether a task's job may fail for the crashes under it. Beyond one crash more than
-// maxCrashes a single proven one is enough: the starts after the third crash are limited.
+// maxCrashes outside outages a single attributable one is enough: the starts after the third crash are
+// limited.
 func mayGiveUp(t *workload.Task) bool {
-	proven := t.ProvenCrashes()
-	return proven >= minProvenCrashes || (proven > 0 && t.TotalCrashes() > maxCrashes+1)
+	attributable := t.AttributableCrashes()
+	return attributable >= minAttributableCrashes || (attributable > 0 && t.TotalCrashes()-t.Excluded > maxCrashes+1)
 }
 
 // retractCrash uncounts a worker's crash under a run whose only start order turns out not to have been
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -74,8 +74,9 @@
 // TotalCrashes returns the number of crashes under the task, including those caused by others.
 func (t *Task) TotalCrashes() int { return t.Crashes + t.Exonerated }
 
-// ProvenCrashes returns the number of crashes of workers on which a run of the task had begun.
-func (t *Task) ProvenCrashes() int { return t.TotalCrashes() - t.Unproven }
+// AttributableCrashes returns the number of crashes that the task may have caused: those of workers
+// on which a run of it had begun, outside outages.
+func (t *Task) AttributableCrashes() int { return t.TotalCrashes() - t.Unproven - t.Excluded }
 
 // ResetCrashes clears the crashes under the task.
 func (t *Task) ResetCrashes() {
