Control: a lease that has ended is no crash until another incarnation proves it

Callers could see a job as failed none of whose workers had crashed: each was cut off for longer than its lease, or had left, or its entry had expired while the list could not be read. Such a worker counted as crashed if its entry was gone and its data centre answered; its runs had lapsed, and the worker ran on.

Cause: silence was taken for proof of a crash.

The loss of a worker whose lease has ended now counts as a crash only once an incarnation that started before the lease ended answers at its address. Tasks that crash their workers are not spared by this: their workers are back within the lease as a rule, and answer for the one before (421), which is proof as before.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -88,6 +88,8 @@
 	// unprovenStarts are the runs with a crash that counts as unproven and with a single start order,
 	// whose answer may still show that the run never began.
 	unprovenStarts map[workload.TaskID]int64
+	// lapsedCrashes are the workers that may have crashed before their leases ended, by address.
+	lapsedCrashes map[string]*lapsedCrash
 	// hasSuspects is set if any job is suspected of crashing workers.
 	hasSuspects  bool
 	crashHistory crashHistory
@@ -243,6 +245,7 @@
 		vacating:           map[string]bool{},
 		lastCrashAt:        map[string]time.Time{},
 		unprovenStarts:     map[workload.TaskID]int64{},
+		lapsedCrashes:      map[string]*lapsedCrash{},
 		crashHistory:       newCrashHistory(),
 		dutiesAllowedFrom:  now.Add(bounds.DutyLease),
 		startedAt:          now,
--- a/workload/control/crash_grounds_test.go
+++ b/workload/control/crash_grounds_test.go
@@ -61,3 +61,44 @@
 		s.c.SetWorkers(listings, s.now)
 	}
 }
+
+// A lease that has ended must count as a crash only if another incarnation shows that the worker had
+// crashed before.
+func TestEndedLeaseCountsAsCrashOnlyIfProven(t *testing.T) {
+	for _, c := range []struct {
+		what, id string
+		// startMS is the start of the incarnation that answers, relative to the planner's start.
+		startMS int64
+		want    int
+	}{
+		{"the same incarnation answers", "w0", -5000, 0},
+		{"its next incarnation started before the lease ended", "w0", 1500, 1},
+		{"its next incarnation started after the lease had ended", "w0", 9000, 0},
+		{"its successor started before the lease ended", "w9", 1500, 1},
+		{"its successor started after the lease had ended", "w9", 9000, 0},
+		{"the start of its successor is unknown", "w9", 0, 0},
+	} {
+		s := newCutOffScenario(false)
+		startedMS := s.now.UnixMilli()
+		s.c.workers["w0"].startMS = startedMS - 5000
+		s.round()
+		s.now = s.now.Add(time.Second)
+		s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Unanswered}, s.now, s.now)
+		s.c.SetWorkers([]Listing{s.c.workers["w1"].Listing}, s.now)
+		s.now = s.now.Add(8 * time.Second)
+		s.round()
+		task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
+		if task.Crashes != 0 {
+			t.Errorf("%s: %d crashes are counted before the answer", c.what, task.Crashes)
+		}
+		s.c.UpdateWorker(Listing{ID: c.id, Address: "0", Rack: "r", Capacity: workload.Resources{Accelerators: 8}, ClockMS: 1}, s.now)
+		answer := RenewalAnswer{Result: Accepted, ClockMS: s.now.UnixMilli() - 999_000}
+		if c.startMS != 0 {
+			answer.StartMS = startedMS + c.startMS
+		}
+		s.c.HandleRenewal(RenewalOrder{Worker: c.id, Token: s.c.workers[c.id].token}, answer, s.now, s.now)
+		if task.Crashes != c.want {
+			t.Errorf("%s: %d crashes are counted, want %d", c.what, task.Crashes, c.want)
+		}
+	}
+}
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -67,12 +67,14 @@
 	// The crash counts towards the limit on starts, but is no evidence.
 	crashInOutage crashWeight = "outage"
 	crashUnproven crashWeight = "unproven"
+	// The worker's lease has ended. It counts once the worker is known to have crashed.
+	crashLapsed crashWeight = "lapsed"
 )
 
 // isCrash reports whether a worker's incarnation ended by a crash: it was not drained, its host's
 // maintenance was not prepared or ordered, and either another incarnation is at its address, or its
-// lease has expired, it is gone from the worker list, and its data centre is reachable. In doubt the
-// worker was cut off, which says nothing about its tasks.
+// lease has expired, it is gone from the worker list, and its data centre is reachable. In the last
+// case it may also have been cut off, which says nothing about its tasks (lapsed_crashes.go).
 func (c *Core) isCrash(w *worker, reason string) bool {
 	if w.Draining || w.previousDrained || c.vacating[w.ID] || c.maintained[w.ID] {
 		return false
@@ -172,7 +174,7 @@
 		cr.silentAt = w.silentSince
 	}
 	var jobs []workload.JobID
-	var givenUp []*activeRun
+	var counted, givenUp []*activeRun
 	for _, r := range lost {
 		if c.neverBegan(r) {
 			r.unstarted = true
@@ -188,29 +190,43 @@
 			c.resetCrashes(r, t)
 			continue
 		}
-		c.countCrash(r, t, now)
-		r.crashWeight = c.weighCrash(r, &cr)
-		switch r.crashWeight {
-		case crashUnproven:
-			t.Unproven++
-			if r.attempts == 1 {
-				c.unprovenStarts[r.id] = r.run
-			}
-		case crashInOutage:
-			t.Excluded++
-		default:
-			cr.tasks = append(cr.tasks, r.id)
+		counted = append(counted, r)
+		if reason == reasonLeaseOver {
+			r.crashWeight = crashLapsed
+			continue
 		}
-		if (t.TotalCrashes() > maxCrashes && mayGiveUp(t)) || (reason != reasonLeaseOver && c.isConclusive(r, t, lost, now)) {
+		c.countCrashAgainst(r, &cr, now)
+		if (t.TotalCrashes() > maxCrashes && mayGiveUp(t)) || c.isConclusive(r, t, lost, now) {
 			givenUp = append(givenUp, r)
 		}
 	}
+	if reason == reasonLeaseOver {
+		c.recordLapsedCrash(w, cr, counted)
+	}
 	c.crashHistory.expire(now.Add(-c.unstablePeriod()))
 	c.crashHistory.add(cr, slices.Compact(jobs))
 	c.markUnstable(w, now)
 	return givenUp
 }
 
+// countCrashAgainst counts the crash of a run's worker against the run's task.
+func (c *Core) countCrashAgainst(r *activeRun, cr *crash, now time.Time) {
+	t := c.task(r)
+	c.countCrash(r, t, now)
+	r.crashWeight = c.weighCrash(r, cr)
+	switch r.crashWeight {
+	case crashUnproven:
+		t.Unproven++
+		if r.attempts == 1 {
+			c.unprovenStarts[r.id] = r.run
+		}
+	case crashInOutage:
+		t.Excluded++
+	default:
+		cr.tasks = append(cr.tasks, r.id)
+	}
+}
+
 // weighCrash returns what a crash that counts against a run's task counts as.
 func (c *Core) weighCrash(r *activeRun, cr *crash) crashWeight {
 	switch {
--- a/workload/control/events.go
+++ b/workload/control/events.go
@@ -57,6 +57,9 @@
 	// EventCrashExcluded: a crash that was evidence against a task turned out to be part of an outage;
 	// detail has the task's crashes.
 	EventCrashExcluded = "crash-excluded"
+	// EventCrashProven: a worker whose lease had ended turned out to have crashed under a run; why is
+	// what the crash counts as, detail has the task's crashes.
+	EventCrashProven = "crash-proven"
 	// EventCrashesReset: a run went on without crashing its worker, and its task's crashes no longer
 	// count; detail has what they were.
 	EventCrashesReset = "crashes-reset"
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -77,6 +77,7 @@
 	w.recordAnswerSent(sent)
 	w.updateClockAnchor(answer.ClockMS, sent)
 	c.readClock(w, answer.ClockMS, now)
+	c.judgeLapsedCrash(w, now)
 	if !w.reachable {
 		c.emit(Event{Name: EventWorkerAnswers, Worker: w.ID, Detail: fmt.Sprintf("born=%d", answer.StartMS)})
 	}
