Control: failing test, workers that are cut off alone by turns

Seen: the job is given up (crashes-workers, crashes=4 excluded=0 unproven=0) after four runs that lapsed on four workers, each cut off for 10 s. No worker crashed; each answers later as the same incarnation and lists the run as lapsed.

Cause: a lease that is over counts as a crash where the entry has expired and the data centre answers, and the later answer does not take the count back. Ruled out: with 30 s between the cuts the runs last long enough to clear the task.

go test ./workload/control -run TestJobDoesNotFailForWorkersCutOffByTurns

--- a/workload/control/crash_sources_test.go
+++ b/workload/control/crash_sources_test.go
@@ -60,3 +60,14 @@
 		s.checkNotFailed(t, cycle)
 	}
 }
+
+// Guards against taking for crashed, one after the other, workers that are cut off alone until their
+// entries and leases have ended and that run on.
+func TestJobDoesNotFailForWorkersCutOffByTurns(t *testing.T) {
+	s := newLongRunScenario()
+	for cycle := 1; cycle <= 5; cycle++ {
+		s.cutOff(s.lastWorker(jobA), 10*time.Second, 10*time.Second)
+		s.advance(11 * time.Second)
+		s.checkNotFailed(t, cycle)
+	}
+}
