Control: failing test, a data centre returns just before a lease ends

Seen: 1 crash is counted for a worker that was cut off with its data centre.

Cause: isCrash asks whether the data centre answers at the end of the lease. One answer of a neighbour makes it count as reachable, while the next call to the worker waits for the retry and its entry is not back.

go test ./workload/control -run TestLeaseThatEndsAsDataCentreReturnsIsNoCrash

--- a/workload/control/crash_counting_test.go
+++ b/workload/control/crash_counting_test.go
@@ -42,3 +42,38 @@
 		})
 	}
 }
+
+// failCall has a call to a worker fail for as long as calls wait.
+func (s *cutOffScenario) failCall(worker string) {
+	sent := s.now
+	s.now = s.now.Add(700 * time.Millisecond)
+	s.c.HandleRenewal(RenewalOrder{Worker: worker, Token: 1}, RenewalAnswer{Result: Unanswered}, sent, s.now)
+}
+
+// Guards against counting as a crash that a worker was cut off with its data centre, when another
+// worker there answers again just before the lease ends.
+func TestLeaseThatEndsAsDataCentreReturnsIsNoCrash(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.round()
+	neighbour := s.c.workers["w1"].Listing
+	neighbour.DataCentre = "dc"
+	s.c.workers["w0"].DataCentre, s.c.workers["w1"].DataCentre = "dc", "dc"
+	s.failCall("w0")
+	s.failCall("w1")
+	s.now = s.now.Add(2 * time.Second)
+	s.c.RemoveWorker("w0", s.now)
+	s.c.RemoveWorker("w1", s.now)
+	s.now = s.now.Add(1800 * time.Millisecond)
+	s.failCall("w0")
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.c.UpdateWorker(neighbour, s.now)
+	s.renew("w1", nil, nil)
+	s.now = s.now.Add(300 * time.Millisecond)
+	s.round()
+	if n := len(s.c.workers["w0"].runs); n != 0 {
+		t.Fatalf("%d runs are still taken to be running", n)
+	}
+	if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.Crashes != 0 {
+		t.Errorf("%d crashes are counted although the whole data centre was cut off", task.Crashes)
+	}
+}
