Control: failing test, a silent data centre that a successor does not know of

Seen: 1 crash is counted, as evidence, although no data centre answers.

Cause: a planner that begins after the entry of a worker has expired does not know its data centre, and a worker without one is never cut off (cutOff).

go test ./workload/control -run TestWorkerInSilentDataCentreIsNoCrashForSuccessor

--- a/workload/control/crash_counting_test.go
+++ b/workload/control/crash_counting_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
 )
 
 // restart has another incarnation answer under the worker's id.
@@ -77,3 +79,28 @@
 		t.Errorf("%d crashes are counted although the whole data centre was cut off", task.Crashes)
 	}
 }
+
+// Guards against taking a worker for crashed whose data centre is cut off, because a new planner has
+// not read the entry that says in which one the worker is.
+func TestWorkerInSilentDataCentreIsNoCrashForSuccessor(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.round()
+	s.now = s.now.Add(time.Second)
+	s.c.RemoveWorker("w0", s.now)
+	progress := marshalProgress(t, s.c.jobs[s.id].progress)
+	j, neighbour := s.c.jobs[s.id].Job, s.c.workers["w1"].Listing
+	neighbour.DataCentre = "dc"
+	s.c = New(s.c.bounds, 2, s.now)
+	s.c.LimitInheritedLeases(s.now.Add(2 * time.Second))
+	s.c.SetWorkers([]Listing{neighbour}, s.now)
+	s.c.Adopt(s.id, workload.Entry{Job: j, State: workload.Running, Started: true, Progress: progress})
+	s.failCall("w1")
+	s.now = s.now.Add(2 * time.Second)
+	s.c.Round(s.now, s.now.UnixMilli())
+	if len(s.c.runs) != 0 {
+		t.Fatalf("%d runs are still taken to be running", len(s.c.runs))
+	}
+	if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.Crashes != 0 {
+		t.Errorf("%d crashes are counted, %d of them as evidence, although no data centre answers", task.Crashes, task.Evidence())
+	}
+}
