Control: failing test, a start that was refused as old counts as begun

Seen: 1 proven crash under a run whose stop had arrived before its only start.

Cause: handleSuperseded marks the run as answered, which hasBegun takes for the proof that it began. The answer says only that the run was stopped or ended.

go test ./workload/control -run TestRefusedStartOfStoppedRunIsNoProofThatItBegan

--- a/workload/control/crash_counting_test.go
+++ b/workload/control/crash_counting_test.go
@@ -122,3 +122,21 @@
 		t.Errorf("%d crashes are counted %v after the list could be read again", task.Crashes, s.now.Sub(s.c.listContinuousSince))
 	}
 }
+
+// Guards against counting a crash under a run that had not begun: its only start was refused since a
+// stop had arrived before it.
+func TestRefusedStartOfStoppedRunIsNoProofThatItBegan(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.c.Round(s.now, s.now.UnixMilli())
+	s.c.Changes()
+	orders := s.c.Persisted(s.now)
+	s.c.stop(s.c.runs[orders[0].Task], "preempted")
+	stop := s.c.StopOrders()[0]
+	s.c.HandleStopAnswer(stop, Answer{Result: Accepted}, s.now)
+	s.c.HandleStartAnswer(orders[0], Answer{Result: Superseded}, s.now)
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	if task := s.c.jobs[s.id].progress.FindTask(orders[0].Task); task.ProvenCrashes() != 0 {
+		t.Errorf("%d crashes are counted under a run that never began", task.ProvenCrashes())
+	}
+}
