Control: failing test, a crash after a run's accepted stop

Seen: 1 crash is counted under a run whose stop was accepted twice the time before that a stop takes.

Cause: attributeCrash does not look at accepted stops. The run had ended there.

go test ./workload/control -run TestCrashAfterStopHasEndedDoesNotCount

--- a/workload/control/crash_counting_test.go
+++ b/workload/control/crash_counting_test.go
@@ -140,3 +140,18 @@
 		t.Errorf("%d crashes are counted under a run that never began", task.ProvenCrashes())
 	}
 }
+
+// Guards against counting a crash under a run that had been stopped for longer than a stop takes.
+func TestCrashAfterStopHasEndedDoesNotCount(t *testing.T) {
+	s := newCutOffScenario(false)
+	orders := s.round()
+	s.c.stop(s.c.runs[orders[0].Task], "preempted")
+	s.c.HandleStopAnswer(s.c.StopOrders()[0], Answer{Result: Accepted}, s.now)
+	s.now = s.now.Add(2 * s.c.bounds.StopTimeout)
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Unanswered}, s.now, s.now)
+	s.now = s.now.Add(time.Second)
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	if task := s.c.jobs[s.id].progress.FindTask(orders[0].Task); task.Crashes != 0 {
+		t.Errorf("%d crashes are counted under a run that had been stopped", task.Crashes)
+	}
+}
