--- a/workload/control/crash_counting_test.go
+++ b/workload/control/crash_counting_test.go
@@ -136,8 +136,8 @@
 	s.c.HandleStartAnswer(orders[0], Answer{Result: Superseded}, s.now)
 	s.now = s.now.Add(100 * time.Millisecond)
 	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
-	if task := s.c.jobs[s.id].progress.FindTask(orders[0].Task); task.ProvenCrashes() != 0 {
-		t.Errorf("%d crashes are counted under a run that never began", task.ProvenCrashes())
+	if task := s.c.jobs[s.id].progress.FindTask(orders[0].Task); task.AttributableCrashes() != 0 {
+		t.Errorf("%d crashes are counted under a run that never began", task.AttributableCrashes())
 	}
 }
 
