Control: a run's loss counts once, with the incarnation that it was lost with

Seen: two crashes are counted under one run that has met one. A run that is lost with an incarnation of its worker keeps its place until the next one has answered under the raised token. If that one ends before, all runs of the worker were counted, also those that it has never run. Two of four crashes that a task may have were used up by one.

Runs of an earlier incarnation are passed over now.

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -105,6 +105,10 @@
 	return !w.reachable && !r.orderedAt.IsZero() && !w.silentSince.IsZero() && r.orderedAt.After(w.silentSince)
 }
 
+// wasLostBefore reports whether a run was lost with an earlier incarnation of its worker. It keeps its
+// place until no order can start it any more, and the next incarnation may end before.
+func (r *activeRun) wasLostBefore() bool { return r.incarnation != 0 && r.incarnation != r.worker.number }
+
 // hasBegun reports whether a run is known to have begun on its worker: the worker has accepted its
 // start or listed it. An order without an answer proves nothing.
 func (r *activeRun) hasBegun() bool { return r.answered || r.confirmed }
@@ -182,7 +186,8 @@
 		}
 		jobs = append(jobs, r.id.Job)
 		t := c.task(r)
-		if t == nil || r.settled || t.Run != r.run || r.wasOrderedTooLate() {
+		r.crashWeight = crashIgnored
+		if t == nil || r.settled || t.Run != r.run || r.wasOrderedTooLate() || r.wasLostBefore() {
 			continue
 		}
 		if c.isLongRunning(r, now) {
