Control: a refused start is no proof that its run had begun

Seen: a crash counts as proven under a run whose stop had arrived before its only start. The worker refuses such a start as old, and the answer was taken for the proof that the run had begun, although it says only that the run was stopped or had ended. Such a run counts as unproven now.

--- a/workload/control/core.go
+++ b/workload/control/core.go
@@ -174,6 +174,8 @@
 	orderedAt  time.Time
 	answeredAt time.Time
 	answered   bool
+	// superseded is set if the answer was that the run had been stopped or had ended.
+	superseded bool
 	confirmed  bool
 	remote     bool
 	// slow is set if it runs on a slow worker, or its gang has a member on one.
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -107,11 +107,14 @@
 
 // wasLostBefore reports whether a run was lost with an earlier incarnation of its worker. It keeps its
 // place until no order can start it any more, and the next incarnation may end before.
-func (r *activeRun) wasLostBefore() bool { return r.incarnation != 0 && r.incarnation != r.worker.number }
+func (r *activeRun) wasLostBefore() bool {
+	return r.incarnation != 0 && r.incarnation != r.worker.number
+}
 
 // hasBegun reports whether a run is known to have begun on its worker: the worker has accepted its
-// start or listed it. An order without an answer proves nothing.
-func (r *activeRun) hasBegun() bool { return r.answered || r.confirmed }
+// start or listed it. An order without an answer proves nothing, nor does one that was refused because
+// the run had been stopped or had ended.
+func (r *activeRun) hasBegun() bool { return (r.answered && !r.superseded) || r.confirmed }
 
 // isUnproven reports whether this planner ordered a run and has no proof that it began. The planner
 // that ordered an adopted run may have had the proof.
--- a/workload/control/orders.go
+++ b/workload/control/orders.go
@@ -90,6 +90,7 @@
 // handleSuperseded handles the answer that the worker has already stopped or ended the run. The
 // worker lists the run's end, unless the run never started there.
 func (c *Core) handleSuperseded(r *activeRun, now time.Time) {
+	r.superseded = r.superseded || !r.answered
 	r.answered = true
 	if r.answeredAt.IsZero() {
 		r.answeredAt = now
