Control: a crash after a run's stop has ended does not count

Seen: a crash is counted under a run whose stop was accepted twice the time before that a stop takes. The run had ended there, and only its end was not read.

Crash tests of workload/control: pass.

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -111,6 +111,11 @@
 	return r.incarnation != 0 && r.incarnation != r.worker.number
 }
 
+// hadStopped reports whether a run must have ended by a stop before the given time.
+func (c *Core) hadStopped(r *activeRun, at time.Time) bool {
+	return r.stopAccepted && at.Sub(r.stopAcceptedAt) > c.bounds.StopTimeout
+}
+
 // hasBegun reports whether a run is known to have begun on its worker: the worker has accepted its
 // start or listed it. An order without an answer proves nothing, nor does one that was refused because
 // the run had been stopped or had ended.
@@ -190,7 +195,7 @@
 		jobs = append(jobs, r.id.Job)
 		t := c.task(r)
 		r.crashWeight = crashIgnored
-		if t == nil || r.settled || t.Run != r.run || r.wasOrderedTooLate() || r.wasLostBefore() {
+		if t == nil || r.settled || t.Run != r.run || r.wasOrderedTooLate() || r.wasLostBefore() || c.hadStopped(r, cr.silentAt) {
 			continue
 		}
 		if c.isLongRunning(r, now) {
