Control: the simulations check that each failed job has a cause that workers saw

Callers saw jobs as failed of which no task had failed as often as its queue allows. The simulations compared this only in the tests of crashes, by the number of failed ends, in which each member of a gang and each repeated end counted. Now every simulation checks at its end that a job shown as failed has a task, or a gang by its runs, of which as many different runs ended as failed as the queue allows, or is one whose tasks crash workers. The violation tells how the runs of each task ended.

The one scenario whose test itself writes that a job has failed is exempt for this job.

--- /dev/null
+++ b/workload/control/failure_cause_test.go
@@ -0,0 +1,104 @@
+package control_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cobalttide/cobalttide/workload"
+	"github.com/cobalttide/cobalttide/workload/control"
+	"github.com/cobalttide/cobalttide/workload/workertest"
+)
+
+// endCounts counts how the runs of a task have ended at workers.
+type endCounts struct {
+	// failedRuns are the runs that ended as failed. An order that arrives late may start a run of the
+	// same number on another incarnation.
+	failedRuns map[int64]bool
+	// lapsed runs ended with their lease, crashed ones with their worker. The ends of lost runs were
+	// done, but no planner can read them.
+	lapsed, broken, incomplete, stopped, lost, crashed int
+}
+
+// recordEnd counts the end of a run for checkFailedJobs.
+func (sim *simulation) recordEnd(e workertest.Event) {
+	counts := sim.ends[e.Task]
+	if counts == nil {
+		counts = &endCounts{failedRuns: map[int64]bool{}}
+		sim.ends[e.Task] = counts
+	}
+	switch e.End {
+	case control.EndFailed:
+		counts.failedRuns[e.Run] = true
+	case control.EndBroken:
+		counts.broken++
+	case control.EndGangIncomplete:
+		counts.incomplete++
+	case control.EndStopped:
+		counts.stopped++
+	case workertest.EndVoid:
+		counts.lost++
+	case control.EndLapsed:
+		if sim.fleet.Workers[e.Worker].Dead {
+			counts.crashed++
+		} else {
+			counts.lapsed++
+		}
+	}
+}
+
+func (e *endCounts) String() string {
+	return fmt.Sprintf("failed=%d lapsed=%d broken=%d alone=%d stopped=%d lost=%d crashed=%d", len(e.failedRuns), e.lapsed, e.broken, e.incomplete, e.stopped, e.lost, e.crashed)
+}
+
+// checkFailedJobs checks that each failed job has a cause that the workers saw: a task of which as many
+// runs ended as failed as its queue allows, or a task that crashes its workers. All other ends, however
+// many, are no cause.
+func (sim *simulation) checkFailedJobs() {
+	for _, id := range sim.jobIDs {
+		job := workload.JobID(id)
+		if _, crashes := sim.crashes.crashAfter[job]; crashes || sim.failedInLog[job] || sim.jobState(job) != workload.Failed {
+			continue
+		}
+		if attempts := max(1, sim.jobs[job].QueueSettings.MaxAttempts); sim.maxFailedRuns(job) < attempts {
+			sim.violation("%s is shown as failed, but no task of it has failed in %d runs: %s", id, attempts, sim.endsOf(job))
+		}
+	}
+}
+
+// maxFailedRuns returns the highest number of runs of one of the job's tasks that ended as failed. A
+// run of a gang counts once, however many of its members fail.
+func (sim *simulation) maxFailedRuns(id workload.JobID) int {
+	highest, gangs := 0, map[string]map[int64]bool{}
+	for task, counts := range sim.ends {
+		if task.Job != id {
+			continue
+		}
+		runs := counts.failedRuns
+		if sim.jobs[id].Steps[task.Step].Gang {
+			gang := gangs[task.StepID()]
+			if gang == nil {
+				gang = map[int64]bool{}
+				gangs[task.StepID()] = gang
+			}
+			for run := range runs {
+				gang[run] = true
+			}
+			runs = gang
+		}
+		highest = max(highest, len(runs))
+	}
+	return highest
+}
+
+// endsOf describes the ends of each of the job's tasks.
+func (sim *simulation) endsOf(id workload.JobID) string {
+	var out []string
+	for task, counts := range sim.ends {
+		if task.Job == id {
+			out = append(out, task.String()+" "+counts.String())
+		}
+	}
+	slices.Sort(out)
+	return strings.Join(out, "; ")
+}
--- a/workload/control/scenario_test.go
+++ b/workload/control/scenario_test.go
@@ -77,6 +77,7 @@
 
 func (s *scenario) check(t *testing.T) {
 	t.Helper()
+	s.checkFailedJobs()
 	if len(s.violations) > 0 {
 		t.Fatal(s.violations)
 	}
@@ -406,6 +407,7 @@
 				t.Fatal(err)
 			}
 			s.log[workload.ProgressKey(jobA)] = value
+			s.failedInLog = map[workload.JobID]bool{jobA: state == workload.Failed}
 			if state == workload.Cancelled {
 				s.cancelledAt[jobA] = s.now
 			}
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -54,6 +54,9 @@
 	doneRun          map[workload.TaskID]int64
 	acknowledgedDone map[workload.TaskID]bool
 	failures         map[workload.TaskID]int
+	ends             map[workload.TaskID]*endCounts
+	// failedInLog are the jobs that a test has marked as failed in the log.
+	failedInLog map[workload.JobID]bool
 	// restartedAfterDone are done runs whose tasks were started again afterwards.
 	restartedAfterDone map[runKey]bool
 	// voidRuns are runs whose ends were lost with their workers.
@@ -139,7 +142,7 @@
 		jobs: map[workload.JobID]*workload.Job{}, done: map[workload.JobID]bool{}, log: map[string][]byte{},
 		cancelledAt: map[workload.JobID]time.Time{}, unreachableUntil: map[string]time.Time{},
 		running: map[workload.TaskID]map[string]int64{}, doneRun: map[workload.TaskID]int64{},
-		acknowledgedDone: map[workload.TaskID]bool{}, failures: map[workload.TaskID]int{}, restartedAfterDone: map[runKey]bool{}, voidRuns: map[runKey]bool{}, delayedStarts: map[string]bool{},
+		acknowledgedDone: map[workload.TaskID]bool{}, failures: map[workload.TaskID]int{}, ends: map[workload.TaskID]*endCounts{}, restartedAfterDone: map[runKey]bool{}, voidRuns: map[runKey]bool{}, delayedStarts: map[string]bool{},
 		entryExpiresAt: map[string]time.Time{}, listedBorn: map[string]int64{}, maxAcknowledged: map[string]int64{},
 		crashes: crashModel{locations: map[string]location{}, successors: map[string]string{}, lostRuns: map[workload.TaskID]int{}},
 	}
@@ -179,6 +182,7 @@
 		return
 	}
 	delete(sim.running[e.Task], e.Worker)
+	sim.recordEnd(e)
 	switch e.End {
 	case control.EndLapsed:
 		if sim.fleet.Workers[e.Worker].Dead {
@@ -490,6 +494,7 @@
 		sim.maintenance.away, sim.maintenance.faultsEnded = sim.now, true
 	}
 	sim.startPlanner(mutate)
+	defer sim.checkFailedJobs()
 	for range 3000 {
 		sim.tick(40 * time.Millisecond)
 		if len(sim.violations) > 0 || (sim.allFinal() && sim.isMaintained()) {
