Control: the simulations do not count failed ends that were lost unread

A failed end now counts for this check only if its worker is alive or the end was acknowledged. The check of failed jobs still counts all ends.

--- a/workload/control/failure_cause_test.go
+++ b/workload/control/failure_cause_test.go
@@ -15,11 +15,19 @@
 	// failedRuns are the runs that ended as failed. An order that arrives late may start a run of the
 	// same number on another incarnation.
 	failedRuns map[int64]bool
+	// failedEnds are the ends of these runs.
+	failedEnds []failedEnd
 	// lapsed runs ended with their lease, crashed ones with their worker. The ends of lost runs were
 	// done, but no planner can read them.
 	lapsed, broken, incomplete, stopped, lost, crashed int
 }
 
+// failedEnd is a failed end and the incarnation that lists it until it is acknowledged.
+type failedEnd struct {
+	incarnation *workertest.Worker
+	number      int64
+}
+
 // recordEnd counts the end of a run for checkFailedJobs.
 func (sim *simulation) recordEnd(e workertest.Event) {
 	counts := sim.ends[e.Task]
@@ -30,6 +38,9 @@
 	switch e.End {
 	case control.EndFailed:
 		counts.failedRuns[e.Run] = true
+		worker := sim.fleet.Workers[e.Worker]
+		listed := worker.Ended()
+		counts.failedEnds = append(counts.failedEnds, failedEnd{worker, listed[len(listed)-1].Number})
 	case control.EndBroken:
 		counts.broken++
 	case control.EndGangIncomplete:
@@ -51,6 +62,22 @@
 	return fmt.Sprintf("failed=%d lapsed=%d broken=%d alone=%d stopped=%d lost=%d crashed=%d", len(e.failedRuns), e.lapsed, e.broken, e.incomplete, e.stopped, e.lost, e.crashed)
 }
 
+// readableFailures returns the number of failed ends of a task, without those that were lost with their
+// worker before they were acknowledged.
+func (sim *simulation) readableFailures(id workload.TaskID) int {
+	counts := sim.ends[id]
+	if counts == nil {
+		return 0
+	}
+	readable := 0
+	for _, end := range counts.failedEnds {
+		if !end.incarnation.Dead || end.number <= end.incarnation.AcknowledgedEnd() {
+			readable++
+		}
+	}
+	return readable
+}
+
 // checkFailedJobs checks that each failed job has a cause that the workers saw: a task of which as many
 // runs ended as failed as its queue allows, or a task that crashes its workers. All other ends, however
 // many, are no cause.
