Control: simulations of workers that are cut off by turns for longer than their leases

A lease that ended counts as a crash if the worker's entry is gone and its data centre answers, although the worker may only be cut off. In the new simulation of twelve workers one after the other is cut off for 7.5 s to 15.5 s, from the list and from the planners; its entry expires, except for one in five, and the others of the data centre answer. No worker ends by a random fault. In half of the simulations no job crashes workers.

Seed 18 is a test of its own: no worker crashed, the four runs of a gang were lost with four leases (run-lost why=lease-over, crashes=3 excluded=0), and the job was given up. In seed 15 a crash by another job, two ended leases and the first failed end after them give a job up.

--- a/workload/control/failed_without_cause_test.go
+++ b/workload/control/failed_without_cause_test.go
@@ -74,3 +74,16 @@
 	t.Parallel()
 	runFailureSeeds(t, []int64{80}, newPlannerLossSimulation)
 }
+
+// Guards against taking leases that have ended for crashes: workers that are cut off by turns for longer
+// than their leases, whose entries expire meanwhile, run on.
+func TestJobsDoNotFailWithoutCauseWhenWorkersAreCutOff(t *testing.T) {
+	t.Parallel()
+	runFailureSimulations(t, 3, 0, newCutOffSimulation)
+}
+
+// Guards against giving a job up for leases that ended, when no worker of the pool has crashed.
+func TestJobIsNotGivenUpForEndedLeases(t *testing.T) {
+	t.Parallel()
+	runFailureSeeds(t, []int64{18}, newCutOffSimulation)
+}
--- a/workload/control/planner_loss_model_test.go
+++ b/workload/control/planner_loss_model_test.go
@@ -44,24 +44,35 @@
 	return workertest.Work{Takes: takes, Fails: m.grey[worker] || rng.Intn(10) == 0}
 }
 
-// addLoad fills a simulation's pool up to 48 workers in racks of eight, and draws its work, its grey
-// workers, its jobs and which of them crash their workers.
-func (sim *simulation) addLoad(rng *rand.Rand, maxGrey int, period time.Duration) {
+// addWork draws the work of a simulation of the given length, and which of its jobs crash their
+// workers: one in as many as given, 0 is none.
+func (sim *simulation) addWork(rng *rand.Rand, period time.Duration, crashShare int) *loadModel {
 	sim.steps = int(period / tickAverage)
 	load := &loadModel{seed: rng.Int63(), takesFactor: 1 + rng.Intn(4), grey: map[string]bool{}}
 	sim.fleet.Work = load.work
 	after := map[workload.JobID]time.Duration{}
-	share := 7 + rng.Intn(20)
 	for i := range simSteps {
-		if i%share == 3 {
+		if crashShare > 0 && i%crashShare == 3 {
 			after[simJobID(i)] = crashDelays[rng.Intn(len(crashDelays))]
 		}
 	}
 	sim.enableCrashes(after, time.Duration(500+rng.Intn(3500))*time.Millisecond)
-	for i := len(sim.fleet.Workers); i < largePool; i++ {
+	return load
+}
+
+// addWorkers adds workers up to the given number.
+func (sim *simulation) addWorkers(rng *rand.Rand, count int) {
+	for i := len(sim.fleet.Workers); i < count; i++ {
 		id := fmt.Sprintf("w%02d", i)
 		sim.listedBorn[id] = sim.fleet.Add(id, workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, 1-0.02*rng.Float64(), sim.now).StartMS
 	}
+}
+
+// addLoad fills a simulation's pool up to 48 workers in racks of eight, and draws its work, its grey
+// workers, its jobs and which of them crash their workers.
+func (sim *simulation) addLoad(rng *rand.Rand, maxGrey int, period time.Duration) {
+	load := sim.addWork(rng, period, 7+rng.Intn(20))
+	sim.addWorkers(rng, largePool)
 	ids := sortedIDs(sim.fleet.Workers)
 	for i, id := range ids {
 		sim.crashes.locations[id] = location{id, fmt.Sprintf("r%d", i/largeRack)}
--- a/workload/control/registry_test.go
+++ b/workload/control/registry_test.go
@@ -36,6 +36,8 @@
 	firstReadings map[string]clockReading
 	// heldUp are heartbeats that a cut has held up.
 	heldUp []heldUpHeartbeat
+	// dataCentre is the data centre of all workers; "" is none.
+	dataCentre string
 	// lastSequence is the sequence number of the last entry of any worker.
 	lastSequence int64
 }
@@ -147,7 +149,7 @@
 	sim.registry.lastSequence++
 	address, rack := sim.crashes.location(id, racks[id[len(id)-1]%2])
 	return control.Listing{
-		ID: id, Address: address, Rack: rack, Capacity: worker.Capacity, Sequence: sim.registry.lastSequence, StartMS: worker.StartMS,
+		ID: id, Address: address, Rack: rack, DataCentre: sim.registry.dataCentre, Capacity: worker.Capacity, Sequence: sim.registry.lastSequence, StartMS: worker.StartMS,
 		ClockMS: worker.ClockMS(sim.now.Add(-sent)), Draining: sim.drainRemainingMS[id] > 0, RemainingMS: sim.drainRemainingMS[id],
 	}
 }
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -65,6 +65,8 @@
 	// voidRuns are runs whose ends were lost with their workers.
 	voidRuns   map[runKey]bool
 	startCount int
+	// keepsWorkers is set if no worker ends by a random fault.
+	keepsWorkers bool
 	// steps is the number of ticks before faults end; 0 is simSteps.
 	steps      int
 	violations []string
@@ -436,7 +438,7 @@
 	case 3:
 		sim.unreachableUntil[sim.randomWorker()] = sim.now.Add(time.Duration(sim.rng.Intn(9000)) * time.Millisecond)
 	case 4:
-		if sim.rng.Intn(4) == 0 {
+		if sim.rng.Intn(4) == 0 && !sim.keepsWorkers {
 			sim.fleet.Kill(sim.randomWorker(), sim.now)
 			n := len(sim.fleet.Workers)
 			sim.fleet.Add(fmt.Sprintf("w%d", n), workload.Resources{MilliCPU: 32000, MemoryMiB: 64000, Accelerators: 8}, 0.99, sim.now)
--- a/workload/control/trace_test.go
+++ b/workload/control/trace_test.go
@@ -14,7 +14,8 @@
 // WORLD_SEED=14 WORLD_TASK=e000000000000004.0.1 go test -run PrintSimulation -v
 // With WORLD_CRASHES=1 tasks crash their workers, with WORLD_CRASHES=outages racks lose power too, with WORLD_CROWDED=jobs or gangs they do so in a
 // small pool. With WORLD_RESTARTS=faulty, or any other value for a simulation without faults,
-// workers restart. With WORLD_FAILURES=planners planners are lost when workers crash.
+// workers restart. With WORLD_FAILURES=planners planners are lost when workers crash, with WORLD_FAILURES=cuts workers are
+// cut off by turns.
 func TestPrintSimulation(t *testing.T) {
 	var seed int64
 	if _, err := fmt.Sscan(os.Getenv("WORLD_SEED"), &seed); err != nil {
@@ -36,6 +37,8 @@
 	switch os.Getenv("WORLD_FAILURES") {
 	case "planners":
 		sim = newPlannerLossSimulation(seed)
+	case "cuts":
+		sim = newCutOffSimulation(seed)
 	}
 	seen := sim.fleet.OnEvent
 	sim.fleet.OnEvent = func(e workertest.Event) {
