Control: ended leases limit the starts of a task, without being crashes

Such losses are counted on their own (Lapsed) now. They count for when a task runs alone, waits for a settled pool and has its last run, and never as a crash for which a job fails. They are taken back if the same incarnation answers, and become crashes if another one proves it.

--- a/workload/control/crash_grounds_test.go
+++ b/workload/control/crash_grounds_test.go
@@ -68,15 +68,16 @@
 	for _, c := range []struct {
 		what, id string
 		// startMS is the start of the incarnation that answers, relative to the planner's start.
-		startMS int64
-		want    int
+		startMS      int64
+		want, lapsed int
 	}{
-		{"the same incarnation answers", "w0", -5000, 0},
-		{"its next incarnation started before the lease ended", "w0", 1500, 1},
-		{"its next incarnation started after the lease had ended", "w0", 9000, 0},
-		{"its successor started before the lease ended", "w9", 1500, 1},
-		{"its successor started after the lease had ended", "w9", 9000, 0},
-		{"the start of its successor is unknown", "w9", 0, 0},
+		{"the same incarnation answers", "w0", -5000, 0, 0},
+		{"its next incarnation started before the lease ended", "w0", 1500, 1, 0},
+		{"its next incarnation started after the lease had ended", "w0", 9000, 0, 1},
+		{"its successor started before the lease ended", "w9", 1500, 1, 0},
+		{"its successor started after the lease had ended", "w9", 9000, 0, 1},
+		{"the start of its successor is unknown", "w9", 0, 0, 1},
+		{"the same worker answers and shows no start", "w0", 0, 0, 0},
 	} {
 		s := newCutOffScenario(false)
 		startedMS := s.now.UnixMilli()
@@ -88,8 +89,8 @@
 		s.now = s.now.Add(8 * time.Second)
 		s.round()
 		task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
-		if task.Crashes != 0 {
-			t.Errorf("%s: %d crashes are counted before the answer", c.what, task.Crashes)
+		if task.Crashes != 0 || task.Lapsed != 1 {
+			t.Errorf("%s: %d crashes and %d ended leases are counted before the answer", c.what, task.Crashes, task.Lapsed)
 		}
 		s.c.UpdateWorker(Listing{ID: c.id, Address: "0", Rack: "r", Capacity: workload.Resources{Accelerators: 8}, ClockMS: 1}, s.now)
 		answer := RenewalAnswer{Result: Accepted, ClockMS: s.now.UnixMilli() - 999_000}
@@ -97,8 +98,8 @@
 			answer.StartMS = startedMS + c.startMS
 		}
 		s.c.HandleRenewal(RenewalOrder{Worker: c.id, Token: s.c.workers[c.id].token}, answer, s.now, s.now)
-		if task.Crashes != c.want {
-			t.Errorf("%s: %d crashes are counted, want %d", c.what, task.Crashes, c.want)
+		if task.Crashes != c.want || task.Lapsed != c.lapsed {
+			t.Errorf("%s: %d crashes and %d ended leases are counted, want %d and %d", c.what, task.Crashes, task.Lapsed, c.want, c.lapsed)
 		}
 	}
 }
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -67,7 +67,8 @@
 	// The crash counts towards the limit on starts, but is no evidence.
 	crashInOutage crashWeight = "outage"
 	crashUnproven crashWeight = "unproven"
-	// The worker's lease has ended. It counts once the worker is known to have crashed.
+	// The worker's lease has ended. It counts towards the limit on starts, and is no crash until the
+	// worker is known to have crashed.
 	crashLapsed crashWeight = "lapsed"
 )
 
@@ -165,7 +166,7 @@
 
 // resetCrashes clears the crash counts of a task whose run went on without crashing its worker.
 func (c *Core) resetCrashes(r *activeRun, t *workload.Task) {
-	if t.TotalCrashes() == 0 || t.Run != r.run {
+	if t.PossibleCrashes() == 0 || t.Run != r.run {
 		return
 	}
 	c.emit(Event{Name: EventCrashesReset, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Detail: crashDetail(t)})
@@ -186,7 +187,7 @@
 		cr.silentAt = w.silentSince
 	}
 	var jobs []workload.JobID
-	var counted, givenUp []*activeRun
+	var lapsed, givenUp []*activeRun
 	for _, r := range lost {
 		if c.neverBegan(r) {
 			r.unstarted = true
@@ -203,19 +204,17 @@
 			c.resetCrashes(r, t)
 			continue
 		}
-		counted = append(counted, r)
 		if reason == reasonLeaseOver {
-			r.crashWeight = crashLapsed
+			lapsed = append(lapsed, r)
+			c.countLapsed(r, t, now)
 			continue
 		}
 		c.countCrashAgainst(r, &cr, now)
-		if (t.TotalCrashes() > maxCrashes && mayGiveUp(t)) || c.isConclusive(r, t, lost, now) {
+		if (t.PossibleCrashes() > maxCrashes && mayGiveUp(t)) || c.isConclusive(r, t, lost, now) {
 			givenUp = append(givenUp, r)
 		}
 	}
-	if reason == reasonLeaseOver {
-		c.recordLapsedCrash(w, cr, counted)
-	}
+	c.recordLapsedCrash(w, cr, lapsed)
 	c.crashHistory.expire(now.Add(-c.unstablePeriod()))
 	c.crashHistory.add(cr, slices.Compact(jobs))
 	c.markUnstable(w, now)
@@ -296,7 +295,7 @@
 	if t.Exonerated > 0 {
 		left = runsAfterMaxCrashesExonerated
 	}
-	return t.TotalCrashes() >= maxCrashes && mayGiveUp(t) && r.run-t.CrashRun >= left
+	return t.PossibleCrashes() >= maxCrashes && mayGiveUp(t) && r.run-t.CrashRun >= left
 }
 
 // isSpent reports whether the end of a run fails its job. A run that never started, or that was
@@ -368,12 +367,12 @@
 	if r.crashWeight != crashIgnored {
 		detail += " counts=" + string(r.crashWeight)
 	}
-	if t := c.task(r); t != nil && t.TotalCrashes() > 0 {
+	if t := c.task(r); t != nil && t.PossibleCrashes() > 0 {
 		detail += " " + crashDetail(t)
 	}
 	c.emit(Event{Name: EventRunLost, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Reason: reason, Detail: detail})
 }
 
 func crashDetail(t *workload.Task) string {
-	return fmt.Sprintf("crashes=%d excluded=%d unproven=%d exonerated=%d", t.Crashes, t.Excluded, t.Unproven, t.Exonerated)
+	return fmt.Sprintf("crashes=%d excluded=%d unproven=%d exonerated=%d lapsed=%d", t.Crashes, t.Excluded, t.Unproven, t.Exonerated, t.Lapsed)
 }
--- a/workload/control/lapsed_crashes.go
+++ b/workload/control/lapsed_crashes.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/cobalttide/cobalttide/workload"
 )
 
 // A worker that is out of reach until its lease ends, and whose entry has expired, may have crashed,
-// but may also be cut off and run on, or may have left. So the loss of its runs counts as a crash
-// only once an incarnation that started before the lease ended answers at its address. One that
-// started later proves nothing: the runs may have lapsed before.
+// but may also be cut off and run on, or may have left. So the loss of its runs limits how often their
+// tasks are started, but counts as a crash only once an incarnation that started before the lease
+// ended answers at its address. One that started later proves nothing: the runs may have lapsed before.
 
 // lapsedCrash is a worker whose lease has ended, and that may have crashed.
 type lapsedCrash struct {
@@ -20,6 +22,15 @@
 	runs []*activeRun
 }
 
+// countLapsed counts the loss of a run whose worker's lease has ended.
+func (c *Core) countLapsed(r *activeRun, t *workload.Task, now time.Time) {
+	r.crashWeight = crashLapsed
+	t.Lapsed++
+	t.CrashRun = r.run
+	r.job.crashedAt, r.job.suspected = now, true
+	c.markDirty(r.job)
+}
+
 // recordLapsedCrash keeps a possible crash until an incarnation answers at the worker's address.
 func (c *Core) recordLapsedCrash(w *worker, cr crash, runs []*activeRun) {
 	if len(runs) == 0 || w.Address == "" {
@@ -44,22 +55,33 @@
 // has answered, if the answer proves it.
 func (c *Core) judgeLapsedCrash(answering *worker, now time.Time) {
 	l := c.lapsedCrashes[answering.Address]
-	if l == nil || answering.startMS == 0 {
+	if l == nil {
 		return
 	}
 	delete(c.lapsedCrashes, answering.Address)
-	if answering.startMS >= l.leaseEndMS || (answering.ID == l.id && !startsDiffer(answering.startMS, l.startMS)) {
-		return
-	}
+	survived := answering.ID == l.id && !startsDiffer(answering.startMS, l.startMS)
+	crashed := !survived && answering.startMS != 0 && answering.startMS < l.leaseEndMS
 	for _, r := range l.runs {
-		j := c.jobs[r.id.Job]
-		if j == nil || j != r.job || c.task(r) == nil {
+		t := c.task(r)
+		if c.jobs[r.id.Job] != r.job || t == nil || t.Lapsed == 0 || !(survived || crashed) {
 			continue
 		}
-		c.countCrashAgainst(r, &l.crash, now)
-		c.emit(Event{Name: EventCrashProven, Job: r.id.Job, Task: r.id.String(), Worker: l.id, Run: r.run, Reason: string(r.crashWeight), Detail: crashDetail(c.task(r))})
-		if t := c.task(r); t.TotalCrashes() > maxCrashes && mayGiveUp(t) {
-			c.failForCrashes(r)
+		t.Lapsed--
+		c.markDirty(r.job)
+		if crashed {
+			c.countProvenCrash(r, l, now)
 		}
 	}
 }
+
+// countProvenCrash counts the crash of a worker whose lease had ended against the task of a run there.
+func (c *Core) countProvenCrash(r *activeRun, l *lapsedCrash, now time.Time) {
+	t := c.task(r)
+	latest := t.CrashRun
+	c.countCrashAgainst(r, &l.crash, now)
+	t.CrashRun = max(latest, r.run)
+	c.emit(Event{Name: EventCrashProven, Job: r.id.Job, Task: r.id.String(), Worker: l.id, Run: r.run, Reason: string(r.crashWeight), Detail: crashDetail(t)})
+	if t.PossibleCrashes() > maxCrashes && mayGiveUp(t) {
+		c.failForCrashes(r)
+	}
+}
--- a/workload/control/outages.go
+++ b/workload/control/outages.go
@@ -174,11 +174,11 @@
 // have crashed under it. A planner that has just started does not know which workers crashed
 // before.
 func (c *Core) isPoolSettled(j *job, step *workload.Step, t *workload.Task, now time.Time) bool {
-	if t.TotalCrashes() < isolateAfterCrashes {
+	if t.PossibleCrashes() < isolateAfterCrashes {
 		return true
 	}
 	quietPeriod := calmWaits * c.bounds.PollWait
-	if t.TotalCrashes() > isolateAfterCrashes && !step.Perpetual {
+	if t.PossibleCrashes() > isolateAfterCrashes && !step.Perpetual {
 		quietPeriod *= 2
 	}
 	if now.Sub(c.startedAt) < quietPeriod {
--- a/workload/control/suspects.go
+++ b/workload/control/suspects.go
@@ -17,7 +17,7 @@
 // Crashes that are excluded as evidence count too: tasks that crash their workers at the same
 // moment look like an outage. So do crashes for which another job failed, since each costs the
 // task one of its last runs.
-func isSuspect(t *workload.Task) bool { return t.TotalCrashes() > 0 }
+func isSuspect(t *workload.Task) bool { return t.PossibleCrashes() > 0 }
 
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -42,7 +42,7 @@
 	if t == nil || !isSuspect(t) || r.settled {
 		return false
 	}
-	if t.TotalCrashes() < isolateAfterCrashes && time.Duration(t.CrashMS)*time.Millisecond > c.earlyWindow(r) {
+	if t.PossibleCrashes() < isolateAfterCrashes && time.Duration(t.CrashMS)*time.Millisecond > c.earlyWindow(r) {
 		return false
 	}
 	took, known := r.runTime(now)
@@ -100,7 +100,7 @@
 	suspects, others := u, u
 	suspects.Indexes, others.Indexes = nil, nil
 	for _, i := range u.Indexes {
-		suspects.Exclusive = suspects.Exclusive || (tasks[i].TotalCrashes() >= isolateAfterCrashes && now.Sub(latest(j.crashedAt, j.waitedUnsettledAt)) < maxAloneWait)
+		suspects.Exclusive = suspects.Exclusive || (tasks[i].PossibleCrashes() >= isolateAfterCrashes && now.Sub(latest(j.crashedAt, j.waitedUnsettledAt)) < maxAloneWait)
 		if isSuspect(&tasks[i]) {
 			suspects.Indexes = append(suspects.Indexes, i)
 		} else {
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -61,6 +61,10 @@
 	// Unproven counts those of the crashes that are no evidence against the task because its run
 	// there is not known to have begun. Instances that don't know it drop it.
 	Unproven int `json:"b,omitempty"`
+	// Lapsed counts the runs that were lost since their workers' leases had ended. These workers may
+	// have crashed, which limits further starts, but is no evidence. Instances that don't know it drop
+	// it.
+	Lapsed int `json:"l,omitempty"`
 	// Exonerated counts the crashes that were subtracted from Crashes because another job was
 	// abandoned as their cause.
 	Exonerated int `json:"n,omitempty"`
@@ -74,13 +78,17 @@
 // TotalCrashes returns the number of crashes under the task, including those caused by others.
 func (t *Task) TotalCrashes() int { return t.Crashes + t.Exonerated }
 
+// PossibleCrashes returns the number of crashes under the task, including those that are not known to
+// be crashes.
+func (t *Task) PossibleCrashes() int { return t.TotalCrashes() + t.Lapsed }
+
 // AttributableCrashes returns the number of crashes that the task may have caused: those of workers
 // on which a run of it had begun, outside outages.
 func (t *Task) AttributableCrashes() int { return t.TotalCrashes() - t.Unproven - t.Excluded }
 
 // ResetCrashes clears the crashes under the task.
 func (t *Task) ResetCrashes() {
-	t.Crashes, t.CrashMS, t.CrashRun, t.Excluded, t.Unproven, t.Exonerated = 0, 0, 0, 0, 0, 0
+	t.Crashes, t.CrashMS, t.CrashRun, t.Excluded, t.Unproven, t.Exonerated, t.Lapsed = 0, 0, 0, 0, 0, 0, 0
 }
 
 // Occurrence is the progress of one repetition that was created and has not ended.
@@ -128,7 +136,7 @@
 			return fmt.Errorf("step %d has %d tasks, its progress has %d", i, j.Steps[i].Count, len(tasks))
 		}
 		for _, t := range tasks {
-			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Failures < 0 || t.Crashes < 0 || t.CrashMS < 0 || t.Excluded < 0 || t.Unproven < 0 || t.Excluded > t.Crashes-t.Unproven || t.Exonerated < 0 {
+			if t.Phase < Waiting || t.Phase > Done || t.Run < 0 || t.Failures < 0 || t.Crashes < 0 || t.CrashMS < 0 || t.Excluded < 0 || t.Unproven < 0 || t.Excluded > t.Crashes-t.Unproven || t.Exonerated < 0 || t.Lapsed < 0 {
 				return fmt.Errorf("step %d has a task with invalid progress: phase %d, run %d, %d failures, %d crashes", i, t.Phase, t.Run, t.Failures, t.Crashes)
 			}
 		}
