Control: crashes that a suspect explains are no sign of an outage

A crash of a worker with a task that two workers have crashed under before may be that task's doing. Such crashes no longer count where outages are recognised. An outage shows in the crashes of the others, as it did.

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -186,6 +186,7 @@
 	if !w.reachable && !w.silentSince.IsZero() {
 		cr.silentAt = w.silentSince
 	}
+	cr.explained = c.isExplained(lost)
 	var jobs []workload.JobID
 	var lapsed, givenUp []*activeRun
 	for _, r := range lost {
@@ -221,6 +222,15 @@
 	return givenUp
 }
 
+// isExplained reports whether one of the runs that were lost with a worker may have crashed it: several
+// workers have crashed under its task before.
+func (c *Core) isExplained(lost []*activeRun) bool {
+	return slices.ContainsFunc(lost, func(r *activeRun) bool {
+		t := c.task(r)
+		return t != nil && t.PossibleCrashes() >= isolateAfterCrashes && t.Run == r.run && !r.settled && !c.neverBegan(r)
+	})
+}
+
 // countCrashAgainst counts the crash of a run's worker against the run's task.
 func (c *Core) countCrashAgainst(r *activeRun, cr *crash, now time.Time) {
 	t := c.task(r)
--- a/workload/control/outages.go
+++ b/workload/control/outages.go
@@ -35,15 +35,18 @@
 	// ended.
 	silentAt, noticedAt time.Time
 	tasks               []workload.TaskID
+	// explained is set if a task was running there that several workers have crashed under, and that
+	// may have caused this crash too. Such a crash is no sign of an outage.
+	explained bool
 }
 
 // crashHistory holds the recent crashes.
 type crashHistory struct {
-	// crashes are in the order in which they were noticed, silences are sorted, and byJob has the
-	// crashes of the workers on which a job had runs.
-	crashes  []crash
-	silences []time.Time
-	byJob    map[workload.JobID][]crash
+	// crashes are in the order in which they were noticed. Of those that are not explained, noticed and
+	// silences have the sorted times, and byJob those of workers on which a job had runs.
+	crashes           []crash
+	noticed, silences []time.Time
+	byJob             map[workload.JobID][]crash
 	// changed is set if crashes were added since the last evaluation.
 	changed bool
 }
@@ -53,12 +56,16 @@
 // add adds a crash of a worker that had runs of the given jobs.
 func (h *crashHistory) add(cr crash, jobs []workload.JobID) {
 	h.crashes = append(h.crashes, cr)
+	h.changed = true
+	if cr.explained {
+		return
+	}
+	h.noticed = append(h.noticed, cr.noticedAt)
 	at, _ := slices.BinarySearchFunc(h.silences, cr.silentAt, time.Time.Compare)
 	h.silences = slices.Insert(h.silences, at, cr.silentAt)
 	for _, job := range jobs {
 		h.byJob[job] = append(h.byJob[job], crash{silentAt: cr.silentAt, noticedAt: cr.noticedAt})
 	}
-	h.changed = true
 }
 
 // expire drops crashes that were noticed before the given time.
@@ -68,9 +75,12 @@
 	}
 	old := func(cr crash) bool { return cr.noticedAt.Before(before) }
 	h.crashes = slices.DeleteFunc(h.crashes, old)
-	h.silences = h.silences[:0]
+	h.noticed, h.silences = h.noticed[:0], h.silences[:0]
 	for _, cr := range h.crashes {
-		h.silences = append(h.silences, cr.silentAt)
+		if !cr.explained {
+			h.noticed = append(h.noticed, cr.noticedAt)
+			h.silences = append(h.silences, cr.silentAt)
+		}
 	}
 	slices.SortFunc(h.silences, time.Time.Compare)
 	for job, crashes := range h.byJob {
@@ -82,8 +92,8 @@
 	}
 }
 
-// countAround counts the workers without runs of the job that fell silent within the span before
-// or after the given time.
+// countAround counts the unexplained crashes of workers without runs of the job that fell silent
+// within the span before or after the given time.
 func (h *crashHistory) countAround(at time.Time, job workload.JobID, span time.Duration) int {
 	from, _ := slices.BinarySearchFunc(h.silences, at.Add(-span), time.Time.Compare)
 	to, _ := slices.BinarySearchFunc(h.silences, at.Add(span+1), time.Time.Compare)
@@ -96,11 +106,11 @@
 	return count
 }
 
-// countSince counts the workers without runs of the job whose crash was noticed after the given
-// time.
+// countSince counts the unexplained crashes of workers without runs of the job that were noticed after
+// the given time.
 func (h *crashHistory) countSince(after time.Time, job workload.JobID) int {
-	from, _ := slices.BinarySearchFunc(h.crashes, after, func(cr crash, at time.Time) int { return cr.noticedAt.Compare(at) })
-	count := len(h.crashes) - from
+	from, _ := slices.BinarySearchFunc(h.noticed, after, time.Time.Compare)
+	count := len(h.noticed) - from
 	for _, own := range h.byJob[job] {
 		if !own.noticedAt.Before(after) {
 			count--
