Control: from the fifth crash on one outside outages fails a job again

Crashes in outages alone, and leases that ended, still fail none.

An ended lease also records how long its run may have been running.

--- a/events/log.go
+++ b/events/log.go
@@ -92,7 +92,7 @@
 // queue is full.
 var essential = map[Name]bool{
 	Started: true, Stopping: true, Stopped: true, JobRefused: true, JobCancelled: true, DetailsDropped: true, ClaimTaken: true,
-	"job-completed": true, "job-failed": true, PlannerBegins: true, PlannerEnds: true, PlannerTimings: true,
+	"job-completed": true, "job-failed": true, "attempt-counted": true, PlannerBegins: true, PlannerEnds: true, PlannerTimings: true,
 	"round-summary": true, Suspended: true, DependencyLost: true, DependencyRegained: true, ConfigurationInForce: true,
 }
 
--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -261,11 +261,16 @@
 }
 
 func (c *Core) countCrash(r *activeRun, t *workload.Task, now time.Time) {
+	t.Crashes++
+	c.recordLoss(r, t, now)
+}
+
+// recordLoss records when a run was lost with its worker, and how long it may have been running.
+func (c *Core) recordLoss(r *activeRun, t *workload.Task, now time.Time) {
 	took, known := r.runTime(now)
 	if !known {
 		took = c.estimates.expected(r.job, r.id.Step)
 	}
-	t.Crashes++
 	t.CrashRun = r.run
 	r.job.crashedAt, r.job.suspected = now, true
 	t.CrashMS = max(t.CrashMS, min(took, c.unstablePeriod()).Milliseconds(), 1)
@@ -273,11 +278,10 @@
 }
 
 // mayGiveUp reports whether a task's job may fail for the crashes under it. Beyond one crash more than
-// maxCrashes outside outages a single attributable one is enough: the starts after the third crash are
-// limited.
+// maxCrashes a single attributable one is enough: the starts after the third crash are limited.
 func mayGiveUp(t *workload.Task) bool {
 	attributable := t.AttributableCrashes()
-	return attributable >= minAttributableCrashes || (attributable > 0 && t.TotalCrashes()-t.Excluded > maxCrashes+1)
+	return attributable >= minAttributableCrashes || (attributable > 0 && t.TotalCrashes() > maxCrashes+1)
 }
 
 // retractCrash uncounts a worker's crash under a run whose only start order turns out not to have been
--- a/workload/control/lapsed_crashes.go
+++ b/workload/control/lapsed_crashes.go
@@ -26,9 +26,7 @@
 func (c *Core) countLapsed(r *activeRun, t *workload.Task, now time.Time) {
 	r.crashWeight = crashLapsed
 	t.Lapsed++
-	t.CrashRun = r.run
-	r.job.crashedAt, r.job.suspected = now, true
-	c.markDirty(r.job)
+	c.recordLoss(r, t, now)
 }
 
 // recordLapsedCrash keeps a possible crash until an incarnation answers at the worker's address.
--- a/workload/control/outages_test.go
+++ b/workload/control/outages_test.go
@@ -135,7 +135,9 @@
 		{maxCrashes, 1, workload.Failed},
 		{maxCrashes + 1, 2, workload.Failed},
 		{maxCrashes + 2, 3, workload.Failed},
+		{maxCrashes + 2, 4, workload.Failed},
 		{maxCrashes, 2, workload.Running},
+		{maxCrashes + 1, 3, workload.Running},
 		{maxCrashes, 3, workload.Running},
 		{maxCrashes + 2, 5, workload.Running},
 	} {
