Control: simulations of failed ends that are late, lost or read again

A job may also be shown as failed wrongly because an end counts as failed that is none, or counts twice. In the model of the workers the first end of a member ended the others as broken; with FailTogether, members that are due to fail at the same time all fail. Every simulation now also checks, when a planner fails a job since its attempts are used, that the task has failed in as many runs at workers, and tells the planner's reason.

--- a/workload/control/failed_without_cause_test.go
+++ b/workload/control/failed_without_cause_test.go
@@ -87,3 +87,10 @@
 	t.Parallel()
 	runFailureSeeds(t, []int64{18}, newCutOffSimulation)
 }
+
+// Guards against counting a failed end that is none, or one twice: of another member of the same run of
+// a gang, by a successor that reads it again, or under another run.
+func TestJobsDoNotFailWithoutCauseWhenFailedEndsAreLate(t *testing.T) {
+	t.Parallel()
+	runFailureSimulations(t, 10, 0, newFailedEndSimulation)
+}
--- a/workload/control/failure_cause_test.go
+++ b/workload/control/failure_cause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -78,6 +79,41 @@
 	return readable
 }
 
+// checkFailure records why a planner fails a job, and checks that a task whose attempts are used has
+// failed in as many runs at workers.
+func (sim *simulation) checkFailure(n control.Event) {
+	if n.Name != control.EventJobFailed {
+		return
+	}
+	sim.failReasons[n.Job] = strings.TrimSpace(n.Reason + " " + n.Detail)
+	task, err := workload.ParseTaskID(n.Task)
+	if err != nil {
+		sim.violation("%s fails for the task %q: %v", n.Job, n.Task, err)
+		return
+	}
+	attempts := max(1, sim.jobs[n.Job].QueueSettings.MaxAttempts)
+	if n.Reason == "attempts-used" && sim.failedRunsOf(task) < attempts {
+		sim.violation("%v fails since its attempts are used, but has not failed in %d runs: %s", task, attempts, sim.endsOf(n.Job))
+	}
+}
+
+// failedRunsOf returns the number of failed runs of a task, or of its gang.
+func (sim *simulation) failedRunsOf(id workload.TaskID) int {
+	if !sim.jobs[id.Job].Steps[id.Step].Gang {
+		if counts := sim.ends[id]; counts != nil {
+			return len(counts.failedRuns)
+		}
+		return 0
+	}
+	runs := map[int64]bool{}
+	for id.Index = range sim.jobs[id.Job].Steps[id.Step].Count {
+		if counts := sim.ends[id]; counts != nil {
+			maps.Copy(runs, counts.failedRuns)
+		}
+	}
+	return len(runs)
+}
+
 // checkFailedJobs checks that each failed job has a cause that the workers saw: a task of which as many
 // runs ended as failed as its queue allows, or a task that crashes its workers. All other ends, however
 // many, are no cause.
@@ -88,7 +124,7 @@
 			continue
 		}
 		if attempts := max(1, sim.jobs[job].QueueSettings.MaxAttempts); sim.maxFailedRuns(job) < attempts {
-			sim.violation("%s is shown as failed, but no task of it has failed in %d runs: %s", id, attempts, sim.endsOf(job))
+			sim.violation("%s is shown as failed (%s), but no task of it has failed in %d runs: %s", id, sim.failReasons[job], attempts, sim.endsOf(job))
 		}
 	}
 }
@@ -96,24 +132,11 @@
 // maxFailedRuns returns the highest number of runs of one of the job's tasks that ended as failed. A
 // run of a gang counts once, however many of its members fail.
 func (sim *simulation) maxFailedRuns(id workload.JobID) int {
-	highest, gangs := 0, map[string]map[int64]bool{}
-	for task, counts := range sim.ends {
-		if task.Job != id {
-			continue
-		}
-		runs := counts.failedRuns
-		if sim.jobs[id].Steps[task.Step].Gang {
-			gang := gangs[task.StepID()]
-			if gang == nil {
-				gang = map[int64]bool{}
-				gangs[task.StepID()] = gang
-			}
-			for run := range runs {
-				gang[run] = true
-			}
-			runs = gang
+	highest := 0
+	for task := range sim.ends {
+		if task.Job == id {
+			highest = max(highest, sim.failedRunsOf(task))
 		}
-		highest = max(highest, len(runs))
 	}
 	return highest
 }
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -31,6 +31,10 @@
 	trustSilence bool
 	// losesCrashCounts: crashes are counted only in the planner's memory.
 	losesCrashCounts bool
+	// losesFailedRuns: which run of a gang was counted as a failure last is only in the planner's memory.
+	losesFailedRuns bool
+	// brokenAsFailed: the ends of gang members that another member has ended are received as failed.
+	brokenAsFailed bool
 	// anonymousIncarnations: incarnations are distinguished neither by start time nor by clock.
 	anonymousIncarnations bool
 	// constantTokens: tokens are not raised when a worker falls silent.
@@ -72,6 +76,11 @@
 		a.StartMS = 0
 		a.ClockMS = now.UnixMilli()
 	}
+	for i := range a.Ended {
+		if m.brokenAsFailed && a.Ended[i].End == control.EndBroken {
+			a.Ended[i].End = control.EndFailed
+		}
+	}
 	return a
 }
 
@@ -129,14 +138,42 @@
 // crashFields matches the crash counts in a progress record.
 var crashFields = regexp.MustCompile(`,?"[cmuobn]":[0-9]+`)
 
+// failedRunField matches the run of a gang that was counted last.
+var failedRunField = regexp.MustCompile(`,?"x":[0-9]+`)
+
 // alterRecord returns the record as it is written to the log.
 func (m mutant) alterRecord(value []byte) []byte {
 	if m.losesCrashCounts {
 		return crashFields.ReplaceAll(value, nil)
 	}
+	if m.losesFailedRuns {
+		return failedRunField.ReplaceAll(value, nil)
+	}
 	return value
 }
 
+// Guards against simulations in which no end is counted as failed wrongly or twice.
+func TestSimulationDetectsWronglyCountedFailures(t *testing.T) {
+	for name, m := range map[string]mutant{
+		"failed run of a gang lost with the planner": {losesFailedRuns: true},
+		"broken taken for failed":                    {brokenAsFailed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range mutantSeeds {
+				sim := newFailedEndSimulation(int64(seed))
+				sim.mutant = m
+				sim.run(nil)
+				if len(sim.violations) > 0 {
+					t.Logf("detected at seed %d: %s", seed, sim.violations[0])
+					return
+				}
+			}
+			t.Fatalf("not detected in %d simulations", mutantSeeds)
+		})
+	}
+}
+
 func TestSimulationDetectsCrashCountsLostWithThePlanner(t *testing.T) {
 	for seed := range mutantSeeds {
 		sim := newCrashSimulation(int64(seed))
--- a/workload/control/simulation_orders_test.go
+++ b/workload/control/simulation_orders_test.go
@@ -192,7 +192,7 @@
 			sim.deliver(p, func() { p.core.HandleRenewal(o, control.RenewalAnswer{Result: control.Unanswered}, sent, sim.now) })
 		case len(target.Ended()) > 0 || !sim.now.Before(until):
 			before := target.Ended()
-			a := target.Renew(o, sim.now)
+			a := sim.mutant.alterAnswer(target.Renew(o, sim.now), sim.now)
 			a.NewestConnection = connections
 			sim.recordAcknowledged(target, before, o.AcknowledgedEnd)
 			sim.schedule(5*time.Millisecond, func() { sim.deliver(p, func() { p.core.HandleRenewal(o, a, sent, sim.now) }) })
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -58,6 +58,8 @@
 	acknowledgedDone map[workload.TaskID]bool
 	failures         map[workload.TaskID]int
 	ends             map[workload.TaskID]*endCounts
+	// failReasons are the reasons for which planners failed jobs.
+	failReasons map[workload.JobID]string
 	// failedInLog are the jobs that a test has marked as failed in the log.
 	failedInLog map[workload.JobID]bool
 	// restartedAfterDone are done runs whose tasks were started again afterwards.
@@ -149,7 +151,7 @@
 		jobs: map[workload.JobID]*workload.Job{}, done: map[workload.JobID]bool{}, log: map[string][]byte{}, decoded: map[workload.JobID]decodedRecord{},
 		cancelledAt: map[workload.JobID]time.Time{}, unreachableUntil: map[string]time.Time{},
 		running: map[workload.TaskID]map[string]int64{}, doneRun: map[workload.TaskID]int64{},
-		acknowledgedDone: map[workload.TaskID]bool{}, failures: map[workload.TaskID]int{}, ends: map[workload.TaskID]*endCounts{}, restartedAfterDone: map[runKey]bool{}, voidRuns: map[runKey]bool{}, delayedStarts: map[string]bool{},
+		acknowledgedDone: map[workload.TaskID]bool{}, failures: map[workload.TaskID]int{}, ends: map[workload.TaskID]*endCounts{}, failReasons: map[workload.JobID]string{}, restartedAfterDone: map[runKey]bool{}, voidRuns: map[runKey]bool{}, delayedStarts: map[string]bool{},
 		entryExpiresAt: map[string]time.Time{}, listedBorn: map[string]int64{}, maxAcknowledged: map[string]int64{},
 		crashes: crashModel{locations: map[string]location{}, successors: map[string]string{}, lostRuns: map[workload.TaskID]int{}},
 	}
@@ -397,6 +399,7 @@
 			sim.unsettledRuns = append(sim.unsettledRuns, fmt.Sprintf("%s %s run %d %s", n.Task, n.Worker, n.Run, n.Detail))
 		}
 		sim.checkDeparture(n)
+		sim.checkFailure(n)
 		if sim.trace != nil {
 			sim.trace("token %d: %s %s %s %s run %d %s", p.token, n.Name, n.Task, n.Worker, n.Reason, n.Run, n.Detail)
 		}
--- a/workload/control/trace_test.go
+++ b/workload/control/trace_test.go
@@ -15,7 +15,7 @@
 // With WORLD_CRASHES=1 tasks crash their workers, with WORLD_CRASHES=outages racks lose power too, with WORLD_CROWDED=jobs or gangs they do so in a
 // small pool. With WORLD_RESTARTS=faulty, or any other value for a simulation without faults,
 // workers restart. With WORLD_FAILURES=planners planners are lost when workers crash, with WORLD_FAILURES=cuts workers are
-// cut off by turns.
+// cut off by turns, with WORLD_FAILURES=ends failed ends are late, lost or read again.
 func TestPrintSimulation(t *testing.T) {
 	var seed int64
 	if _, err := fmt.Sscan(os.Getenv("WORLD_SEED"), &seed); err != nil {
@@ -39,6 +39,8 @@
 		sim = newPlannerLossSimulation(seed)
 	case "cuts":
 		sim = newCutOffSimulation(seed)
+	case "ends":
+		sim = newFailedEndSimulation(seed)
 	}
 	seen := sim.fleet.OnEvent
 	sim.fleet.OnEvent = func(e workertest.Event) {
--- a/workload/workertest/advance.go
+++ b/workload/workertest/advance.go
@@ -153,7 +153,13 @@
 	if how == control.EndDone {
 		others = control.EndDone
 	}
-	w.fleet.eachMember(r, func(peer *Worker, member *run) { peer.end(member, others, now) })
+	w.fleet.eachMember(r, func(peer *Worker, member *run) {
+		if others == control.EndBroken && w.fleet.FailTogether && member.work.Fails && member.finishedWork(now) {
+			peer.end(member, control.EndFailed, now)
+			return
+		}
+		peer.end(member, others, now)
+	})
 }
 
 // eachMember calls call with each other member of a gang's run.
--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -53,6 +53,9 @@
 	// Speed is the current speed of a worker as a factor; nil means 1 for all. Each member of a
 	// gang has its own speed, and the gang ends when the slowest member has done its work.
 	Speed func(worker string) float64
+	// FailTogether has the members of a gang that are due to fail at the same time all end as failed.
+	// Otherwise the end of the first one ends the others as broken.
+	FailTogether bool
 	// OnEvent is called with every event.
 	OnEvent func(Event)
 	// OnCrash, if not nil, is called after a run has crashed a worker.
