Control: a failed end that is listed after its run was written off is not counted

Run 1 fails on w07 at 36.421 s while the worker is out of reach; its run is written off with the lease at 36.883 s; the next planner reads the end at 37.585 s and acknowledges it at 37.825 s (cursor=16) without counting it, since handleLateEnd applies only ends that are done. Runs 3 and 4 fail too, and run 5 starts at 54.305 s, after max_attempts failed ends that were all taken note of.

--- a/workload/control/failed_without_cause_test.go
+++ b/workload/control/failed_without_cause_test.go
@@ -69,10 +69,11 @@
 	runFailureSimulations(t, 3, 0, newPlannerLossSimulation)
 }
 
-// Guards against giving a job up at the first end after three crashes that are no evidence against it.
-func TestJobIsNotGivenUpForExcludedCrashesAlone(t *testing.T) {
+// Guards against giving a job up at the first end after three crashes of which three, two or only one
+// were excluded as parts of outages.
+func TestJobIsNotGivenUpForCrashesOfOutages(t *testing.T) {
 	t.Parallel()
-	runFailureSeeds(t, []int64{80}, newPlannerLossSimulation)
+	runFailureSeeds(t, []int64{80, 196, 240}, newPlannerLossSimulation)
 }
 
 // Guards against taking leases that have ended for crashes: workers that are cut off by turns for longer
@@ -94,3 +95,10 @@
 	t.Parallel()
 	runFailureSimulations(t, 10, 0, newFailedEndSimulation)
 }
+
+// Guards against starting a task after it has failed as often as its queue allows: a failed end that is
+// listed after its run was written off with the lease is acknowledged, but not counted.
+func TestFailedEndOfWrittenOffRunIsCounted(t *testing.T) {
+	t.Parallel()
+	runFailureSeeds(t, []int64{1013}, newFailedEndSimulation)
+}
