--- a/workload/control/capacity_test.go
+++ b/workload/control/capacity_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,18 +106,24 @@
 // refuse them. A start order that is repeated until it is answered may start a run long after the
 // decision, and a decision may wait for its write to the log while a capacity shrinks.
 func TestNoStartExceedsShrunkCapacity(t *testing.T) {
+	t.Parallel()
 	simulations := 150
 	if testing.Short() {
 		simulations = 20
 	}
-	starts := 0
-	for seed := range simulations {
-		sim := newCapacitySimulation(int64(seed))
+	violations := make([]string, simulations)
+	var starts atomic.Int64
+	runSeeds(simulations, func(seed int64) bool {
+		sim := newCapacitySimulation(seed)
 		sim.run(nil)
-		starts += sim.startCount
-		if len(sim.violations) > 0 {
-			t.Errorf("seed %d: %v", seed, sim.violations)
+		starts.Add(int64(sim.startCount))
+		violations[seed] = sim.allViolations()
+		return true
+	})
+	for seed, found := range violations {
+		if found != "" {
+			t.Errorf("seed %d: %s", seed, found)
 		}
 	}
-	t.Logf("%d simulations, %d starts", simulations, starts)
+	t.Logf("%d simulations, %d starts", simulations, starts.Load())
 }
--- a/workload/control/crash_failures_test.go
+++ b/workload/control/crash_failures_test.go
@@ -32,6 +32,7 @@
 // Guards against harmless jobs that fail for crashes for which another job failed, with the seeds
 // that showed it.
 func TestHarmlessJobsDoNotFailInCrowdedPool(t *testing.T) {
+	t.Parallel()
 	for gangs, seeds := range map[bool][]int64{false: {1377, 1828, 1956}, true: {173}} {
 		for seed, sim := range runCrowdedSimulations(seeds, gangs) {
 			if wronglyFailed := sim.wronglyFailedJobs(); len(wronglyFailed) > 0 || len(sim.violations) > 0 {
@@ -45,6 +46,7 @@
 // must not be started more often than allowed nevertheless. CROWDED_WORLDS=2000 runs 2,000
 // simulations of each kind, with the seeds from CROWDED_FROM, and logs how many jobs failed wrongly.
 func TestExonerationsKeepStartLimitInCrowdedPool(t *testing.T) {
+	t.Parallel()
 	count, from := 8, int64(1)
 	for name, value := range map[string]any{"CROWDED_WORLDS": &count, "CROWDED_FROM": &from} {
 		if env := os.Getenv(name); env != "" {
@@ -87,6 +89,7 @@
 // Guards against a gang that waits for ever because its job avoids the workers on which its tasks
 // have failed, and the other workers have no capacity for it.
 func TestGangWithFailedTasksIsPlacedInSmallPool(t *testing.T) {
+	t.Parallel()
 	for seed, sim := range runCrowdedSimulations([]int64{1001, 1729}, false) {
 		if len(sim.violations) > 0 {
 			t.Errorf("seed %d: %v", seed, sim.violations)
--- a/workload/control/crashes_test.go
+++ b/workload/control/crashes_test.go
@@ -61,8 +61,10 @@
 }
 
 func TestJobWhoseTaskCrashesWorkersFails(t *testing.T) {
+	t.Parallel()
 	for name, plannerInterval := range map[string]time.Duration{"one planner": 0, "a new planner every 5 s": 5 * time.Second} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newCrashScenario(10 * time.Millisecond)
 			harmless := s.runCrashes(40*time.Second, plannerInterval)
 			s.check(t)
@@ -117,6 +119,7 @@
 // than allowed, and no job may fail for the crashes of another. CRASH_WORLDS=6000 runs 6,000
 // simulations instead of the 150 that CI runs, with the seeds from CRASH_FROM.
 func TestStartsOfCrashingTasksAreBoundedUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	count, from := 150, int64(0)
 	if testing.Short() {
 		count = 20
@@ -142,6 +145,7 @@
 // Guards against failing harmless jobs whose runs had ended, or had not begun, when their workers were
 // lost: seed 534. In seed 220 two workers were lost under a running task.
 func TestHarmlessJobsDoNotFailWhenRacksLosePower(t *testing.T) {
+	t.Parallel()
 	runCrashSimulations(t, []int64{220, 534}, newRackOutageSimulation)
 	runCrashSimulations(t, []int64{302, 944, 1165, 2576, 2638}, newSmallRackOutageSimulation)
 }
@@ -151,17 +155,20 @@
 // since each run ended with the crash of one member, and the runs of the others were not counted. In
 // the second, a member that waited for its gang for 0.7 s counted as running, and was cleared.
 func TestStartsOfCrashingGangsAreBounded(t *testing.T) {
+	t.Parallel()
 	runCrashSimulations(t, []int64{2666, 5958}, newCrashSimulation)
 }
 
 // Guards against clearing a task that crashes its workers because the run time of an adopted run was
 // counted from its adoption.
 func TestAdoptedRunsDoNotClearCrashesTooEarly(t *testing.T) {
+	t.Parallel()
 	runCrashSimulations(t, []int64{2462, 2657}, newCrashSimulation)
 }
 
 // Guards against starting tasks that crash workers of a small pool more often than allowed because
 // the crashes caused by other jobs were taken for an outage.
 func TestStartsOfCrashingTasksAreBoundedInSmallPool(t *testing.T) {
+	t.Parallel()
 	runCrashSimulations(t, []int64{173, 180, 2201, 284, 700, 1815, 2730, 3664}, newCrashSimulation)
 }
--- a/workload/control/cut_off_drain_test.go
+++ b/workload/control/cut_off_drain_test.go
@@ -65,6 +65,7 @@
 // Guards against a task that runs twice because its worker, which is draining and unreachable, is
 // taken for departed.
 func TestUnreachableDrainingWorkerIsNotTakenForDeparted(t *testing.T) {
+	t.Parallel()
 	for name, fault := range drainFaults {
 		t.Run(name, func(t *testing.T) {
 			s, id, _ := runDrain(mutant{}, fault)
@@ -79,6 +80,7 @@
 }
 
 func TestMutantsThatTakeUnreachableWorkerForDepartedAreDetected(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		m     mutant
 		fault string
--- a/workload/control/departures_test.go
+++ b/workload/control/departures_test.go
@@ -130,6 +130,7 @@
 // has outages and the list is read late. DEPARTURE_WORLDS=2000 runs 2,000 simulations of each kind
 // instead of the 16 that CI runs.
 func TestTasksRunOnceWhenWorkersDrainAndLeave(t *testing.T) {
+	t.Parallel()
 	count := 16
 	if testing.Short() {
 		count = 10
@@ -147,6 +148,7 @@
 		"planned for whole units": {notice: simNotice}, "planned for whole units, with other faults": {faulty: true, notice: simNotice},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			sims := make([]*simulation, count)
 			violations := simulationViolations(count, func(seed int64) *simulation {
 				sims[seed] = newDepartureSimulation(seed, c.faulty)
@@ -169,11 +171,13 @@
 }
 
 func TestDepartureMutantsAreDetected(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]mutant{
 		"each removal counts as a departure": {heartbeatFactor: 1000},
 		"entries expire later than assumed":  {heartbeatFactor: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range mutantSeeds {
 				sim := newDepartureSimulation(int64(seed), true)
 				sim.mutant = m
--- a/workload/control/evacuation_test.go
+++ b/workload/control/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -393,29 +394,33 @@
 }
 
 func TestNoStartIsSentToEvacuatedCentreUnderRandomFaults(t *testing.T) {
-	seeds, starts := 150, 0
+	t.Parallel()
+	seeds := 150
 	if testing.Short() {
 		seeds = 20
 	}
-	for seed := range seeds {
-		e := runEvacuationSimulation(int64(seed), evacuationMutant{})
-		starts += e.startCount
-		if len(e.violations) > 0 {
-			t.Fatalf("seed %d: %v", seed, e.violations)
-		}
+	var starts atomic.Int64
+	if seed, violations := firstSeed(seeds, func(seed int64) string {
+		e := runEvacuationSimulation(seed, evacuationMutant{})
+		starts.Add(int64(e.startCount))
+		return e.allViolations()
+	}); violations != "" {
+		t.Fatalf("seed %d: %s", seed, violations)
 	}
-	if starts < seeds {
-		t.Fatalf("only %d starts in %d simulations", starts, seeds)
+	if n := int(starts.Load()); n < seeds {
+		t.Fatalf("only %d starts in %d simulations", n, seeds)
 	}
 }
 
 func TestEvacuationMutantsAreDetected(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]evacuationMutant{
 		"requests are only read before decisions": {skipsRecheck: true},
 		"a successor has not read the requests":   {uninformedSuccessor: true},
 		"only the newest request counts":          {newestOnly: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range mutantSeeds {
 				e := runEvacuationSimulation(int64(seed), m)
 				for _, p := range e.violations {
--- a/workload/control/horizon_test.go
+++ b/workload/control/horizon_test.go
@@ -152,19 +152,21 @@
 // Guards against a task that runs twice: a successor restarts it on another worker while the first
 // run goes on under a lease of the lost planner.
 func TestTasksRunOnceAfterThePlannerLostTheLog(t *testing.T) {
+	t.Parallel()
 	simulations := 150
 	if testing.Short() {
 		simulations = 40
 	}
-	for seed := range simulations {
-		if sim := runLostPlanners(int64(seed), mutant{}); len(sim.violations) > 0 {
-			t.Fatalf("seed %d: %v", seed, sim.violations)
-		}
+	if seed, violations := firstSeed(simulations, func(seed int64) string {
+		return runLostPlanners(seed, mutant{}).allViolations()
+	}); violations != "" {
+		t.Fatalf("seed %d: %s", seed, violations)
 	}
 }
 
 // Shows that the test above detects leases beyond the horizon.
 func TestSimulationDetectsLeasesBeyondTheHorizon(t *testing.T) {
+	t.Parallel()
 	for seed := range mutantSeeds {
 		if sim := runLostPlanners(int64(seed), mutant{extraHorizon: 4 * time.Second}); len(sim.violations) > 0 {
 			t.Logf("detected at seed %d: %s", seed, sim.violations[0])
@@ -177,6 +179,7 @@
 // Shows that the same test detects leases that are granted to a worker before the record without it
 // is in the log.
 func TestSimulationDetectsLeasesOfRecordedWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := range mutantSeeds {
 		if sim := runLostPlanners(int64(seed), mutant{grantsRecorded: true}); len(sim.violations) > 0 {
 			t.Logf("detected at seed %d: %s", seed, sim.violations[0])
--- a/workload/control/maintenance_simulation_test.go
+++ b/workload/control/maintenance_simulation_test.go
@@ -160,6 +160,7 @@
 // and all hosts must have it. MAINTENANCE_WORLDS=1000 runs 1,000 simulations of each kind instead of
 // the 30 that CI runs.
 func TestMaintenanceEndsNoRuns(t *testing.T) {
+	t.Parallel()
 	count := 30
 	if value := os.Getenv("MAINTENANCE_WORLDS"); value != "" {
 		if _, err := fmt.Sscan(value, &count); err != nil {
@@ -168,6 +169,7 @@
 	}
 	for name, faulty := range map[string]bool{"without other faults": false, "with other faults": true} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			violations := simulationViolations(count, func(seed int64) *simulation { return newMaintenanceSimulation(seed, faulty) })
 			if len(violations) > 0 {
 				t.Fatalf("%d of %d simulations have violations: %v", len(violations), count, violations[:min(len(violations), 5)])
@@ -178,6 +180,7 @@
 
 // Guards against simulations in which no task could be started on a host whose maintenance is ordered.
 func TestSimulationDetectsHostsOpenUntilMaintenance(t *testing.T) {
+	t.Parallel()
 	for seed := range mutantSeeds {
 		sim := newMaintenanceSimulation(int64(seed), false)
 		sim.mutant.openHosts = true
--- a/workload/control/maintenance_test.go
+++ b/workload/control/maintenance_test.go
@@ -111,6 +111,7 @@
 // A wave must not take down more hosts at once than allowed, or be reported as completed too
 // early, if orders or answers are lost or delayed and planners crash.
 func TestWaveNeverExceedsMaxDownDespiteLostOrdersAndPlannerChanges(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		maxDown := rapid.IntRange(1, 3).Draw(t, "most")
 		m := newMaintenanceScenario(rapid.IntRange(1, 6).Draw(t, "hosts"), maxDown)
--- a/workload/control/mutants_test.go
+++ b/workload/control/mutants_test.go
@@ -113,6 +113,7 @@
 const mutantSeeds = 120
 
 func TestSimulationDetectsSafetyMutants(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]mutant{
 		"successor uses the old token":       {sameToken: true, unfencedLog: true},
 		"orders sent before they are logged": {lateLog: true},
@@ -121,6 +122,7 @@
 		"silence taken for an answer":        {trustSilence: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range mutantSeeds {
 				sim := newSimulation(int64(seed), true)
 				sim.mutant = m
@@ -175,6 +177,7 @@
 }
 
 func TestSimulationDetectsCrashCountsLostWithThePlanner(t *testing.T) {
+	t.Parallel()
 	for seed := range mutantSeeds {
 		sim := newCrashSimulation(int64(seed))
 		sim.mutant.losesCrashCounts = true
@@ -190,6 +193,7 @@
 // Guards against worlds in which too few starts meet ended workers to fail a job for them. The list
 // does not show that these have successors, so that the planner does not poll them first.
 func TestSimulationDetectsStartsTakenForCrashEvidence(t *testing.T) {
+	t.Parallel()
 	for seed := range mutantSeeds {
 		unmutated, sim := newRackOutageSimulation(int64(seed)), newRackOutageSimulation(int64(seed))
 		unmutated.mutant.separateAddresses = true
@@ -210,6 +214,7 @@
 // Guards against worlds in which no late heartbeat of an ended incarnation shows it at its
 // successor's address.
 func TestSimulationDetectsListedSuccessorTakenForProof(t *testing.T) {
+	t.Parallel()
 	for seed := range mutantSeeds {
 		unmutated, sim := newDepartureSimulation(int64(seed), false), newDepartureSimulation(int64(seed), false)
 		sim.mutant.listedSuccessors = true
@@ -226,6 +231,7 @@
 }
 
 func TestSimulationDetectsIncarnationMutants(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]mutant{
 		"incarnations not told apart":              {anonymousIncarnations: true},
 		"silence raises no token":                  {constantTokens: true, unboundStarts: true, unboundAcknowledgements: true},
@@ -236,6 +242,7 @@
 		"cursors reach any incarnation":            {unboundAcknowledgements: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range mutantSeeds {
 				unmutated, sim := newRestartSimulation(int64(seed), true), newRestartSimulation(int64(seed), true)
 				sim.mutant = m
--- a/workload/control/pool_lost_test.go
+++ b/workload/control/pool_lost_test.go
@@ -85,6 +85,7 @@
 // unlimited starts of crashing jobs during such losses. CI runs some of the combinations once;
 // POOL_SEEDS=20 runs all of them with 20 seeds.
 func TestOnlyCrashingJobsFailWhenPoolIsLostRepeatedly(t *testing.T) {
+	t.Parallel()
 	losses, seeds := ciPoolLosses(), 1
 	if value := os.Getenv("POOL_SEEDS"); value != "" {
 		losses = allPoolLosses()
@@ -104,6 +105,7 @@
 // Guards against the same failures when planners are replaced as well: of earlier crashes, a
 // successor knows only what is recorded.
 func TestOnlyCrashingJobsFailWhenPlannersAreLostToo(t *testing.T) {
+	t.Parallel()
 	for _, loss := range ciPoolLosses() {
 		t.Run(fmt.Sprintf("share %v, %v apart, same id %t", loss.share, loss.interval, loss.sameID), func(t *testing.T) {
 			t.Parallel()
--- a/workload/control/pool_summary_test.go
+++ b/workload/control/pool_summary_test.go
@@ -14,6 +14,7 @@
 // only a few can: it takes no capacity from them. Large work that every worker can run must still
 // send them away.
 func TestWorkThatCannotRunDoesNotDelayOthers(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		ahead *workload.Step
 		late  bool
--- a/workload/control/predecessor_starts_test.go
+++ b/workload/control/predecessor_starts_test.go
@@ -50,6 +50,7 @@
 }
 
 func TestRunStartedAfterTheSuccessorsPollIsStopped(t *testing.T) {
+	t.Parallel()
 	for name, delay := range map[string]time.Duration{"before the poll": 50 * time.Millisecond, "after the poll": 3 * time.Second, "after the lease": 9 * time.Second} {
 		for _, unreachable := range []bool{false, true} {
 			for _, logUnavailable := range []time.Duration{0, 2 * time.Second} {
--- a/workload/control/repeated_outages_test.go
+++ b/workload/control/repeated_outages_test.go
@@ -70,6 +70,7 @@
 }
 
 func TestAllJobsEndAfterRepeatedOutages(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/workload/control/restarts_test.go
+++ b/workload/control/restarts_test.go
@@ -128,8 +128,10 @@
 // all of them. When incarnations were told apart by id alone, 246 and 174 of 300 simulations had
 // violations.
 func TestInvariantsHoldWhenWorkersRestartUnderSameID(t *testing.T) {
+	t.Parallel()
 	for name, faulty := range map[string]bool{"restarts only": false, "with other faults": true} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			violations := simulationViolations(restartSeeds, func(seed int64) *simulation { return newRestartSimulation(seed, faulty) })
 			if len(violations) > 0 {
 				t.Fatalf("%d of %d simulations have violations: %v", len(violations), restartSeeds, violations[:min(len(violations), 5)])
@@ -145,6 +147,7 @@
 // 20 that CI runs. Without raised fencing tokens, sending orders over connections to a single
 // incarnation has to be sufficient.
 func TestInvariantsHoldWhenWorkersRestartUnderSameIDMoreSeeds(t *testing.T) {
+	t.Parallel()
 	seeds := 20
 	if value := os.Getenv("RESTART_WORLDS"); value != "" {
 		if _, err := fmt.Sscan(value, &seeds); err != nil {
@@ -154,6 +157,7 @@
 	const first = 904_170_000
 	for name, m := range map[string]mutant{"tokens raised": {}, "tokens not raised": {constantTokens: true}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			violations := simulationViolations(seeds, func(seed int64) *simulation {
 				sim := newRestartSimulation(first+seed, true)
 				sim.mutant = m
@@ -168,6 +172,7 @@
 
 // Runs the simulations without other faults with further seeds.
 func TestInvariantsHoldWithRestartsAsOnlyFault(t *testing.T) {
+	t.Parallel()
 	violations := simulationViolations(restartSeeds/3, func(seed int64) *simulation { return newRestartSimulation(restartSeeds+seed, false) })
 	if len(violations) > 0 {
 		t.Fatalf("%d simulations have violations: %v", len(violations), violations)
--- a/workload/control/scenario_test.go
+++ b/workload/control/scenario_test.go
@@ -174,6 +174,7 @@
 // Guards against progress records that are too large for the log, with a schedule that is faster
 // than its work and with a job of the maximum number of tasks.
 func TestBacklogOfOccurrencesFitsInOneRecord(t *testing.T) {
+	t.Parallel()
 	const recordBytes = 262_144
 	s := newScenario()
 	s.fleet.Work = func(workload.TaskID, int64, string) workertest.Work { return workertest.Work{Takes: time.Hour} }
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"sort"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -515,26 +516,28 @@
 }
 
 func TestTasksRunOnceInOrderAndEndUnderRandomFaults(t *testing.T) {
-	simulations, starts := 150, 0
+	t.Parallel()
+	simulations := 150
 	if testing.Short() {
 		simulations = 20
 	}
-	for seed := range simulations {
-		sim := runSimulation(int64(seed), true, nil)
-		starts += sim.startCount
-		if len(sim.violations) > 0 {
-			t.Fatalf("seed %d: %v", seed, sim.violations)
-		}
+	var starts atomic.Int64
+	if seed, violations := firstSeed(simulations, func(seed int64) string {
+		sim := runSimulation(seed, true, nil)
+		starts.Add(int64(sim.startCount))
+		return sim.allViolations()
+	}); violations != "" {
+		t.Fatalf("seed %d: %s", seed, violations)
 	}
-	t.Logf("%d simulations, %d starts", simulations, starts)
+	t.Logf("%d simulations, %d starts", simulations, starts.Load())
 }
 
 func TestJobsCompleteWithoutFaults(t *testing.T) {
-	for seed := range 20 {
-		sim := runSimulation(int64(seed), false, nil)
-		if len(sim.violations) > 0 {
-			t.Fatalf("seed %d: %v", seed, sim.violations)
-		}
+	t.Parallel()
+	if seed, violations := firstSeed(20, func(seed int64) string {
+		return runSimulation(seed, false, nil).allViolations()
+	}); violations != "" {
+		t.Fatalf("seed %d: %s", seed, violations)
 	}
 }
 
--- a/workload/control/simultaneous_crashes_test.go
+++ b/workload/control/simultaneous_crashes_test.go
@@ -46,6 +46,7 @@
 }
 
 func TestJobsDoNotFailForSimultaneousCrashes(t *testing.T) {
+	t.Parallel()
 	for _, takes := range []time.Duration{400 * time.Millisecond, 2500 * time.Millisecond, 9 * time.Second} {
 		for _, sameID := range []bool{true, false} {
 			t.Run(fmt.Sprintf("runs of %v, same id %t", takes, sameID), func(t *testing.T) {
@@ -76,6 +77,7 @@
 // each, since only one crash of a task was excluded as part of an outage (soak seed 72006, 8 of 24
 // runs with two of the ways in which it failed).
 func TestJobsDoNotFailWhenPoolIsLostRepeatedly(t *testing.T) {
+	t.Parallel()
 	for _, share := range []float64{0.8, 1} {
 		for _, sameID := range []bool{true, false} {
 			t.Run(fmt.Sprintf("share %v, same id %t", share, sameID), func(t *testing.T) {
@@ -121,6 +123,7 @@
 // Jobs that crash their workers must fail, and not be started more often than allowed, during such
 // outages too.
 func TestCrashingTasksFailDespiteOutages(t *testing.T) {
+	t.Parallel()
 	for _, after := range crashDelays {
 		t.Run(after.String(), func(t *testing.T) {
 			t.Parallel()
--- a/workload/control/speeds_test.go
+++ b/workload/control/speeds_test.go
@@ -60,6 +60,7 @@
 // Guards against speeds that are only measured from single tasks, since most work may be in gangs.
 // A gang's members progress at their own pace, and wait at the end for the slowest.
 func TestSpeedsAreMeasuredFromGangs(t *testing.T) {
+	t.Parallel()
 	s := newSpeedScenario(true)
 	s.add(jobB, func(j *workload.Job) { j.QueueSettings.Priority = 0 }, workload.Step{Count: 2, Gang: true, Need: need(4), EstimateMS: 1000})
 	s.advance(8 * time.Second)
@@ -84,6 +85,7 @@
 // Guards against a successor that places a first-priority gang on slow workers because what its
 // predecessor had measured was lost with it.
 func TestSuccessorKnowsTheSpeedsOfItsPredecessor(t *testing.T) {
+	t.Parallel()
 	for _, gangs := range []bool{false, true} {
 		s := newSpeedScenario(gangs)
 		s.planners[len(s.planners)-1].dead = true
--- a/workload/control/spells_test.go
+++ b/workload/control/spells_test.go
@@ -103,6 +103,7 @@
 // Guards against workers that count as slowed while all are, since the windows of the others end
 // before or because the first verdict leaves fewer to compare with.
 func TestNoWorkerIsSlowedIfAllAre(t *testing.T) {
+	t.Parallel()
 	for _, gang := range []bool{true, false} {
 		for ms := 3000; ms < 4700; ms += 100 {
 			s := newSpellScenario()
@@ -153,6 +154,7 @@
 // Guards against new work of any priority on a slowed worker while others have room: there it takes
 // several times as long.
 func TestSlowedWorkerComesLast(t *testing.T) {
+	t.Parallel()
 	for _, step := range []workload.Step{
 		{Count: 1, Need: need(1), EstimateMS: 3000},
 		{Count: 4, Gang: true, PerWorker: 1, Need: need(1), EstimateMS: 3000},
--- a/workload/replay/replay_test.go
+++ b/workload/replay/replay_test.go
@@ -60,6 +60,7 @@
 }
 
 func TestSameSeedGivesSameResult(t *testing.T) {
+	t.Parallel()
 	p := RandomPattern(1)
 	a, b := Run(p, Policy{}, 5), Run(p, Policy{}, 5)
 	if a.Credit != b.Credit || a.Completion != b.Completion || a.Classes[0].InTime != b.Classes[0].InTime {
@@ -125,6 +126,7 @@
 // seeds. Another mechanism that helps under the same load would hide part of the gain, so it is
 // disabled on both sides.
 func TestEachMechanismImprovesItsPattern(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		mechanism    decide.Mechanism
 		pattern      string
@@ -155,16 +157,28 @@
 }
 
 func TestPolicyBeatsBaselinesOnWorstPattern(t *testing.T) {
+	t.Parallel()
 	p := loadPattern(t, "worst")
 	credit := func(r *Result) float64 { return r.Credit }
 	const seeds = 2
-	ours := meanOver(p, Policy{}, seeds, credit)
-	for _, name := range []string{Easy, FIFO} {
+	baselines := []string{Easy, FIFO}
+	policies := []Policy{{}}
+	for _, name := range baselines {
 		other, err := ParsePolicy(name)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if theirs := meanOver(p, other, seeds, credit); ours < 1.2*theirs {
+		policies = append(policies, other)
+	}
+	credits := make([]float64, len(policies))
+	var group sync.WaitGroup
+	for i, policy := range policies {
+		group.Go(func() { credits[i] = meanOver(p, policy, seeds, credit) })
+	}
+	group.Wait()
+	ours := credits[0]
+	for i, name := range baselines {
+		if theirs := credits[i+1]; ours < 1.2*theirs {
 			t.Errorf("credit %.3f, %s has %.3f", ours, name, theirs)
 		}
 	}
@@ -173,6 +187,7 @@
 // Guards against tuning to one deployment: on random ones, the policy must not do worse than
 // without its latest mechanisms in more than one of ten.
 func TestLatestMechanismsDoNotRegressOnRandomDeployments(t *testing.T) {
+	t.Parallel()
 	const deployments, tolerance = 20, 0.03
 	before, err := ParsePolicy(Before)
 	if err != nil {
--- a/workload/service/claim_leases_test.go
+++ b/workload/service/claim_leases_test.go
@@ -41,6 +41,7 @@
 // Guards against work that waits for the authority and the lease of a lost planner one after the
 // other: all instances are lost, and a worker leaves before there is a planner again.
 func TestWorkOfAWorkerThatLeftWithoutAPlannerRestartsWithinTheHorizon(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 0, 20)
 		p.workers.fleet.Limits.MaxLease = leaseBounds.Lease
@@ -225,8 +226,10 @@
 // them for ended. Appends that were carried out without an answer must not count from the time of
 // their repetition: the successor counts from when it read them.
 func TestNoTaskRunsTwiceWhileACutOffPlannerRenewsLeases(t *testing.T) {
+	t.Parallel()
 	for _, unansweredFor := range []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond, 1500 * time.Millisecond} {
 		t.Run(fmt.Sprint(unansweredFor), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				duplicates, restarted := runCutOffPlanner(t, unansweredFor, leaseBounds, leaseBounds.Horizon)
 				if duplicates > 0 {
@@ -242,6 +245,7 @@
 
 // Shows that the test above detects leases beyond the horizon that the claim states.
 func TestLeasesBeyondTheClaimedHorizonAreDetected(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		granted := leaseBounds
 		granted.Horizon += 3 * time.Second
@@ -254,8 +258,10 @@
 // Guards against work that waits for leases which the lost planner has not granted: a worker was
 // silent when all instances were lost, and has left. Its work restarts once its lease is over.
 func TestWorkOfASilentWorkerRestartsWithinItsLeaseAfterTheLossOfAllInstances(t *testing.T) {
+	t.Parallel()
 	for _, silentFor := range []time.Duration{3 * time.Second, 8 * time.Second} {
 		t.Run(fmt.Sprint(silentFor), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				p := newPool(t, 0, 0)
 				p.workers.fleet.Limits.MaxLease = leaseBounds.Lease
--- a/workload/service/dropped_keys_test.go
+++ b/workload/service/dropped_keys_test.go
@@ -34,6 +34,7 @@
 // Guards against an instance that can never claim again because it waits for the progress of a
 // job whose state record the log no longer has.
 func TestDroppedStateDoesNotBlockClaims(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log := newSharedLog(poolReadRate)
 		s := New(poolSettings("edge-0", 1, "0"), log, poolDecoder{}, nil, nil, nil)
@@ -50,6 +51,7 @@
 
 // Guards against a planner that adopts a job whose records the log no longer has.
 func TestDroppedJobIsNotAdopted(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log := newSharedLog(poolReadRate)
 		s := New(poolSettings("edge-0", 1, "0"), log, poolDecoder{}, nil, nil, nil)
--- a/workload/service/evacuation_test.go
+++ b/workload/service/evacuation_test.go
@@ -59,6 +59,7 @@
 // bound (half a second if the log is healthy), whatever happens to the log or the planner
 // around the request. Once the request is withdrawn, tasks start there again at once.
 func TestNothingStartsInAnEvacuatedDataCentreUnderFaults(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		// before and after act on the pool around the request.
 		before, after func(*pool)
@@ -97,6 +98,7 @@
 		"the declaration can't be decoded": {within: healthyEvacuationBound},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				p := newPool(t, 6, 40)
 				defer p.stopAll()
--- a/workload/service/idle_test.go
+++ b/workload/service/idle_test.go
@@ -10,6 +10,7 @@
 // reads the states once a second and the declarations once in half of the age at which it would
 // stop answering; 30 instances make 30 times as many calls.
 func TestIdleInstancesMakeFewCalls(t *testing.T) {
+	t.Parallel()
 	const instances, duration = 30, 20 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, instances, 4)
--- a/workload/service/partial_outage_test.go
+++ b/workload/service/partial_outage_test.go
@@ -66,6 +66,7 @@
 // Guards against submissions that fail while one of their two topics accepts them, and against a
 // wrong outcome if neither does: it is not done only if both topics have refused.
 func TestAcceptancesGoToTheOtherTopicWhileTheHomeTopicFails(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		home, other func(context.Context) error
 		want        error
@@ -79,6 +80,7 @@
 		"neither refuses":                                  {nil, nil, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				log := &partialLog{written: map[Topic]int{}, faults: map[Topic]func(context.Context) error{Jobs: c.home, SpareJobs: c.other}}
 				ctx, cancel := context.WithCancel(context.Background())
--- a/workload/service/plan_state_test.go
+++ b/workload/service/plan_state_test.go
@@ -30,6 +30,7 @@
 // Guards against a successor that does not get its predecessors' state after all instances were
 // lost and the log keeps only the newest record of each key.
 func TestFreshInstanceGetsStateFromASnapshotOfThePlans(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 0, 5)
 		defer p.stopAll()
--- a/workload/service/pool_summary_test.go
+++ b/workload/service/pool_summary_test.go
@@ -40,6 +40,7 @@
 // when a larger worker appears, while workers are not listed, and for a job that another instance
 // has accepted.
 func TestEveryInstanceRefusesWhatNeverRunsAndAcceptsInDoubt(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 12, 4)
 		defer p.stopAll()
@@ -189,6 +190,7 @@
 // may still reach the log, and against an outcome that stays unknown for ever or after an append
 // that was certainly not done.
 func TestNoRefusalWhileAnEarlierAppendIsUnanswered(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		fault func(context.Context) error
 		want  domain.Outcome
--- a/workload/service/recovery_test.go
+++ b/workload/service/recovery_test.go
@@ -78,6 +78,7 @@
 // Guards against an instance that never recovers, or recovers without some records, when its link
 // or the log is faulty meanwhile.
 func TestInstanceRecoversUnderFaults(t *testing.T) {
+	t.Parallel()
 	slowRate := megabits(10)
 	for name, c := range map[string]struct {
 		rate   func(began time.Time) func() float64
@@ -98,6 +99,7 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				log := newLinkedLog(0)
 				log.fill(Jobs, recoveryJobs, recordBytes, jobKey, make([]byte, recordBytes))
@@ -144,6 +146,7 @@
 
 // Guards against an instance on a slow link that starts its snapshot again after a failed read.
 func TestPagesOfASnapshotAreKeptAfterAFailedRead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log := newLinkedLog(0)
 		log.fill(Jobs, recoveryJobs, recordBytes, jobKey, make([]byte, recordBytes))
@@ -167,6 +170,7 @@
 // Guards against an instance that does not become ready although it can reach the log, whatever
 // the order of faults, and against one that applies a snapshot before it is complete.
 func TestReachableInstanceBecomesReadyAndNeverAppliesAPartialSnapshot(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		lost := rapid.SliceOfN(rapid.Bool(), 12, 12).Draw(rt, "lost")
 		cut := time.Duration(rapid.IntRange(0, 4000).Draw(rt, "cut")) * time.Millisecond
@@ -226,6 +230,7 @@
 
 // Guards against a follower that stops at a malformed answer, or reports each one of a series.
 func TestMalformedAnswerIsReportedOnceAndReadAgain(t *testing.T) {
+	t.Parallel()
 	for name, b := range map[string]*malformedLog{
 		"pages without entries that never end": {newest: func(p NewestPage) NewestPage { return NewestPage{More: true} }},
 		"an end below the read offset": {read: func(p Page) Page {
@@ -235,6 +240,7 @@
 		"no complete record before the end": {read: func(p Page) Page { return Page{Next: p.End, End: p.End + 5} }},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				log := newLinkedLog(0)
 				log.fill(Jobs, 30, 10, jobKey, make([]byte, 10))
@@ -305,6 +311,7 @@
 // TestRecoveryAtScale measures how long instances that all restart at once take to become ready.
 // With -recovery.full it measures all sizes, which docs/CAPACITY.md quotes.
 func TestRecoveryAtScale(t *testing.T) {
+	t.Parallel()
 	links, instances, known := []float64{10}, []int{40}, []int{500}
 	if *fullRecovery {
 		links, instances, known = []float64{2, 10, 100}, []int{10, 40, 100}, []int{500, 5_000, 50_000}
@@ -384,6 +391,7 @@
 // records. Callers wait for 3 s and retry only a few times, so what is known has to count as
 // current as soon as the log has recovered.
 func TestReadsAreCurrentSoonAfterTheLogRecovers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log := newLinkedLog(0)
 		log.fill(Declarations, 3, 10, jobKey, make([]byte, 10))
@@ -408,6 +416,7 @@
 // wakes the followers of the others: instances that all keep reading all topics make thousands
 // of calls a second.
 func TestFewCallsDuringALogOutageAndAllTopicsRecoverAtOnce(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log := newLinkedLog(0)
 		a := &countingLog{unavailableLog: &unavailableLog{logLink: newLogLink(log, constantRate(megabits(100)))}}
--- a/workload/service/resignation_test.go
+++ b/workload/service/resignation_test.go
@@ -22,6 +22,7 @@
 // Guards against a successor that waits as if a resigned planner could still give orders: the
 // runs of a worker that left just before the resignation restart within one lease.
 func TestRunsOfADepartedWorkerRestartWithinALeaseOfAResignation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 7, 40)
 		defer p.stopAll()
@@ -50,6 +51,7 @@
 // Guards against orders after a resignation: the successor computes the end of earlier leases
 // from that record.
 func TestPlannerSendsNoOrderAfterItsResignation(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 7, 40)
 		defer p.stopAll()
--- a/workload/service/scale_test.go
+++ b/workload/service/scale_test.go
@@ -78,6 +78,7 @@
 // of 26 tasks with a spec of 600 bytes, an instance that is not a standby reads only the state
 // records.
 func TestReadsPerInstanceDoNotGrowWithTheInstanceCount(t *testing.T) {
+	t.Parallel()
 	few, fewCalls := runPool(t, 10)
 	many, manyCalls := runPool(t, 150)
 	total := func(bytes map[Topic]int) (sum int) {
@@ -107,6 +108,7 @@
 // Guards against a pool that stops, plans twice or runs tasks twice when many instances are lost
 // at once, including all standbys.
 func TestWorkContinuesWhenAllStandbysAreLost(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 60, 40)
 		defer p.stopAll()
@@ -151,6 +153,7 @@
 // Guards against not-found for a job whose state has not been published yet, at an instance that
 // follows only the states. For a job that was never submitted it returns not-found.
 func TestJobIsFoundBeforeItsStateIsPublished(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 20, 10)
 		defer p.stopAll()
@@ -177,6 +180,7 @@
 // last task has ended, while the end is being passed from the worker through the planner to the
 // states.
 func TestEndIsShownToCallersRightAfterIt(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 20, 10)
 		defer p.stopAll()
@@ -199,6 +203,7 @@
 // Guards against long delays of queries for a running job: they are delayed for a moment only,
 // and not at all if their deadline is too near.
 func TestCallerIsNotDelayedByARunningJob(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 20, 10)
 		defer p.stopAll()
@@ -228,8 +233,10 @@
 // of their ID, and each job is in one of the two topics that are searched for it, also while its
 // home topic refuses appends.
 func TestEveryJobIsFoundInItsAcceptanceTopics(t *testing.T) {
+	t.Parallel()
 	for _, homeTopics := range []int{0, 1, 2, 6} {
 		t.Run(fmt.Sprint(homeTopics), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				log := newSharedLog(poolReadRate)
 				writer := New(Settings{Instance: "a", AcceptTopics: homeTopics, StaleAfter: time.Second}, log, poolDecoder{}, nil, nil, nil)
--- a/workload/service/sent_away_test.go
+++ b/workload/service/sent_away_test.go
@@ -31,6 +31,7 @@
 // accepts again, or that is longer than the longest outage seen or than half of what the caller
 // waits. The log is away for 7 s, twice, and loses its answers as a partition does.
 func TestDelayFollowsAnOutageOfTheLog(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -105,6 +106,7 @@
 // Guards against delays of submissions that grow with the polls, cancels and repeated submissions
 // which were sent away: they take no turns of callers that come back.
 func TestOnlySubmissionsCountAsCallersToComeBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
--- a/workload/service/snapshot_retry_test.go
+++ b/workload/service/snapshot_retry_test.go
@@ -61,6 +61,7 @@
 // Guards against an instance that reads one snapshot after the other without a pause while the
 // log drops its history: each such read costs money, and all instances share the rate of calls.
 func TestSnapshotsAreReadWithPausesWhileHistoryKeepsBeingDropped(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const drops = 15 * time.Second
 		log, _ := followDroppingLog(drops)
@@ -72,6 +73,7 @@
 
 // Guards against a pause after a single loss of the history.
 func TestSnapshotIsReadAtOnceAfterHistoryIsDroppedOnce(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		log, began := followDroppingLog(2*roundTrip + time.Millisecond)
 		if len(log.snapshotReads) != 2 || log.snapshotReads[1].Sub(began) > 3*roundTrip {
--- a/workload/service/standby_test.go
+++ b/workload/service/standby_test.go
@@ -13,6 +13,7 @@
 // that never start. Whatever the number of instances, each wave at most doubles the number of
 // readers, and all instances read after a few planner timeouts.
 func TestActivationWavesBoundTheNumberOfReaders(t *testing.T) {
+	t.Parallel()
 	const standbys = 5
 	for _, instances := range []int{6, 30, 147, 300, 1000} {
 		now := time.Unix(1000, 0)
--- a/workload/service/succession_test.go
+++ b/workload/service/succession_test.go
@@ -184,6 +184,7 @@
 //	-4.9293 unit-started 0:1@...9bc4 token 1
 //	-4.8193 strange-run run=1 token 1
 func TestInstancesStartedAtTheSameTimeDoNotShareAClaim(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 3, 20)
 		defer p.stopAll()
--- a/workload/service/suspension_test.go
+++ b/workload/service/suspension_test.go
@@ -83,6 +83,7 @@
 // detects the fault: with the runtime's clock, which stops during a suspension, the planner
 // continues at once.
 func TestSuspendedPlannerSendsNoOrderBeforeItsNextWrite(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := runWithSuspensions(t, true)
 		if s.earlyOrders > 0 || s.orders == 0 {
@@ -99,6 +100,7 @@
 
 // Guards against answers from what an instance had read before it was suspended.
 func TestSuspendedInstanceDoesNotAnswerFromEarlierReads(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 3, 20)
 		defer p.stopAll()
--- a/workload/service/term_test.go
+++ b/workload/service/term_test.go
@@ -133,8 +133,10 @@
 // Guards against tasks that run again, or jobs that never continue, under a planner whose book was
 // emptied between its claim and the start of its term.
 func TestNoTermStartsFromABookThatWasEmptiedAfterTheClaim(t *testing.T) {
+	t.Parallel()
 	for name, resumeAfter := range map[string]time.Duration{"it stops reading": 0, "it stops and resumes reading": 600 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				p := newTermPool(t)
 				defer p.stopAll()
@@ -159,6 +161,7 @@
 // Guards against a planner that starts its term on a claim that was carried out late, before it
 // has read everything that it needs.
 func TestNoPlanningOnALateClaimBeforeEverythingIsRead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newTermPool(t)
 		defer p.stopAll()
@@ -183,6 +186,7 @@
 // Guards against orders of a planner whose claim was carried out late: it may have been succeeded
 // before its term started.
 func TestLateClaimGivesNoAuthorityBeforeAWrite(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 0, 20)
 		defer p.stopAll()
@@ -250,6 +254,7 @@
 // Guards against an instance that refuses its callers before the first write of its term, although
 // it reads the log.
 func TestLateClaimDoesNotStopAnswersToCallers(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(t, 0, 20)
 		defer p.stopAll()
@@ -291,6 +296,7 @@
 // Guards against the same fault as TestNoPlanningOnALateClaimBeforeEverythingIsRead, in the same
 // situation, by the time at which the term starts.
 func TestLateTermStartsOnlyAfterEverythingIsRead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newTermPool(t)
 		defer p.stopAll()
@@ -318,6 +324,7 @@
 
 // Guards against an instance that discards what it has read during its claim.
 func TestReadRecordsAreKeptDuringAClaim(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		p := newTermPool(t)
 		defer p.stopAll()
@@ -342,6 +349,7 @@
 // Guards against a term that starts without the plans before the claim: the claim's offset is
 // beyond the one up to which the plans were read.
 func TestClaimBeyondTheReadOffsetStartsNoTerm(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := New(poolSettings("edge-0", 1, "0"), newSharedLog(poolReadRate), poolDecoder{}, nil, nil, nil)
 		s.directory.Store(&Directory{})
@@ -363,6 +371,7 @@
 // Guards against a planner that takes the time at which it sent an unanswered claim for the start
 // of its authority.
 func TestSendTimeIsKnownOnlyForAnAnsweredClaim(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := New(poolSettings("edge-0", 1, "0"), newSharedLog(poolReadRate), poolDecoder{}, nil, nil, nil).succession
 		began := time.Now()
--- a/workload/service/world_test.go
+++ b/workload/service/world_test.go
@@ -410,6 +410,7 @@
 // and accepted jobs that never end, under random faults of instances, data centres, the log and
 // orders.
 func TestInstancesUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	for n := range *worldCount {
 		seed := *worldFirstSeed + int64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
