--- a/workload/control/evacuation_test.go
+++ b/workload/control/evacuation_test.go
@@ -317,9 +317,7 @@
 	for i := range list {
 		list[i].DataCentre = centreOf(list[i].ID)
 	}
-	for _, id := range e.jobIDs {
-		p.core.Adopt(workload.JobID(id), e.entry(workload.JobID(id)))
-	}
+	e.adoptJobs(p)
 	p.core.SetWorkers(list, e.now)
 	e.applyEvacuations(p, plannerStartedAt)
 	p.core.Round(e.now, e.now.UnixMilli())
--- a/workload/control/simulation_test.go
+++ b/workload/control/simulation_test.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sort"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -113,6 +115,8 @@
 	rackLabels bool
 	// replaced are the workers that have left.
 	replaced map[string]bool
+	// workerIDs is the last result of sortedWorkers.
+	workerIDs []string
 }
 
 // planner is a planner with its core, its token and its connections to workers.
@@ -132,6 +136,8 @@
 	logLostAt time.Time
 	// seenGaps is the number of the registry's gaps that were reported to it.
 	seenGaps int
+	// adoptedEnds are the ended jobs whose final entries it has adopted.
+	adoptedEnds map[workload.JobID]adoptedEnd
 }
 
 type runKey struct {
@@ -285,20 +291,14 @@
 	sim.takeOverLeases(p)
 	p.core.Configure(control.Configuration{Version: 1, Guaranteed: map[domain.AccountID]int64{"": 16}})
 	sim.restoreState(p.core)
-	for _, id := range sim.jobIDs {
-		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
-	}
+	sim.adoptJobs(p)
 	sim.adoptWave(p.core)
 	sim.planners = append(sim.planners, p)
 }
 
 func (sim *simulation) listings() []control.Listing {
-	var out []control.Listing
-	ids := make([]string, 0, len(sim.fleet.Workers))
-	for id := range sim.fleet.Workers {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
+	ids := sim.sortedWorkers()
+	out := make([]control.Listing, 0, len(ids))
 	for i, id := range ids {
 		worker := sim.fleet.Workers[id]
 		if worker.Dead && !sim.crashes.isListed(id, sim.now) && !sim.now.Before(sim.entryExpiresAt[id]) {
@@ -308,7 +308,7 @@
 		if shown, restarts := sim.listedBorn[id]; restarts {
 			born = shown
 		}
-		address, rack := sim.crashes.location(id, fmt.Sprintf("r%d", i/3))
+		address, rack := sim.crashes.location(id, "r"+strconv.Itoa(i/3))
 		if sim.mutant.separateAddresses {
 			address = id
 		}
@@ -317,6 +317,16 @@
 	return out
 }
 
+// sortedWorkers returns the ids of all workers in order. It sorts them again only when they have
+// changed, since the list is made in every round.
+func (sim *simulation) sortedWorkers() []string {
+	workers := sim.fleet.Workers
+	if len(sim.workerIDs) != len(workers) || slices.ContainsFunc(sim.workerIDs, func(id string) bool { return workers[id] == nil }) {
+		sim.workerIDs = sortedIDs(workers)
+	}
+	return sim.workerIDs
+}
+
 // runRound runs a planner's round: it decides, writes to the log, and sends orders.
 func (sim *simulation) runRound(p *planner) {
 	if p.dead || sim.now.Before(p.frozenUntil) || p.core.Deposed() {
@@ -326,9 +336,7 @@
 		sim.sendOrders(p)
 		return
 	}
-	for _, id := range sim.jobIDs {
-		p.core.Adopt(workload.JobID(id), sim.entry(workload.JobID(id)))
-	}
+	sim.adoptJobs(p)
 	sim.updateList(p)
 	if sim.mutant.openHosts {
 		p.core.OpenOrderedHosts()
@@ -457,11 +465,7 @@
 }
 
 func (sim *simulation) randomWorker() string {
-	ids := make([]string, 0, len(sim.fleet.Workers))
-	for id := range sim.fleet.Workers {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
+	ids := sim.sortedWorkers()
 	return ids[sim.rng.Intn(len(ids))]
 }
 
