--- a/workload/control/cut_off_model_test.go
+++ b/workload/control/cut_off_model_test.go
@@ -27,7 +27,8 @@
 		crashShare = 5 + rng.Intn(10)
 	}
 	period := time.Duration(40+rng.Intn(30)) * time.Second
-	load := sim.addWork(rng, period, crashShare)
+	load := sim.addWork(rng, period)
+	sim.addCrashingJobs(rng, crashShare)
 	load.takesFactor = 2 + rng.Intn(6)
 	sim.addWorkers(rng, cutOffPool)
 	sim.longPoll = rng.Intn(2) == 0
--- a/workload/control/planner_loss_model_test.go
+++ b/workload/control/planner_loss_model_test.go
@@ -44,20 +44,23 @@
 	return workertest.Work{Takes: takes, Fails: m.grey[worker] || rng.Intn(10) == 0}
 }
 
-// addWork draws the work of a simulation of the given length, and which of its jobs crash their
-// workers: one in as many as given, 0 is none.
-func (sim *simulation) addWork(rng *rand.Rand, period time.Duration, crashShare int) *loadModel {
+// addWork draws the work of a simulation of the given length.
+func (sim *simulation) addWork(rng *rand.Rand, period time.Duration) *loadModel {
 	sim.steps = int(period / tickAverage)
 	load := &loadModel{seed: rng.Int63(), takesFactor: 1 + rng.Intn(4), grey: map[string]bool{}}
 	sim.fleet.Work = load.work
+	return load
+}
+
+// addCrashingJobs makes one job in as many as given crash its workers; 0 is none.
+func (sim *simulation) addCrashingJobs(rng *rand.Rand, share int) {
 	after := map[workload.JobID]time.Duration{}
 	for i := range simSteps {
-		if crashShare > 0 && i%crashShare == 3 {
+		if share > 0 && i%share == 3 {
 			after[simJobID(i)] = crashDelays[rng.Intn(len(crashDelays))]
 		}
 	}
 	sim.enableCrashes(after, time.Duration(500+rng.Intn(3500))*time.Millisecond)
-	return load
 }
 
 // addWorkers adds workers up to the given number.
@@ -71,7 +74,8 @@
 // addLoad fills a simulation's pool up to 48 workers in racks of eight, and draws its work, its grey
 // workers, its jobs and which of them crash their workers.
 func (sim *simulation) addLoad(rng *rand.Rand, maxGrey int, period time.Duration) {
-	load := sim.addWork(rng, period, 7+rng.Intn(20))
+	load := sim.addWork(rng, period)
+	sim.addCrashingJobs(rng, 7+rng.Intn(20))
 	sim.addWorkers(rng, largePool)
 	ids := sortedIDs(sim.fleet.Workers)
 	for i, id := range ids {
