--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -29,12 +29,12 @@
 	// minAttributableCrashes is the number of workers that must have crashed outside outages, after a
 	// run of the task had begun there, before its job may fail for crashes.
 	minAttributableCrashes = 2
-	// runsAfterMaxCrashes is how many runs a task gets after maxCrashes,
-	// runsAfterMaxCrashesExonerated if the job of another task failed for one of these crashes.
-	// The task may have caused that crash all the same, and a third run would exceed the limit on
-	// its starts.
-	runsAfterMaxCrashes           = 1
-	runsAfterMaxCrashesExonerated = 2
+	// runsAfterMaxCrashes is how many runs a task gets after maxCrashes, extendedRunsAfterMaxCrashes
+	// if the job of another task failed for one of these crashes, or if the first of these runs
+	// failed without a crash and is no gang's, whose other members may crash. The task may crash its workers all the same, and a third run would
+	// exceed the limit on its starts.
+	runsAfterMaxCrashes         = 1
+	extendedRunsAfterMaxCrashes = 2
 	// crashDetectionTime is how long it takes to notice a crash: the pause between lease
 	// renewals, plus a refused call.
 	crashDetectionTime = 200 * time.Millisecond
@@ -303,18 +303,24 @@
 	}
 }
 
-// isLast reports whether a run is the last one that its task gets after maxCrashes.
-func (r *activeRun) isLast(t *workload.Task) bool {
-	left := int64(runsAfterMaxCrashes)
-	if t.Exonerated > 0 {
-		left = runsAfterMaxCrashesExonerated
+// runsLeft returns how many runs a task gets after maxCrashes, the given one included.
+func (r *activeRun) runsLeft(t *workload.Task) int64 {
+	if t.Exonerated > 0 || (!r.step.Gang && t.FailedRun == r.run) {
+		return extendedRunsAfterMaxCrashes
 	}
-	return t.PossibleCrashes() >= maxCrashes && mayGiveUp(t) && r.run-t.CrashRun >= left
+	return runsAfterMaxCrashes
 }
 
-// isSpent reports whether the end of a run fails its job. A run that never started, or that was
-// evicted, proves nothing.
-func (r *activeRun) isSpent(t *workload.Task) bool { return r.isLast(t) && !r.unstarted && !r.evicted }
+// isSpent reports whether the end of a run fails its job, since it was the last one that its task gets
+// after maxCrashes. A run that never started, or that was evicted, proves nothing. A single
+// attributable crash is enough once no further run is allowed.
+func (r *activeRun) isSpent(t *workload.Task) bool {
+	if r.unstarted || r.evicted || t.PossibleCrashes() < maxCrashes {
+		return false
+	}
+	since := r.run - t.CrashRun
+	return (mayGiveUp(t) && since >= r.runsLeft(t)) || (t.AttributableCrashes() > 0 && since >= extendedRunsAfterMaxCrashes)
+}
 
 // isConclusive reports whether a crash fails a run's job at once: all crashes came soon after the
 // start of a run, the last one implicates this run, and the worker's address is not unstable.
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -367,16 +367,11 @@
 
 // countFailure counts a failure of the task, or one failure per run of its gang.
 func (c *Core) countFailure(r *activeRun) {
-	counted := c.task(r)
-	if r.step.Gang {
-		first := r.id
-		first.Index = 0
-		counted = r.job.progress.FindTask(first)
-		if counted.FailedRun == r.run {
-			return
-		}
-		counted.FailedRun = r.run
+	counted := r.job.failureCounter(r.id)
+	if r.step.Gang && counted.FailedRun == r.run {
+		return
 	}
+	counted.FailedRun = r.run
 	counted.Failures++
 	r.job.avoidedWorkers[r.worker.ID] = true
 	attempts := max(1, c.queueSettings(r.job).MaxAttempts)
@@ -389,6 +384,15 @@
 	c.failJob(r.job)
 }
 
+// failureCounter returns the record in which the failures of a task are counted: its own, or that of
+// its gang's first task.
+func (j *job) failureCounter(id workload.TaskID) *workload.Task {
+	if j.Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return j.progress.FindTask(id)
+}
+
 // closeOccurrences closes occurrences that are done, and completes the job after its last one.
 func (c *Core) closeOccurrences(j *job) {
 	open := j.progress.Open[:0]
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -43,8 +43,8 @@
 	Worker string `json:"w,omitempty"`
 	// Number of runs that ended in failure.
 	Failures int `json:"f,omitempty"`
-	// FailedRun is the latest run of a gang that was counted as a failure; it is stored in the
-	// gang's first task.
+	// FailedRun is the latest run that was counted as a failure, of a gang in the gang's first task.
+	// Instances of older versions record it for gangs only.
 	FailedRun int64 `json:"x,omitempty"`
 	// SavedRun is the latest run of a gang of which a stop has saved progress; it is stored in the
 	// gang's first task. Instances that don't know it drop it.
