Control: failing test, an outage of workers that run suspects is missed

Seen: 12 workers crash at once, each under a task of another job with two excluded crashes: all 12 crashes are evidence.

Cause: isExplained asks for PossibleCrashes, so excluded crashes and ended leases of earlier outages explain a crash.

go test ./workload/control -run TestOutageOfWorkersWithSuspectsIsNoticed

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,47 @@
 		t.Errorf("the job is %s after a single crash under a run that had begun", state)
 	}
 }
+
+// Guards against missing an outage of workers on which tasks run that earlier outages made suspects:
+// a crash in an outage explains no other crash.
+func TestOutageOfWorkersWithSuspectsIsNoticed(t *testing.T) {
+	const workers = 2 * outageLeast
+	s := newCutOffScenario(false)
+	var list []Listing
+	for i := range workers {
+		list = append(list, Listing{ID: fmt.Sprint("w", i), Address: fmt.Sprint(i), Rack: "r", Capacity: workload.Resources{Accelerators: 1}, ClockMS: 1})
+	}
+	s.c = New(s.c.bounds, 1, s.now)
+	s.c.Configure(Configuration{Queues: map[string]workload.QueueSettings{"q": {Priority: 1, MaxAttempts: 3, Stretch: 3, TargetMS: 1000}}})
+	s.c.SetWorkers(list, s.now)
+	for _, l := range list {
+		s.renew(l.ID, nil, nil)
+	}
+	var tasks []workload.TaskID
+	for i := range workers {
+		id := workload.JobID(fmt.Sprintf("%016x", i+1))
+		s.c.Adopt(id, workload.Entry{Job: &workload.Job{ID: id, Queue: "q", AcceptedMS: s.now.UnixMilli(), Steps: []workload.Step{{Count: 1, EstimateMS: 2000, Need: workload.Resources{Accelerators: 1}}}}, State: workload.Queued})
+		tasks = append(tasks, workload.TaskID{Job: id})
+	}
+	if n := len(s.round()); n != workers {
+		t.Fatalf("%d tasks were started, want %d", n, workers)
+	}
+	for _, id := range tasks {
+		task := s.c.jobs[id.Job].progress.FindTask(id)
+		task.Crashes, task.Excluded, task.CrashMS = isolateAfterCrashes, isolateAfterCrashes, 2000
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+	for _, l := range list {
+		s.c.HandleRenewal(RenewalOrder{Worker: l.ID, Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	}
+	s.c.Round(s.now, s.now.UnixMilli())
+	convicting := 0
+	for _, id := range tasks {
+		if s.c.jobs[id.Job].progress.FindTask(id).Evidence() > 0 {
+			convicting++
+		}
+	}
+	if convicting > 0 {
+		t.Errorf("the crash of all %d workers at once is evidence against %d of %d tasks", workers, convicting, len(tasks))
+	}
+}
