Control: failing test, a proven crash is not excluded with its outage

Seen: 1 crash is evidence after six workers that fell silent with it were counted, want 0.

Cause: countProvenCrash adds the task to the copy of the crash in lapsedCrash. The entry in crashHistory, which reweighCrashes reads, has no tasks.

go test ./workload/control -run TestProvenCrashIsExcludedOnceItsOutageIsNoticed

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -86,3 +86,22 @@
 		t.Errorf("the crash of all %d workers at once is evidence against %d of %d tasks", workers, convicting, len(tasks))
 	}
 }
+
+// Guards against keeping a crash as evidence that was proven only after its lease had ended, when the
+// rest of its outage is noticed later.
+func TestProvenCrashIsExcludedOnceItsOutageIsNoticed(t *testing.T) {
+	s := newCutOffScenario(false)
+	silentAt := s.loseLease()
+	s.answerAsSuccessor(silentAt.Add(500 * time.Millisecond))
+	task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
+	if task.Evidence() != 1 {
+		t.Fatalf("%d crashes are evidence before the outage is noticed, want 1", task.Evidence())
+	}
+	for range outageLeast {
+		s.c.crashHistory.add(crash{silentAt: silentAt, noticedAt: s.now}, nil)
+	}
+	s.round()
+	if task.Evidence() != 0 {
+		t.Errorf("%d crashes are evidence after the outage was noticed, want 0: %+v", task.Evidence(), *task)
+	}
+}
