Control: failing test, a proven crash is not exonerated

Seen: 1 crash is evidence after the job beside it failed for the crash, want 0.

Cause: as for the outage that is noticed later: exonerateOthers reads crashHistory, and the task is only in the copy of the crash in lapsedCrash.

go test ./workload/control -run TestProvenCrashIsExoneratedByVerdict

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -105,3 +105,20 @@
 		t.Errorf("%d crashes are evidence after the outage was noticed, want 0: %+v", task.Evidence(), *task)
 	}
 }
+
+// Guards against keeping a proven crash as evidence against a task after another job failed as its cause.
+func TestProvenCrashIsExoneratedByVerdict(t *testing.T) {
+	s := newCutOffScenario(false)
+	other := workload.JobID("00000000000000bb")
+	s.c.Adopt(other, workload.Entry{Job: &workload.Job{ID: other, Queue: "q", AcceptedMS: s.now.UnixMilli(), Steps: []workload.Step{{Count: 1, EstimateMS: 2000, Need: workload.Resources{Accelerators: 1}}}}, State: workload.Queued})
+	silentAt := s.loseLease()
+	s.answerAsSuccessor(silentAt.Add(500 * time.Millisecond))
+	task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
+	if task.Evidence() != 1 {
+		t.Fatalf("%d crashes are evidence, want 1", task.Evidence())
+	}
+	s.c.exonerateOthers(other)
+	if task.Evidence() != 0 || task.Exonerated != 1 {
+		t.Errorf("%d crashes are evidence and %d exonerated after the job beside it failed for the crash, want 0 and 1", task.Evidence(), task.Exonerated)
+	}
+}
