Control: failing test, a crash that is proven late is evidence although in an outage

Seen: proven 30 s after the lease ended: 1 crash, evidence; proven at once: excluded.

Cause: crashHistory forgets crashes after four leases, and a lapsed crash is weighed only when it is proven, at any later time: the retention is checked only at the next lapse.

go test ./workload/control -run TestProvenCrashOfEarlierOutageIsNoEvidence

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -122,3 +122,24 @@
 		t.Errorf("%d crashes are evidence and %d exonerated after the job beside it failed for the crash, want 0 and 1", task.Evidence(), task.Exonerated)
 	}
 }
+
+// Guards against taking a crash for evidence because the outage that it was part of is no longer
+// remembered when the crash is proven.
+func TestProvenCrashOfEarlierOutageIsNoEvidence(t *testing.T) {
+	for _, later := range []time.Duration{0, 30 * time.Second} {
+		s := newCutOffScenario(false)
+		s.round()
+		silentAt := s.now.Add(time.Second)
+		for range outageLeast {
+			s.c.crashHistory.add(crash{silentAt: silentAt, noticedAt: silentAt}, nil)
+		}
+		s.loseLease()
+		s.now = s.now.Add(later)
+		// Another worker crashes meanwhile, which drops the crashes of the outage.
+		s.c.crashHistory.expire(s.now.Add(-s.c.unstablePeriod()))
+		s.answerAsSuccessor(silentAt.Add(500 * time.Millisecond))
+		if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.Crashes != 1 || task.Evidence() != 0 {
+			t.Errorf("proven %v after the lease ended: %d crashes, %d of them evidence; want 1 and 0", later, task.Crashes, task.Evidence())
+		}
+	}
+}
