Control: failing test, a crash from before its task was cleared counts

Seen: 1 crash and 0 ended leases, want 0 and 1.

Cause: resetCrashes leaves the runs in lapsedCrashes (dropTask does this for crashHistory), and Task.Lapsed does not say which run a count belongs to.

go test ./workload/control -run TestProvenCrashFromBeforeTaskWasClearedDoesNotCount

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -143,3 +143,18 @@
 		}
 	}
 }
+
+// Guards against counting a crash from before its task was cleared: the lease that ended since then is
+// taken for the one of the crash.
+func TestProvenCrashFromBeforeTaskWasClearedDoesNotCount(t *testing.T) {
+	s := newCutOffScenario(false)
+	silentAt := s.loseLease()
+	task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
+	task.ResetCrashes()
+	// Another lease ends under the next run.
+	task.Lapsed = 1
+	s.answerAsSuccessor(silentAt.Add(500 * time.Millisecond))
+	if task.Crashes != 0 || task.Lapsed != 1 {
+		t.Errorf("%d crashes and %d ended leases are counted, want 0 and 1", task.Crashes, task.Lapsed)
+	}
+}
