Control: failing test, a step of the wall clock proves a crash

Seen: 1 crash for a worker that started 9 s after the lease had ended, want 0.

Cause: leaseEndMS is the wall clock of the last round. If it was 30 s fast then, workers that start within 30 s after the lease has ended prove a crash.

go test ./workload/control -run TestClockStepProvesNoCrash

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -158,3 +158,21 @@
 		t.Errorf("%d crashes and %d ended leases are counted, want 0 and 1", task.Crashes, task.Lapsed)
 	}
 }
+
+// Guards against taking a worker that started after the lease had ended for proof of a crash because the
+// planner's wall clock was set forward before the lease ended.
+func TestClockStepProvesNoCrash(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.round()
+	s.now = s.now.Add(time.Second)
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Token: 1}, RenewalAnswer{Result: Unanswered}, s.now, s.now)
+	s.c.SetWorkers([]Listing{s.c.workers["w1"].Listing}, s.now)
+	s.now = s.now.Add(8 * time.Second)
+	s.c.Round(s.now, s.now.Add(30*time.Second).UnixMilli())
+	s.now = s.now.Add(10 * time.Second)
+	s.c.Round(s.now, s.now.UnixMilli())
+	s.answerAsSuccessor(s.now.Add(-time.Second))
+	if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.Crashes != 0 {
+		t.Errorf("%d crashes are counted for a worker that started 9 s after the lease had ended, want 0", task.Crashes)
+	}
+}
