Control: failing test, one lost worker is two signs of an outage

Seen: 2 silences for one worker whose lease ended before the answer of its successor.

Cause: releaseRuns for an ended lease leaves the worker not gone, so that declareGone counts the crash again. Three workers may so count as the six of an outage.

go test ./workload/control -run TestLostWorkerIsOneSignOfOutage

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -176,3 +176,18 @@
 		t.Errorf("%d crashes are counted for a worker that started 9 s after the lease had ended, want 0", task.Crashes)
 	}
 }
+
+// Guards against counting one lost worker twice as a sign of an outage: its lease ends, and a call that
+// was sent before is then answered by its successor.
+func TestLostWorkerIsOneSignOfOutage(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.loseLease()
+	if n := len(s.c.crashHistory.silences); n != 1 {
+		t.Fatalf("%d workers are counted when the lease has ended, want 1", n)
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Address: "0", Token: 1}, RenewalAnswer{Result: Gone}, s.now, s.now)
+	if n := len(s.c.crashHistory.silences); n != 1 {
+		t.Errorf("%d workers are counted after its successor answered, want 1", n)
+	}
+}
