Control: failing test, an ended lease counts for good after a succession

Seen: 1 ended lease still counts after the worker has answered the new planner, want 0.

Cause: Task.Lapsed is in the log, lapsedCrashes is not. From two on the task is kept apart and waits for a settled pool.

go test ./workload/control -run TestEndedLeaseIsUncountedAfterSuccession

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -191,3 +191,25 @@
 		t.Errorf("%d workers are counted after its successor answered, want 1", n)
 	}
 }
+
+// Guards against limiting the starts of a task for good after a worker was cut off: a planner that is
+// replaced before the worker answers no longer knows which run had lapsed there.
+func TestEndedLeaseIsUncountedAfterSuccession(t *testing.T) {
+	s := newCutOffScenario(false)
+	s.c.workers["w0"].Listing.StartMS = s.now.UnixMilli() - 5000
+	s.c.workers["w0"].startMS = s.c.workers["w0"].Listing.StartMS
+	listing := s.c.workers["w0"].Listing
+	s.loseLease()
+	if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.Lapsed != 1 {
+		t.Fatalf("%d ended leases count before the succession, want 1", task.Lapsed)
+	}
+	progress := marshalProgress(t, s.c.jobs[s.id].progress)
+	j := s.c.jobs[s.id].Job
+	s.c = New(s.c.bounds, 2, s.now)
+	s.c.SetWorkers([]Listing{listing}, s.now)
+	s.c.Adopt(s.id, workload.Entry{Job: j, State: workload.Running, Started: true, Progress: progress})
+	s.c.HandleRenewal(RenewalOrder{Worker: "w0", Address: "0", Token: s.c.workers["w0"].token}, RenewalAnswer{Result: Accepted, ClockMS: s.now.UnixMilli() - 999_000, StartMS: listing.StartMS}, s.now, s.now)
+	if task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0)); task.Lapsed != 0 {
+		t.Errorf("%d ended leases still count after the worker has answered a new planner, want 0", task.Lapsed)
+	}
+}
