Control: failing test, an ended lease makes up the third crash

Seen: the job fails after 2 crashes, one ended lease and a run that ended alone.

Cause: isLast compares PossibleCrashes, which includes ended leases, with maxCrashes.

go test ./workload/control -run TestEndedLeaseIsNoThirdCrash

--- a/workload/control/lapsed_crashes_test.go
+++ b/workload/control/lapsed_crashes_test.go
@@ -213,3 +213,16 @@
 		t.Errorf("%d ended leases still count after the worker has answered a new planner, want 0", task.Lapsed)
 	}
 }
+
+// Guards against failing a job at the end of a run that neither failed nor was lost, because a lease
+// that ended makes up the third crash.
+func TestEndedLeaseIsNoThirdCrash(t *testing.T) {
+	s := newCutOffScenario(true)
+	s.round()
+	task := s.c.jobs[s.id].progress.FindTask(s.firstStepTask(0))
+	*task = workload.Task{Phase: workload.Placed, Worker: "w0", Run: 1, Crashes: maxCrashes - 1, Lapsed: 1, CrashMS: 2000}
+	s.renew("w0", nil, []EndedRow{{Number: 1, Task: s.firstStepTask(0), Run: 1, End: EndGangIncomplete}})
+	if state := s.c.jobs[s.id].progress.State; state == workload.Failed {
+		t.Errorf("the job is %s after %d crashes, a lease that ended and a run that ended alone", state, maxCrashes-1)
+	}
+}
