--- a/workload/workertest/fleet.go
+++ b/workload/workertest/fleet.go
@@ -4,7 +4,8 @@
 package workertest
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -92,7 +93,9 @@
 }
 
 type run struct {
-	id           workload.TaskID
+	id workload.TaskID
+	// name is the formatted id, by which runs are sorted.
+	name         string
 	run          int64
 	step         workload.Step
 	startedAt    time.Time
@@ -198,7 +201,9 @@
 	for _, r := range w.runs {
 		out = append(out, r)
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].id.String() < out[b].id.String() })
+	if len(out) > 1 {
+		slices.SortFunc(out, func(a, b *run) int { return strings.Compare(a.name, b.name) })
+	}
 	return out
 }
 
@@ -260,7 +265,7 @@
 	if !w.IgnoresCapacity && !step.CapacityNeed().FitsIn(w.free()) {
 		return control.Full
 	}
-	r := &run{id: o.Task, run: o.Run, step: step, startedAt: now, saved: o.Checkpoint, work: w.fleet.Work(o.Task, o.Run, w.ID)}
+	r := &run{id: o.Task, name: o.Task.String(), run: o.Run, step: step, startedAt: now, saved: o.Checkpoint, work: w.fleet.Work(o.Task, o.Run, w.ID)}
 	if o.Checkpoint != "" {
 		r.workDone = checkpointedWork(o.Checkpoint)
 	}
