Control: faults of the review in what an ended lease proves, and outages of suspects

- A crash in an outage explained another one, so that the next outage of workers with suspects was missed (TestOutageOfWorkersWithSuspectsIsNoticed: 12 of 12 crashes were evidence).
Only a suspect with a crash outside outages explains one now.
- A proven crash was neither excluded with its outage nor exonerated by a verdict: it was counted in a copy of its record.
One proven after its outage was forgotten was evidence.
- A crash from before a task was cleared used up the lapse of a later run.
- A step of the planner's wall clock proved a crash.
The start of the answering incarnation is now placed on the planner's steady clock, by its reported start and by its own clock; both must be before the end of the lease.
- A lost worker was two signs of an outage, at the end of its lease and when its successor answered.

--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -172,6 +172,7 @@
 	c.emit(Event{Name: EventCrashesReset, Job: r.id.Job, Task: r.id.String(), Worker: r.worker.ID, Run: r.run, Detail: crashDetail(t)})
 	t.ResetCrashes()
 	delete(c.unprovenStarts, r.id)
+	c.forgetLapsed(r.id)
 	c.crashHistory.dropTask(r.id)
 	c.markDirty(r.job)
 }
@@ -217,17 +218,20 @@
 	}
 	c.recordLapsedCrash(w, cr, lapsed)
 	c.crashHistory.expire(now.Add(-c.unstablePeriod()))
-	c.crashHistory.add(cr, slices.Compact(jobs))
+	if !w.lossRecorded {
+		c.crashHistory.add(cr, slices.Compact(jobs))
+	}
+	w.lossRecorded = reason == reasonLeaseOver
 	c.markUnstable(w, now)
 	return givenUp
 }
 
 // isExplained reports whether one of the runs that were lost with a worker may have crashed it: several
-// workers have crashed under its task before.
+// workers have crashed under its task before, at least one of them outside an outage.
 func (c *Core) isExplained(lost []*activeRun) bool {
 	return slices.ContainsFunc(lost, func(r *activeRun) bool {
 		t := c.task(r)
-		return t != nil && t.PossibleCrashes() >= isolateAfterCrashes && t.Run == r.run && !r.settled && !c.neverBegan(r)
+		return t != nil && t.PossibleCrashes() >= isolateAfterCrashes && t.AttributableCrashes() > 0 && t.Run == r.run && !r.settled && !c.neverBegan(r)
 	})
 }
 
@@ -235,7 +239,7 @@
 func (c *Core) countCrashAgainst(r *activeRun, cr *crash, now time.Time) {
 	t := c.task(r)
 	c.countCrash(r, t, now)
-	r.crashWeight = c.weighCrash(r, cr)
+	r.crashWeight = c.weighCrash(r, cr, now)
 	switch r.crashWeight {
 	case crashUnproven:
 		t.Unproven++
@@ -250,11 +254,12 @@
 }
 
 // weighCrash returns what a crash that counts against a run's task counts as.
-func (c *Core) weighCrash(r *activeRun, cr *crash) crashWeight {
+func (c *Core) weighCrash(r *activeRun, cr *crash, now time.Time) crashWeight {
+	isForgotten := now.Sub(cr.noticedAt) > c.unstablePeriod()
 	switch {
 	case r.isUnproven():
 		return crashUnproven
-	case c.isInOutage(cr.silentAt, r.id.Job):
+	case isForgotten || c.isInOutage(cr.silentAt, r.id.Job):
 		return crashInOutage
 	}
 	return crashEvidence
--- a/workload/control/incarnations.go
+++ b/workload/control/incarnations.go
@@ -51,6 +51,9 @@
 	// everReached is set if it has ever answered a lease renewal under this planner's token.
 	everReached bool
 	silentSince time.Time
+	// lossRecorded is set if the end of its lease was recorded as a possible crash, and it has not
+	// answered since.
+	lossRecorded bool
 	// receivedEnd is the number of the last end that was received, batchedEnd and persistedEnd
 	// the last ones whose effect is in the current batch and in the log, and acknowledgedEnd the
 	// last one that it may forget.
--- a/workload/control/lapsed_crashes.go
+++ b/workload/control/lapsed_crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -15,9 +16,10 @@
 // lapsedCrash is a worker whose lease has ended, and that may have crashed.
 type lapsedCrash struct {
 	id string
-	// startMS is when the incarnation started, leaseEndMS when its lease ended, in Unix milliseconds.
-	startMS, leaseEndMS int64
-	crash               crash
+	// startMS is when the incarnation started, in Unix milliseconds.
+	startMS  int64
+	leaseEnd time.Time
+	crash    crash
 	// runs are those that were lost with it and whose tasks its crash would count against.
 	runs []*activeRun
 }
@@ -43,10 +45,7 @@
 	if w.everReached {
 		end = w.leaseEnd()
 	}
-	c.lapsedCrashes[w.Address] = &lapsedCrash{
-		id: w.ID, startMS: cmp.Or(w.startMS, w.Listing.StartMS), leaseEndMS: c.wallMS - cr.noticedAt.Sub(end).Milliseconds(),
-		crash: cr, runs: runs,
-	}
+	c.lapsedCrashes[w.Address] = &lapsedCrash{id: w.ID, startMS: cmp.Or(w.startMS, w.Listing.StartMS), leaseEnd: end, crash: cr, runs: runs}
 }
 
 // judgeLapsedCrash counts the crash of the worker whose lease has ended at the address of one that
@@ -58,10 +57,10 @@
 	}
 	delete(c.lapsedCrashes, answering.Address)
 	survived := answering.ID == l.id && !startsDiffer(answering.startMS, l.startMS)
-	crashed := !survived && answering.startMS != 0 && answering.startMS < l.leaseEndMS
+	crashed := !survived && c.startedBefore(answering, l, now)
 	for _, r := range l.runs {
 		t := c.task(r)
-		if c.jobs[r.id.Job] != r.job || t == nil || t.Lapsed == 0 || !(survived || crashed) {
+		if c.jobs[r.id.Job] != r.job || t == nil || t.Lapsed == 0 || t.CrashRun < r.run || !(survived || crashed) {
 			continue
 		}
 		t.Lapsed--
@@ -72,11 +71,26 @@
 	}
 }
 
+// startedBefore reports whether an incarnation started before the lease ended, both by its reported
+// start and by its own clock: a wall clock may have been stepped.
+func (c *Core) startedBefore(w *worker, l *lapsedCrash, now time.Time) bool {
+	reported := c.roundAt.Add(-time.Duration(c.wallMS-w.startMS) * time.Millisecond)
+	started := now.Add(-time.Duration(w.clockMS) * time.Millisecond)
+	return w.startMS != 0 && reported.Before(l.leaseEnd) && started.Before(l.leaseEnd)
+}
+
+// forgetLapsed removes a task that was cleared from the possible crashes.
+func (c *Core) forgetLapsed(id workload.TaskID) {
+	for _, l := range c.lapsedCrashes {
+		l.runs = slices.DeleteFunc(l.runs, func(r *activeRun) bool { return r.id == id })
+	}
+}
+
 // countProvenCrash counts the crash of a worker whose lease had ended against the task of a run there.
 func (c *Core) countProvenCrash(r *activeRun, l *lapsedCrash, now time.Time) {
 	t := c.task(r)
 	latest := t.CrashRun
-	c.countCrashAgainst(r, &l.crash, now)
+	c.countCrashAgainst(r, c.crashHistory.find(&l.crash), now)
 	t.CrashRun = max(latest, r.run)
 	c.emit(Event{Name: EventCrashProven, Job: r.id.Job, Task: r.id.String(), Worker: l.id, Run: r.run, Reason: string(r.crashWeight), Detail: crashDetail(t)})
 	if t.PossibleCrashes() > maxCrashes && mayGiveUp(t) {
--- a/workload/control/outages.go
+++ b/workload/control/outages.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// find returns the recorded crash that was noticed with the given one, or that one if it has expired.
+func (h *crashHistory) find(cr *crash) *crash {
+	for i := range h.crashes {
+		if h.crashes[i].noticedAt.Equal(cr.noticedAt) && h.crashes[i].silentAt.Equal(cr.silentAt) {
+			return &h.crashes[i]
+		}
+	}
+	return cr
+}
+
 // expire drops crashes that were noticed before the given time.
 func (h *crashHistory) expire(before time.Time) {
 	if len(h.crashes) == 0 || !h.crashes[0].noticedAt.Before(before) {
--- a/workload/control/renewals.go
+++ b/workload/control/renewals.go
@@ -85,7 +85,7 @@
 		// An earlier planner may have given it a lease until then.
 		w.deadlineMS = max(w.deadlineMS, answer.ClockMS+c.bounds.Lease.Milliseconds())
 	}
-	w.reachable = true
+	w.reachable, w.lossRecorded = true, false
 	w.everReached = true
 	w.answeredAddress = order.Address
 	w.newestConnection = max(w.newestConnection, answer.NewestConnection)
