Control: seed 196 of the lost planners is known red

The limit on starts of tasks that crash their workers allows no third run, and the job fails. The seed moves to the test of few crashes beside outages, which is known red; none is dropped.

--- a/workload/control/failed_without_cause_test.go
+++ b/workload/control/failed_without_cause_test.go
@@ -70,17 +70,17 @@
 	runFailureSimulations(t, 2, 0, newPlannerLossSimulation)
 }
 
-// Guards against giving a job up at the first end after three crashes of which three or two were
-// excluded as parts of outages.
+// Guards against giving a job up at the first end after three crashes, all of which were excluded as
+// parts of outages.
 func TestJobIsNotGivenUpForCrashesOfOutages(t *testing.T) {
 	t.Parallel()
-	runFailureSeeds(t, []int64{80, 196}, newPlannerLossSimulation)
+	runFailureSeeds(t, []int64{80}, newPlannerLossSimulation)
 }
 
-// The same with one excluded crash.
-func TestJobIsNotGivenUpForTwoCrashesBesideAnOutage(t *testing.T) {
+// The same with two or only one excluded crash.
+func TestJobIsNotGivenUpForFewCrashesBesideOutages(t *testing.T) {
 	t.Parallel()
-	runFailureSeeds(t, []int64{240}, newPlannerLossSimulation)
+	runFailureSeeds(t, []int64{196, 240}, newPlannerLossSimulation)
 }
 
 // Guards against taking leases that have ended for crashes: workers that are cut off by turns for longer
