--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -27,8 +27,10 @@
 	// one outage after the other.
 	maxCrashes = 3
 	// minAttributableCrashes is the number of workers that must have crashed outside outages, after a
-	// run of the task had begun there, before its job may fail for crashes.
+	// run of the task had begun there, before its job may fail for crashes. Once the task may not be
+	// started again, one is enough, with minProvenCrashes in all.
 	minAttributableCrashes = 2
+	minProvenCrashes       = 2
 	// runsAfterMaxCrashes is how many runs a task gets after maxCrashes, extendedRunsAfterMaxCrashes
 	// if the job of another task failed for one of these crashes, or if the first of these runs
 	// failed without a crash and is no gang's, whose other members may crash. The task may crash its workers all the same, and a third run would
@@ -324,7 +326,10 @@
 		return false
 	}
 	since := r.run - t.CrashRun
-	return (mayGiveUp(t) && since >= r.runsLeft(t)) || (t.AttributableCrashes() > 0 && since >= extendedRunsAfterMaxCrashes)
+	if since >= extendedRunsAfterMaxCrashes && t.AttributableCrashes() > 0 && t.ProvenCrashes() >= minProvenCrashes {
+		return true
+	}
+	return mayGiveUp(t) && since >= r.runsLeft(t)
 }
 
 // isConclusive reports whether a crash fails a run's job at once: all crashes came soon after the
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -82,9 +82,12 @@
 // be crashes.
 func (t *Task) PossibleCrashes() int { return t.TotalCrashes() + t.Lapsed }
 
+// ProvenCrashes returns the number of crashes of workers on which a run of the task had begun.
+func (t *Task) ProvenCrashes() int { return t.TotalCrashes() - t.Unproven }
+
 // AttributableCrashes returns the number of crashes that the task may have caused: those of workers
-// on which a run of it had begun, outside outages.
-func (t *Task) AttributableCrashes() int { return t.TotalCrashes() - t.Unproven - t.Excluded }
+// on which a run of it had begun, outside outages. Those for which another job failed are included.
+func (t *Task) AttributableCrashes() int { return t.ProvenCrashes() - t.Excluded }
 
 // ResetCrashes clears the crashes under the task.
 func (t *Task) ResetCrashes() {
