--- a/workload/control/crashes.go
+++ b/workload/control/crashes.go
@@ -33,8 +33,8 @@
 	minProvenCrashes       = 2
 	// runsAfterMaxCrashes is how many runs a task gets after maxCrashes, extendedRunsAfterMaxCrashes
 	// if the job of another task failed for one of these crashes, or if the first of these runs
-	// failed without a crash and is no gang's, whose other members may crash. The task may crash its workers all the same, and a third run would
-	// exceed the limit on its starts.
+	// failed without a crash and is no gang's, whose other members may crash. The task may crash its
+	// workers all the same, and a third run would exceed the limit on its starts.
 	runsAfterMaxCrashes         = 1
 	extendedRunsAfterMaxCrashes = 2
 	// crashDetectionTime is how long it takes to notice a crash: the pause between lease
