Crowd: failing tests, clients that don't behave end a process

Cause: nothing bounds what all clients together make a process hold: bodies, headers, unread bytes, connections.

The tests start the project's own programs on loopback, gather a crowd, and check that the process lives, that its memory (resident, and received but not read) and its sockets stay within the machine of its settings, and that an ordinary request is answered while the crowd is still connected.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,14 @@
-.PHONY: test generate capacity bench demo
+.PHONY: test crowd generate capacity bench demo
 
 # The README's test command.
 test:
 	go test -race ./...
 
+# The tests with crowds of clients against processes of their own. They bound memory, so each
+# runs alone and without the race detector.
+crowd:
+	go test -tags crowd -count 1 -p 1 -parallel 1 -v ./crowd
+
 # Generates the operators' RPC code from its schema.
 generate:
 	tools/generate.sh
