Crowd: the tests move to platform/crowd

Only the adapter's folder uses the platform's names (TestOnlyTheAdapterUsesThePlatformsNames was red on the folder's first place).

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # The tests with crowds of clients against processes of their own. They bound memory, so each
 # runs alone and without the race detector.
 crowd:
-	go test -tags crowd -count 1 -p 1 -parallel 1 -v ./crowd
+	go test -tags crowd -count 1 -p 1 -parallel 1 -v ./platform/crowd
 
 # Generates the operators' RPC code from its schema.
 generate:
