--- a/domain/refusal.go
+++ b/domain/refusal.go
@@ -20,6 +20,8 @@
 	ReasonUnknownClass     Reason = "unknown-class"
 	ReasonIDReused         Reason = "id-reused"
 	ReasonTooLarge         Reason = "too-large"
+	ReasonRequestMemory    Reason = "request-memory"
+	ReasonBodyTimeout      Reason = "body-timeout"
 	ReasonNeverRunnable    Reason = "never-runnable"
 	ReasonRateLimited      Reason = "rate-limited"
 	ReasonOverloaded       Reason = "overloaded"
