--- a/workload/job.go
+++ b/workload/job.go
@@ -231,7 +231,7 @@
 		return invalidField("spec", fmt.Sprintf("the spec has %d bytes", len(j.Spec)), fmt.Sprintf("send at most %d bytes", MaxSpecBytes))
 	}
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
-		return invalidField("steps", fmt.Sprintf("the job has %d steps", len(j.Steps)), fmt.Sprintf("send 1 to %d", MaxSteps))
+		return invalidField("steps", "the job has no steps, or too many", fmt.Sprintf("send 1 to %d", MaxSteps))
 	}
 	if j.Repetitions < 0 || j.Repetitions > MaxRepetitions || j.FirstMS < 0 || j.IntervalMS < 0 {
 		return invalidField("repetitions", "the schedule has a negative or too large value", "send a schedule within bounds")
@@ -273,6 +273,9 @@
 	if s.Need.MilliCPU < 0 || s.Need.MemoryMiB < 0 || s.Need.Accelerators < 0 || s.EstimateMS < 0 || s.PerWorker < 0 || s.LatencyTargetMS < 0 || s.MaxUnavailable < 0 {
 		return invalidField("steps", fmt.Sprintf("step %d has a negative amount", index), "send amounts of 0 or more")
 	}
+	if len(s.DependsOn) > MaxSteps {
+		return invalidField("depends_on", fmt.Sprintf("step %d names too many steps", index), fmt.Sprintf("name each step once, at most %d", MaxSteps))
+	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= index {
 			return invalidField("depends_on", fmt.Sprintf("step %d depends on step %d", index, d), "name earlier steps only")
