--- a/workload/service/directory.go
+++ b/workload/service/directory.go
@@ -27,7 +27,7 @@
 	Guaranteed map[domain.AccountID]int64
 	// Weights are the weights that are set for client accounts.
 	Weights map[domain.AccountID]float64
-	// BodyBytes is the maximum size of a submission; 0 means no limit.
+	// BodyBytes is the maximum size of a submission in bytes; 0 means that it is not configured.
 	BodyBytes int64
 	// Problems lists the parts that could not be decoded and were left out.
 	Problems []*EntryError
