Service: acceptances are written in appends of bounded size, and bounded while they wait

Cause: up to 64 records were written in one append whatever their size: 64 of 200 KB are 12 MB, which the log refuses with all ordinary records in them (2 MiB a call). Up to 1,024 records waited, also those whose callers had given up: 200 MB while the log was away.

Change: a batch ends before it exceeds maxBatchBytes, as the planner's does; records beyond 8 MB that wait are refused as not done.

Evidence: TestLargeRecordsAreWrittenInSeveralAppendsAndBounded; without the first part an append has 8,192,150 bytes, without the second the test runs into its time limit. Five times of five with the race detector.

--- a/workload/service/acceptances.go
+++ b/workload/service/acceptances.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cobalttide/cobalttide/workload"
@@ -35,8 +36,11 @@
 	for i := range n {
 		a.topics = append(a.topics, follow(AcceptTopic(i)))
 	}
+	pendingBytes := &atomic.Int64{}
 	for i := range a.homeTopics {
-		a.committers = append(a.committers, newCommitter(log, AcceptTopic(i), AcceptTopic((i+1)%n)))
+		c := newCommitter(log, AcceptTopic(i), AcceptTopic((i+1)%n))
+		c.pendingBytes = pendingBytes
+		a.committers = append(a.committers, c)
 	}
 	return a
 }
--- a/workload/service/committer.go
+++ b/workload/service/committer.go
@@ -22,6 +22,11 @@
 	timeout AdaptiveTimeout
 	// otherFirst is set when the other topic accepted the last append; it is then tried first.
 	otherFirst atomic.Bool
+	// next is a record that had no room in the last batch; only run uses it.
+	next *pendingRecord
+	// pendingBytes is the size of all records that are queued or being written, of all
+	// committers that share it.
+	pendingBytes *atomic.Int64
 	// inFlight limits the number of concurrent appends. More than one is allowed so that a slow
 	// append does not delay later ones.
 	inFlight chan struct{}
@@ -33,25 +38,28 @@
 	done   chan error
 }
 
+func (p *pendingRecord) size() int { return len(p.record.Key) + len(p.record.Value) }
+
 const (
 	maxCommitBatch       = 64
 	maxAppendsInFlight   = 4
 	commitAttemptTimeout = 2 * time.Second
 	commitRetryPause     = 40 * time.Millisecond
 	minCommitAttempts    = 3
+	// maxPendingBytes limits the memory of records that wait for the log, also of those whose
+	// callers have given up.
+	maxPendingBytes = 8 << 20
 )
 
 func newCommitter(log Log, home, other Topic) *committer {
-	return &committer{log: log, home: home, other: other, timeout: AdaptiveTimeout{Max: commitAttemptTimeout}, queue: make(chan *pendingRecord, 1024), inFlight: make(chan struct{}, maxAppendsInFlight)}
+	return &committer{pendingBytes: &atomic.Int64{}, log: log, home: home, other: other, timeout: AdaptiveTimeout{Max: commitAttemptTimeout}, queue: make(chan *pendingRecord, 1024), inFlight: make(chan struct{}, maxAppendsInFlight)}
 }
 
 // add writes a record. It returns nil once the record is in the log, ErrNotDone if the record
 // was certainly not written and never will be, and ErrOutcomeUnknown otherwise.
 func (c *committer) add(ctx context.Context, record control.Record) error {
 	pending := &pendingRecord{record: record, ctx: ctx, done: make(chan error, 1)}
-	select {
-	case c.queue <- pending:
-	default:
+	if !c.enqueue(pending) {
 		return errors.Mark(errors.New("too many submissions are waiting for the log"), ErrNotDone)
 	}
 	select {
@@ -62,27 +70,53 @@
 	}
 }
 
+// enqueue queues a record, or returns false if too much is queued.
+func (c *committer) enqueue(pending *pendingRecord) bool {
+	size := int64(pending.size())
+	if c.pendingBytes.Add(size) > maxPendingBytes {
+		c.pendingBytes.Add(-size)
+		return false
+	}
+	select {
+	case c.queue <- pending:
+		return true
+	default:
+		c.pendingBytes.Add(-size)
+		return false
+	}
+}
+
 func (c *committer) run(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case first := <-c.queue:
-			batch := c.gather(first)
-			c.inFlight <- struct{}{}
-			go func() {
-				defer func() { <-c.inFlight }()
-				c.write(ctx, batch)
-			}()
+		first := c.next
+		c.next = nil
+		if first == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case first = <-c.queue:
+			}
 		}
+		batch := c.gather(first)
+		c.inFlight <- struct{}{}
+		go func() {
+			defer func() { <-c.inFlight }()
+			c.write(ctx, batch)
+		}()
 	}
 }
 
+// gather returns a batch that begins with the given record and is within the size limits of one
+// append.
 func (c *committer) gather(first *pendingRecord) []*pendingRecord {
-	batch := []*pendingRecord{first}
+	batch, bytes := []*pendingRecord{first}, first.size()
 	for len(batch) < maxCommitBatch {
 		select {
 		case more := <-c.queue:
+			if bytes += more.size(); bytes > maxBatchBytes {
+				c.next = more
+				return batch
+			}
 			batch = append(batch, more)
 		default:
 			return batch
@@ -103,16 +137,16 @@
 	for try := 1; ; try++ {
 		err := c.appendEither(ctx, records)
 		if err == nil {
-			finishAll(batch, nil)
+			c.finish(batch, nil)
 			return
 		}
 		unknown = unknown || !errors.Is(err, ErrNotDone)
 		if try >= minCommitAttempts && !unknown {
-			finishAll(batch, err)
+			c.finish(batch, err)
 			return
 		}
 		if ctx.Err() != nil || allAbandoned(batch) {
-			finishAll(batch, errors.Mark(errors.Newf("the append was abandoned: %v", err), ErrOutcomeUnknown))
+			c.finish(batch, errors.Mark(errors.Newf("the append was abandoned: %v", err), ErrOutcomeUnknown))
 			return
 		}
 		sleep(ctx, commitRetryPause*time.Duration(min(try, 5)))
@@ -205,8 +239,9 @@
 	return true
 }
 
-func finishAll(batch []*pendingRecord, err error) {
+func (c *committer) finish(batch []*pendingRecord, err error) {
 	for _, pending := range batch {
+		c.pendingBytes.Add(-int64(pending.size()))
 		pending.done <- err
 	}
 }
