First interface: callers' connections and requests in progress are bounded in total

What callers saw: a crowd with large bodies or headers took 240 to 320 MB of 184; 200 idle connections at a limit of 200 kept every other caller out for two minutes.

Cause: bodies, headers and unread bytes were bounded for each of 12,000 connections and not in sum; at the limit the listener waited for a connection to end; every request for metrics held a copy of them until its caller had read it.

Change: the callers' listener and server are those of internal/inbound, with settings for what they bound; the address of peers keeps the listener that waits, at a setting of its own. At most eight requests for metrics at once, in both programs.

--- a/instance/http.go
+++ b/instance/http.go
@@ -16,9 +16,11 @@
 	"github.com/cobalttide/cobalttide/api/cobalttide/v1/cobalttidev1connect"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/instance/auth"
+	"github.com/cobalttide/cobalttide/internal/inbound"
 	"github.com/cobalttide/cobalttide/port"
 	"github.com/cobalttide/cobalttide/requests/dispatch"
 	"github.com/cobalttide/cobalttide/scheduler/admission"
+	"github.com/cobalttide/cobalttide/telemetry"
 )
 
 // The headers of the callers' interface.
@@ -40,7 +42,7 @@
 	mux.Handle("DELETE /v1/jobs/{id}", in.jobEndpoint(in.deleteJob))
 	path, operators := cobalttidev1connect.NewOperatorServiceHandler(&operatorService{in})
 	mux.Handle(path, http.MaxBytesHandler(operators, operatorBodyBytes))
-	mux.Handle("GET /metrics", promhttp.HandlerFor(in.Metrics.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(in.Metrics.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: telemetry.MaxScrapes}))
 	mux.HandleFunc("GET /healthz", in.healthz)
 	mux.HandleFunc("GET /readyz", in.readyz)
 	return mux
@@ -124,16 +126,23 @@
 
 func (in *Instance) readBody(r *http.Request) ([]byte, *domain.Refusal) {
 	limit := in.Settings.Limits.BodyBytes
-	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, domain.Refuse(domain.ReasonInvalid, "body", "could not be read completely", "send it again")
-	}
-	if int64(len(raw)) > limit {
+	raw, err := inbound.ReadBody(r, limit)
+	switch {
+	case err == nil:
+		return raw, nil
+	case errors.Is(err, inbound.ErrTooLarge):
 		return nil, domain.Refuse(domain.ReasonTooLarge, "body", fmt.Sprintf("exceeds %d bytes", limit), "send a smaller body, or have limits.body_bytes raised")
+	case errors.Is(err, inbound.ErrNoMemory):
+		return nil, domain.Refuse(domain.ReasonRequestMemory, "body", "the memory for requests is in use", "come back later, or have limits.request_memory_bytes raised").WithRetryAfter(bodyRetryAfter)
+	case errors.Is(err, inbound.ErrBodyTimeout):
+		return nil, domain.Refuse(domain.ReasonBodyTimeout, "body", "took too long", "send it again, all at once").WithRetryAfter(bodyRetryAfter)
 	}
-	return raw, nil
+	return nil, domain.Refuse(domain.ReasonInvalid, "body", "could not be read completely", "send it again")
 }
 
+// bodyRetryAfter is when to come back if a body could not be taken in.
+const bodyRetryAfter = time.Second
+
 func (in *Instance) authenticate(r *http.Request) (domain.AccountID, *domain.Refusal) {
 	snapshot := in.configuration.Current()
 	if snapshot.Version == 0 {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,6 +23,7 @@
 	"github.com/cobalttide/cobalttide/configuration"
 	"github.com/cobalttide/cobalttide/domain"
 	"github.com/cobalttide/cobalttide/instance/settings"
+	"github.com/cobalttide/cobalttide/internal/inbound"
 	"github.com/cobalttide/cobalttide/membership"
 	"github.com/cobalttide/cobalttide/planner"
 	"github.com/cobalttide/cobalttide/port"
@@ -77,6 +78,8 @@
 	recovered atomic.Bool
 	inFlight  sync.WaitGroup
 
+	// callers admits the connections of callers.
+	callers                        *inbound.Gate
 	callersListener, peersListener net.Listener
 	server                         *http.Server
 	peerServer                     *peer.Server
@@ -118,6 +121,7 @@
 		in.platform = c
 	}
 	in.inventory.Store(&port.Inventory{})
+	in.callers = inbound.NewGate(callerLimits(s.Limits), in.Metrics.connectionClosed)
 	if err := in.listen(); err != nil {
 		return nil, err
 	}
@@ -159,7 +163,7 @@
 
 func (in *Instance) listen() error {
 	var err error
-	if in.callersListener, err = net.Listen("tcp", in.Settings.Listen.Callers); err != nil {
+	if in.callersListener, err = in.callers.Listen(in.Settings.Listen.Callers); err != nil {
 		return errors.Wrap(err, "can't listen on listen.callers; use another port")
 	}
 	in.peersListener, err = net.Listen("tcp", in.Settings.Listen.Peers)
@@ -212,11 +216,14 @@
 	in.addFollower(state.AttemptStream, in.ledger.Offset, in.applyAttempt, nil)
 	in.wireRequests()
 	in.wirePlanner(options)
-	in.server = &http.Server{
-		Handler:           in.handler(),
-		ReadHeaderTimeout: in.Settings.Limits.HeaderTimeout.Std(),
-		MaxHeaderBytes:    in.Settings.Limits.HeaderBytes,
-		IdleTimeout:       2 * time.Minute,
+	in.server = in.callers.NewServer(in.handler())
+}
+
+// callerLimits converts the settings to the limits of callers' connections.
+func callerLimits(l settings.Limits) inbound.Limits {
+	return inbound.Limits{
+		Connections: l.Connections, RequestBytes: l.RequestMemoryBytes, HeaderBytes: l.HeaderBytes,
+		HeaderTimeout: l.HeaderTimeout.Std(), BodyTimeout: l.BodyTimeout.Std(), WriteTimeout: l.WriteTimeout.Std(), IdleTimeout: l.IdleTimeout.Std(),
 	}
 }
 
@@ -278,9 +285,11 @@
 	in.spawn(background, in.heldLoop)
 	in.spawn(background, in.snapshotLoop)
 	in.spawn(background, in.gateLoop)
-	in.spawn(background, func(ctx context.Context) { in.peerServer.Serve(ctx, in.peersListener) })
+	in.spawn(background, func(ctx context.Context) {
+		in.peerServer.Serve(ctx, limitListener(in.peersListener, in.Settings.Limits.PeerConnections))
+	})
 	serving := make(chan error, 1)
-	go func() { serving <- in.server.Serve(limitListener(in.callersListener, in.Settings.Limits.Connections)) }()
+	go func() { serving <- in.server.Serve(in.callersListener) }()
 	in.log.WithFields(logrus.Fields{"callers": in.CallersAddress(), "peers": in.PeersAddress()}).Info("serving")
 
 	select {
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cobalttide/cobalttide/domain"
+	"github.com/cobalttide/cobalttide/internal/inbound"
 )
 
 // Metrics holds the metrics of an instance. Label sets are bounded: reasons and
@@ -20,6 +21,7 @@
 	planning   prometheus.Gauge
 	version    prometheus.Gauge
 	held       prometheus.Gauge
+	closed     *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -34,9 +36,10 @@
 		planning:   gauge("cobalttide_planning", "1 while the instance plans for its data centre."),
 		version:    gauge("cobalttide_configuration_version", "Version of the configuration in force."),
 		held:       gauge("cobalttide_held_records", "Records held in memory until the log is back."),
+		closed:     counter("cobalttide_connections_closed_total", "Connections closed at a limit, by reason.", "reason"),
 		completion: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "cobalttide_completion_seconds", Help: "Time to the whole answer, by class.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 16)}, []string{"class"}),
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.requests, m.appends, m.jobs, m.records, m.planning, m.version, m.held, m.completion)
+	m.Registry.MustRegister(m.refusals, m.retries, m.requests, m.appends, m.jobs, m.records, m.planning, m.version, m.held, m.completion, m.closed)
 	return m
 }
 
@@ -61,6 +64,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
 
+func (m *Metrics) connectionClosed(reason inbound.Reason) {
+	m.closed.WithLabelValues(string(reason)).Inc()
+}
+
 // Refused counts a refusal by its reason and outcome.
 func (m *Metrics) Refused(r *domain.Refusal) {
 	m.refusals.WithLabelValues(string(r.Reason), string(r.Outcome)).Inc()
--- a/instance/settings/settings.go
+++ b/instance/settings/settings.go
@@ -58,10 +58,19 @@
 	HeaderBytes int `json:"header_bytes"`
 	// HeaderTimeout bounds the time to send the headers.
 	HeaderTimeout domain.Duration `json:"header_timeout"`
+	// BodyTimeout bounds the time to send the body, WriteTimeout the time that one write of an
+	// answer may take, and IdleTimeout the time between two requests on a connection.
+	BodyTimeout  domain.Duration `json:"body_timeout"`
+	WriteTimeout domain.Duration `json:"write_timeout"`
+	IdleTimeout  domain.Duration `json:"idle_timeout"`
+	// RequestMemoryBytes bounds the memory of all requests in progress together.
+	RequestMemoryBytes int64 `json:"request_memory_bytes"`
 	// RequestTimeout bounds any deadline that a caller asks for.
 	RequestTimeout domain.Duration `json:"request_timeout"`
 	// Connections bounds the number of open connections of callers.
 	Connections int `json:"connections"`
+	// PeerConnections bounds the number of open connections of other instances.
+	PeerConnections int `json:"peer_connections"`
 	// DrainGrace is how long a leaving instance still accepts new requests, so that
 	// the load balancer can notice.
 	DrainGrace domain.Duration `json:"drain_grace"`
@@ -76,7 +85,8 @@
 		Limits: Limits{
 			BodyBytes: 256 << 10, HeaderBytes: 16 << 10,
 			HeaderTimeout: domain.Duration(5 * time.Second), RequestTimeout: domain.Duration(2 * time.Minute),
-			Connections: 12_000, DrainGrace: domain.Duration(3 * time.Second), DrainTimeout: domain.Duration(2 * time.Minute),
+			BodyTimeout: domain.Duration(10 * time.Second), WriteTimeout: domain.Duration(30 * time.Second), IdleTimeout: domain.Duration(2 * time.Minute),
+			RequestMemoryBytes: 64 << 20, Connections: 12_000, PeerConnections: 2_000, DrainGrace: domain.Duration(3 * time.Second), DrainTimeout: domain.Duration(2 * time.Minute),
 		},
 		LogLevel: "info",
 	}
@@ -158,10 +168,19 @@
 	c.limits(s.Limits)
 }
 
+// requestMemoryFactor is how many of the largest bodies the memory for requests has to hold, so
+// that one request can always be served.
+const requestMemoryFactor = 4
+
 func (c *checker) limits(l Limits) {
 	c.require(l.BodyBytes > 0, "limits.body_bytes", "must be above 0", "write a number of bytes such as 262144")
 	c.require(l.HeaderBytes >= 1024, "limits.header_bytes", "must be at least 1024", "write a number of bytes such as 16384")
 	c.require(l.HeaderTimeout > 0, "limits.header_timeout", "must be above 0", `write such as "5s"`)
+	c.require(l.BodyTimeout > 0, "limits.body_timeout", "must be above 0", `write such as "10s"`)
+	c.require(l.WriteTimeout > 0, "limits.write_timeout", "must be above 0", `write such as "30s"`)
+	c.require(l.IdleTimeout > 0, "limits.idle_timeout", "must be above 0", `write such as "2m"`)
+	c.require(l.RequestMemoryBytes >= requestMemoryFactor*l.BodyBytes, "limits.request_memory_bytes", "is less than four bodies", "write at least four times limits.body_bytes")
+	c.require(l.PeerConnections > 0, "limits.peer_connections", "must be above 0", "write a number of connections such as 2000")
 	c.require(l.RequestTimeout > 0, "limits.request_timeout", "must be above 0", `write such as "2m"`)
 	c.require(l.Connections > 0, "limits.connections", "must be above 0", "write a number of connections such as 12000")
 	c.require(l.DrainGrace >= 0, "limits.drain_grace", "must not be negative", `write such as "3s"`)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -156,7 +156,11 @@
 	}
 }
 
+// MaxScrapes limits the concurrent requests for metrics: each holds a copy of all of them until its
+// client has read it.
+const MaxScrapes = 8
+
 // Handler returns a handler that serves the metrics in Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: MaxScrapes})
 }
