First interface: what a peer sends before it has proved the secret is bounded

Cause: a message was read up to its end of line, whatever its length and whoever sent it; nothing bounded the time.

Change: 16 KB and 5 s until the secret is proved, then as before. Counted as handshake-size and handshake-timeout.

TestConnectionIsClosedForTooLongAHandshake, TestHandshakeHasATimeLimitThatEndsWithIt.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -216,6 +216,7 @@
 	in.addFollower(state.AttemptStream, in.ledger.Offset, in.applyAttempt, nil)
 	in.wireRequests()
 	in.wirePlanner(options)
+	in.peerServer.OnClosed = func(reason string) { in.Metrics.connectionClosed(inbound.Reason(reason)) }
 	in.server = in.callers.NewServer(in.handler())
 }
 
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,53 @@
 	methods  handler.Map
 	counters *Counters
 	wg       sync.WaitGroup
+	// OnClosed, if set, is called with the reason for each connection that is closed before its
+	// peer has proved that it has the secret. It must be set before Serve is called.
+	OnClosed func(reason string)
+}
+
+// Limits of a connection whose peer has not proved yet that it has the secret.
+const (
+	handshakeTimeout  = 5 * time.Second
+	maxHandshakeBytes = 16 << 10
+)
+
+// Reasons for closing a connection during the handshake.
+const (
+	closedTooLong = "handshake-size"
+	closedTooLate = "handshake-timeout"
+)
+
+var errHandshakeTooLong = errors.New("the peer has sent too much without proving that it has the shared secret")
+
+// handshakeConn bounds what a peer may send before it has proved that it has the secret.
+type handshakeConn struct {
+	countingConn
+	session  *session
+	received int
+}
+
+// Read implements net.Conn.
+func (c *handshakeConn) Read(p []byte) (int, error) {
+	n, err := c.countingConn.Read(p)
+	if c.session.hasProved() {
+		return n, err
+	}
+	c.received += n
+	if c.received > maxHandshakeBytes {
+		c.session.server.closed(closedTooLong)
+		return 0, errHandshakeTooLong
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.session.server.closed(closedTooLate)
+	}
+	return n, err
+}
+
+func (s *Server) closed(reason string) {
+	if s.OnClosed != nil {
+		s.OnClosed(reason)
+	}
 }
 
 // NewServer returns a server for the methods.
@@ -106,9 +154,11 @@
 	}
 }
 
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	session := &session{server: s}
-	server := jrpc2.NewServer(session, nil).Start(channel.Line(conn, conn))
+func (s *Server) serve(ctx context.Context, conn countingConn) {
+	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout)) // the next read reports a closed connection
+	session := &session{server: s, conn: conn}
+	guarded := &handshakeConn{countingConn: conn, session: session}
+	server := jrpc2.NewServer(session, nil).Start(channel.Line(guarded, guarded))
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
 	_ = server.Wait() // the peer sees the closed connection and dials again
@@ -118,6 +168,7 @@
 // authenticated.
 type session struct {
 	server *Server
+	conn   net.Conn
 	mu     sync.Mutex
 	nonce  string
 	proved bool
@@ -159,7 +210,13 @@
 	if !s.proved {
 		return false, ErrSecretMismatch
 	}
-	return true, nil
+	return true, s.conn.SetReadDeadline(time.Time{})
+}
+
+func (s *session) hasProved() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proved
 }
 
 // Pool maintains one connection to each peer. It is safe for concurrent use.
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"testing"
@@ -100,3 +101,73 @@
 		t.Errorf("a call after unblocking failed: %v", err)
 	}
 }
+
+// recordingListener records the read deadlines of the connections that it accepts.
+type recordingListener struct {
+	net.Listener
+	deadlines chan time.Time
+}
+
+type recordingConn struct {
+	net.Conn
+	deadlines chan time.Time
+}
+
+func (l recordingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return recordingConn{conn, l.deadlines}, err
+}
+
+func (c recordingConn) SetReadDeadline(t time.Time) error {
+	c.deadlines <- t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Guards against connections that are kept open without a handshake, and against a time limit on
+// the handshake that ends the connections of peers.
+func TestHandshakeHasATimeLimitThatEndsWithIt(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := recordingListener{inner, make(chan time.Time, 10)}
+	methods := handler.Map{"echo": handler.New(func(_ context.Context, words []string) (string, error) { return words[0], nil })}
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(done)
+		NewServer([]byte("the-right-secret"), methods, &Counters{}).Serve(ctx, listener)
+	}()
+	if answer, err := call(t, "the-right-secret", inner.Addr().String()); err != nil || answer != "hello" {
+		t.Errorf("answer %q, error %v", answer, err)
+	}
+	cancel()
+	_ = inner.Close()
+	<-done
+	close(listener.deadlines)
+	var set []time.Time
+	for deadline := range listener.deadlines {
+		set = append(set, deadline)
+	}
+	if len(set) != 2 || set[0].IsZero() || !set[1].IsZero() {
+		t.Errorf("read deadlines %v, want one for the handshake and then none", set)
+	}
+}
+
+// Guards against memory that is held for messages whose sender has not proved that it is a peer.
+func TestConnectionIsClosedForTooLongAHandshake(t *testing.T) {
+	address, calls := serve(t, "the-right-secret")
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	message := append([]byte(`{"jsonrpc":"2.0","id":1,"method":"echo","params":["`), bytes.Repeat([]byte("x"), 4*maxHandshakeBytes)...)
+	_, _ = conn.Write(message) // the server may close the connection before all is sent
+	if n, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Errorf("read %d bytes, want a closed connection", n)
+	}
+	if *calls != 0 {
+		t.Errorf("%d calls were made", *calls)
+	}
+}
