Admission: the memory of jobs that have not ended is bounded

What callers saw: a crowd of legal jobs of 59 KB that wait for their time took the planner's memory, and ended it.

Cause: acceptances are held whole until their job ends; nothing bounded their sum. Many bodies of legal size sent whole end there.

Change: a job's memory is estimated from its texts, steps and tasks; the book keeps the sum over jobs that have not ended, and those being submitted reserve theirs. The planner, which holds the jobs of all, tells the others with its summary of the pool. As for all admission, a job that an earlier attempt had accepted is not refused.

--- a/domain/refusal.go
+++ b/domain/refusal.go
@@ -22,6 +22,7 @@
 	ReasonTooLarge         Reason = "too-large"
 	ReasonRequestMemory    Reason = "request-memory"
 	ReasonBodyTimeout      Reason = "body-timeout"
+	ReasonJobMemory        Reason = "job-memory"
 	ReasonNeverRunnable    Reason = "never-runnable"
 	ReasonRateLimited      Reason = "rate-limited"
 	ReasonOverloaded       Reason = "overloaded"
--- a/workload/admission/pool.go
+++ b/workload/admission/pool.go
@@ -18,6 +18,8 @@
 	Settled bool `json:"ok,omitempty"`
 	// LabelsOmitted is set if the labels do not fit into the record.
 	LabelsOmitted bool `json:"x,omitempty"`
+	// JobsFull is set if the planner has no memory for further large jobs.
+	JobsFull bool `json:"jf,omitempty"`
 }
 
 // Service summarises the workers of one service. The fields up to Labels are the largest values
@@ -132,7 +134,7 @@
 
 // Changed reports whether a summary differs from another by more than a tenth.
 func (p *Pool) Changed(o *Pool) bool {
-	if p.Settled != o.Settled || p.LabelsOmitted != o.LabelsOmitted || len(p.Services) != len(o.Services) {
+	if p.Settled != o.Settled || p.JobsFull != o.JobsFull || p.LabelsOmitted != o.LabelsOmitted || len(p.Services) != len(o.Services) {
 		return true
 	}
 	for name, s := range p.Services {
--- a/workload/book.go
+++ b/workload/book.go
@@ -59,6 +59,8 @@
 	mu      sync.Mutex
 	entries map[JobID]*Entry
 	pending map[string]int
+	// waitingBytes is the memory of the jobs whose acceptance is held and that have not ended.
+	waitingBytes int64
 	// changed are the jobs that were accepted or cancelled since the last call of TakeChanged.
 	changed map[JobID]bool
 	// unpublished are the jobs whose published status differs from the book's.
@@ -142,7 +144,7 @@
 	}
 	switch {
 	case prefix == progressPrefix, prefix == statusPrefix && e.ProgressOffset < 0:
-		b.adjustPending(e, -1)
+		b.account(e, -1)
 		delete(b.entries, id)
 		delete(b.unpublished, id)
 	case prefix == statusPrefix:
@@ -235,9 +237,9 @@
 // set of unpublished statuses up to date.
 func (b *Book) update(id JobID, apply func(*Entry)) {
 	e := b.entry(id)
-	b.adjustPending(e, -1)
+	b.account(e, -1)
 	apply(e)
-	b.adjustPending(e, 1)
+	b.account(e, 1)
 	if e.Accepted && e.publishedStatus != e.status() {
 		b.unpublished[id] = true
 	} else {
@@ -245,12 +247,24 @@
 	}
 }
 
-func (b *Book) adjustPending(e *Entry, by int) {
+// account adds an entry to the totals of the book (by 1), or removes it (by -1).
+func (b *Book) account(e *Entry, by int) {
+	if e.Job != nil && !e.Job.Reduced && !e.State.IsFinal() {
+		b.waitingBytes += int64(by) * e.Job.MemoryBytes()
+	}
 	if e.Accepted && !e.Started && !e.Cancelled && !e.State.IsFinal() {
 		b.pending[e.Queue] += by
 	}
 }
 
+// WaitingBytes returns the estimated memory of the jobs that have not ended and whose acceptance
+// is held.
+func (b *Book) WaitingBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waitingBytes
+}
+
 // Get returns a copy of a job's entry; ok is false for a job that was never submitted.
 func (b *Book) Get(id JobID) (Entry, bool) {
 	b.mu.Lock()
--- a/workload/job.go
+++ b/workload/job.go
@@ -222,6 +222,23 @@
 	return most
 }
 
+// Estimated memory of a job beside its texts, in bytes: of its acceptance, a step and a task.
+const (
+	jobBytes  = 1000
+	stepBytes = 300
+	taskBytes = 500
+)
+
+// MemoryBytes estimates the memory that the job takes until it has ended.
+func (j *Job) MemoryBytes() int64 {
+	// The text of an acceptance is held as read and as decoded.
+	texts := 2 * len(j.Spec)
+	for _, s := range j.Steps {
+		texts += stepBytes + 2*(len(s.Label)+len(s.DataRack)+len(s.Image)+8*len(s.DependsOn))
+	}
+	return int64(jobBytes + texts + taskBytes*j.TaskCount())
+}
+
 // Validate returns a refusal that names the first invalid field, or nil.
 func (j *Job) Validate() error {
 	if !j.ID.IsValid() {
--- a/workload/service/pool_summary.go
+++ b/workload/service/pool_summary.go
@@ -50,13 +50,13 @@
 	return out
 }
 
-// admit returns a refusal if the job can never run or would start too late. known reports that
+// admit returns a refusal if the job can never run, would start too late, or has no memory. known reports that
 // the job turned out to be accepted already.
 func (s *Service) admit(ctx context.Context, job *workload.Job) (known bool, refused error) {
-	if s.settings.AdmissionDisabled {
-		return false, nil
+	decision := s.reserveJobMemory(job)
+	if decision.Refusal == nil && !s.settings.AdmissionDisabled {
+		decision = admission.Decide(job, s.admissionSnapshot())
 	}
-	decision := admission.Decide(job, s.admissionSnapshot())
 	if decision.Refusal == nil {
 		return false, nil
 	}
@@ -120,6 +120,8 @@
 	p.pool.checkedAt = now
 	services, readable := p.core.SummarizePool(now)
 	pool := p.pool.memory.Observe(services, readable, now)
+	pool.JobsFull = p.s.jobMemory(0).IsFull()
+	p.s.metrics.SetGauge(gaugeWaitingJobBytes, float64(p.s.book.WaitingBytes()))
 	p.s.setPoolGauges(services)
 	if p.pool.last != nil && now.Sub(p.pool.at) < poolRefresh && !pool.Changed(p.pool.last) {
 		return nil
@@ -133,6 +135,8 @@
 	gaugePoolWorkers = "pool_workers"
 	gaugePoolIdle    = "pool_idle_workers"
 	gaugePoolStart   = "pool_start_last_class_seconds"
+	// gaugeWaitingJobBytes is the estimated memory of the jobs that have not ended.
+	gaugeWaitingJobBytes = "waiting_job_bytes"
 )
 
 // setPoolGauges shows the workers of all services, and the longest expected time until work of the
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -40,6 +40,8 @@
 	DataCentre string
 	// AcceptTopics is the number of topics over which acceptances are distributed; 0 means one.
 	AcceptTopics int
+	// JobMemoryBytes bounds the memory of jobs that have not ended; 0 is no limit.
+	JobMemoryBytes int64
 	// Standbys is the number of instances that follow the planner's records; 0 means all.
 	Standbys int
 	// Hosts is the platform's service for maintenance; nil if there is none.
@@ -62,6 +64,7 @@
 	log          Log
 	meter        *meter
 	sentAway     *sentAway
+	submissions  *submissions
 	unanswered   *unanswered
 	decoder      Decoder
 	workers      Workers
@@ -96,7 +99,7 @@
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	away := newSentAway(settings)
 	metered := newMeter(log, metrics, away)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, unanswered: newUnanswered(), decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, unanswered: newUnanswered(), submissions: newSubmissions(), decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
 	s.succession.leases = newInheritedLeases(settings.Bounds)
@@ -265,6 +268,7 @@
 	if err := job.Validate(); err != nil {
 		return s.refuse(ctx, job.ID, err)
 	}
+	defer s.submissions.release(job)
 	if known, refused := s.admit(ctx, job); known || refused != nil {
 		if known {
 			s.logRepeated(job.ID)
--- a/workload/status.go
+++ b/workload/status.go
@@ -88,13 +88,15 @@
 	defer b.mu.Unlock()
 	for id, e := range b.entries {
 		if !e.Accepted || e.statusDropped {
-			b.adjustPending(e, -1)
+			b.account(e, -1)
 			delete(b.entries, id)
 			delete(b.unpublished, id)
 			continue
 		}
+		b.account(e, -1)
 		e.Job, e.Progress, e.ProgressOffset, e.Settled = nil, nil, -1, false
 		e.badAcceptance, e.badProgress = false, false
+		b.account(e, 1)
 	}
 	clear(b.changed)
 }
