--- a/instance/instance.go
+++ b/instance/instance.go
@@ -34,6 +34,7 @@
 	"github.com/cobalttide/cobalttide/requests/routing"
 	"github.com/cobalttide/cobalttide/standin/client"
 	"github.com/cobalttide/cobalttide/state"
+	"github.com/cobalttide/cobalttide/telemetry"
 	"github.com/cobalttide/cobalttide/transport/peer"
 )
 
@@ -122,6 +123,7 @@
 	}
 	in.inventory.Store(&port.Inventory{})
 	in.callers = inbound.NewGate(callerLimits(s.Limits), in.Metrics.connectionClosed)
+	in.Metrics.Registry.MustRegister(telemetry.UsageGauges("clients", in.callers.Usage)...)
 	if err := in.listen(); err != nil {
 		return nil, err
 	}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// UsageGauges returns collectors of the open connections and of the memory of the requests in
+// progress of a group of clients.
+func UsageGauges(group string, usage func() (connections int, bytes int64)) []prometheus.Collector {
+	labels := prometheus.Labels{"of": group}
+	return []prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cobalttide_connections", Help: "Open connections.", ConstLabels: labels}, func() float64 {
+			connections, _ := usage()
+			return float64(connections)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cobalttide_request_bytes", Help: "Memory of the requests in progress.", ConstLabels: labels}, func() float64 {
+			_, bytes := usage()
+			return float64(bytes)
+		}),
+	}
+}
+
+// Register adds collectors to the metrics.
+func (m *Metrics) Register(collectors ...prometheus.Collector) {
+	m.registry.MustRegister(collectors...)
+}
+
 // MaxScrapes limits the concurrent requests for metrics: each holds a copy of all of them until its
 // client has read it.
 const MaxScrapes = 8
--- a/workload/service/pool_summary.go
+++ b/workload/service/pool_summary.go
@@ -120,7 +120,7 @@
 	p.pool.checkedAt = now
 	services, readable := p.core.SummarizePool(now)
 	pool := p.pool.memory.Observe(services, readable, now)
-	pool.JobsFull = p.s.jobMemory(0).IsFull()
+	pool.JobsFull = p.s.isJobMemoryFull()
 	p.s.metrics.SetGauge(gaugeWaitingJobBytes, float64(p.s.book.WaitingBytes()))
 	p.s.setPoolGauges(services)
 	if p.pool.last != nil && now.Sub(p.pool.at) < poolRefresh && !pool.Changed(p.pool.last) {
--- a/workload/service/service.go
+++ b/workload/service/service.go
@@ -99,7 +99,7 @@
 func New(settings Settings, log Log, decoder Decoder, workers Workers, eventLog *events.Log, metrics *telemetry.Metrics) *Service {
 	away := newSentAway(settings)
 	metered := newMeter(log, metrics, away)
-	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, unanswered: newUnanswered(), submissions: newSubmissions(), decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
+	s := &Service{settings: settings, clock: settings.Clock, log: metered, meter: metered, sentAway: away, unanswered: newUnanswered(), submissions: newSubmissions(settings.JobMemoryBytes), decoder: decoder, workers: workers, events: eventLog, metrics: metrics, book: workload.NewBook(), waves: newMaintenanceWaves(), planState: newPlanState(), evacuations: newEvacuations(), reportedEnds: map[workload.JobID]bool{}, logRecovered: newBroadcast()}
 	s.succession = newSuccession(settings.Instance, newIncarnation(), settings.PlannerTimeout, settings.Clock)
 	s.succession.authority = settings.Bounds.AuthorityPeriod
 	s.succession.leases = newInheritedLeases(settings.Bounds)
