--- a/internal/inbound/gate.go
+++ b/internal/inbound/gate.go
@@ -92,8 +92,8 @@
 	return g.open, g.held
 }
 
-// closing counts a connection that is closed without the gate's own doing.
-func (g *Gate) closing(reason Reason) {
+// countClosed counts a connection that its server closes for one of the reasons.
+func (g *Gate) countClosed(reason Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.count(reason)
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -101,7 +101,7 @@
 	case errors.Is(err, io.EOF):
 		b.finish()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		b.conn.gate.closing(BodyTimeout)
+		b.conn.gate.countClosed(BodyTimeout)
 		return n, ErrBodyTimeout
 	}
 	return n, err
