--- a/review/stand3/beside.go
+++ b/review/stand3/beside.go
@@ -12,11 +12,9 @@
 const (
 	longID = "d0000000000000d1"
 	lateID = "d0000000000000d2"
-	// finish is how long after the end of the traffic jobs are asked for, watched how long the late job
-	// is watched in all.
-	finish  = 14 * time.Second
-	watched = 45 * time.Second
-	perRack = 4
+	// rackDown is how long the workers of the rack are gone, watched how long the late job is watched.
+	rackDown = time.Second
+	watched  = 45 * time.Second
 )
 
 // playBeside has the workers of one rack crash once, under the tasks of a long job. These go on in
--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -25,21 +25,23 @@
 	Settings         json.RawMessage `json:"settings"`
 	Configuration    json.RawMessage `json:"configuration"`
 	OperatorTopic    string          `json:"operator_topic"`
-	ReportsTopic     string          `json:"reports_topic"`
 	ConfigurationKey string          `json:"configuration_key"`
 	KeyHeader        string          `json:"key_header"`
 	Key              string          `json:"key"`
 	RemainingHeader  string          `json:"remaining_header"`
 	WaveKey          string          `json:"wave_key"`
-	Wave             map[string]any  `json:"wave"`
-	ServingSteps     json.RawMessage `json:"serving_steps"`
-	PinnedSteps      json.RawMessage `json:"pinned_steps"`
-	PlainSteps       json.RawMessage `json:"plain_steps"`
 	LongSteps        json.RawMessage `json:"long_steps"`
 	LateSteps        json.RawMessage `json:"late_steps"`
 	GoodSteps        json.RawMessage `json:"good_steps"`
 	HopelessSteps    json.RawMessage `json:"hopeless_steps"`
 	ChainSteps       json.RawMessage `json:"chain_steps"`
+	RackLongSteps    json.RawMessage `json:"rack_long_steps"`
+	LastingSteps     json.RawMessage `json:"lasting_steps"`
+	NearDataSteps    json.RawMessage `json:"near_data_steps"`
+	FillingSteps     json.RawMessage `json:"filling_steps"`
+	BatchSteps       json.RawMessage `json:"batch_steps"`
+	UrgentSteps      json.RawMessage `json:"urgent_steps"`
+	Wave             map[string]any  `json:"wave"`
 }
 
 // process is one running instance.
@@ -71,9 +73,24 @@
 	callTimeout  = 3 * time.Second
 )
 
+// What the rules say of work that waits: it is asked for finish after the end of the traffic, and must not
+// have waited for judged beside free capacity. A task that lasts is judged at any time after calm, which
+// is longer than what a task may take to run again.
+const (
+	finish = 14 * time.Second
+	judged = 3 * time.Second
+	calm   = 7 * time.Second
+)
+
+// The machines of the second rack, and of each rack their number.
+const (
+	rackFirst, rackLast = 4, 7
+	perRack             = 4
+)
+
 var zones = []string{"tyseley-hall", "wednesbury-hall", "coventry-hall"}
 
-func newDeployment(out, namesPath, program, variable string, instances, workers, perRack int) (*deployment, error) {
+func newDeployment(out, namesPath, program, variable string, instances, workers int) (*deployment, error) {
 	raw, err := os.ReadFile(namesPath)
 	if err != nil {
 		return nil, err
@@ -323,14 +340,15 @@
 	return nil
 }
 
-// workers returns the workers that have ever run something or been listed.
-func (d *deployment) workers() map[string]bool {
-	out := map[string]bool{}
-	for n := 1; n <= maxWorkers; n++ {
-		out[fmt.Sprintf("i-%08x", n)] = true
-	}
-	return out
-}
-
 // maxWorkers is more than the incarnations of workers in any case.
 const maxWorkers = 100
+
+// workerOf returns the worker on a machine.
+func (d *deployment) workerOf(machine int) string {
+	for n := range maxWorkers {
+		if id := fmt.Sprintf("i-%08x", n); d.site.MachineOf(id) == machine {
+			return id
+		}
+	}
+	return "nothing"
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -22,15 +22,18 @@
 // scenario plays one case. It returns a description of how the rule was broken, or "".
 type scenario func(d *deployment, trouble bool) (broken string, err error)
 
-var scenarios = map[string]struct {
-	instances, workers, perRack int
-	play                        scenario
-}{
-	"availability": {3, 24, 4, playAvailability},
-	"rack":         {3, 24, 4, playRack},
-	"beside":       {3, 24, 4, playBeside},
-	"crashes":      {3, 24, 4, playCrashes},
-	"hopeless":     {3, 24, 4, playHopeless},
+// The size of every case.
+const (
+	instances = 3
+	workers   = 24
+)
+
+var scenarios = map[string]scenario{
+	"beside":      playBeside,
+	"data":        playData,
+	"hopeless":    playHopeless,
+	"maintenance": playMaintenance,
+	"reserved":    playReserved,
 }
 
 func main() {
@@ -45,18 +48,18 @@
 }
 
 func run(name, out, names, program, variable string, trouble bool) int {
-	s, known := scenarios[name]
+	play, known := scenarios[name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case:", name)
 		return exitCannotRun
 	}
-	d, err := newDeployment(out, names, program, variable, s.instances, s.workers, s.perRack)
+	d, err := newDeployment(out, names, program, variable, instances, workers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannotRun
 	}
 	defer d.stop()
-	broken, err := d.playWithin(s.play, trouble)
+	broken, err := d.playWithin(play, trouble)
 	d.recordEvents()
 	switch {
 	case err != nil:
