--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -280,6 +280,7 @@
 	if err != nil {
 		return err
 	}
+	d.note("client: job %s: %s", id, body)
 	for try := range 10 {
 		if status, _ := d.call(d.processes[try%len(d.processes)], http.MethodPost, host, prefix+id, body); status == http.StatusOK {
 			return nil
--- a/review/stand3/hopeless.go
+++ b/review/stand3/hopeless.go
@@ -30,10 +30,12 @@
 		began := time.Now()
 		id := fmt.Sprintf("f%015x", 0x1000+n)
 		wire, step := d.names.GoodSteps, good
-		if n%hopelessEvery == hopelessEvery/2 && trouble {
+		if n%hopelessEvery == hopelessEvery/2 {
 			wire, step = d.names.HopelessSteps, hopeless
-			d.note("job %s can never be done: each of its runs fails", id)
-			d.site.FailRunsOf(workload.JobID(id), standin.Failures{Always: true})
+			if trouble {
+				d.note("job %s can never be done: each of its runs fails", id)
+				d.site.FailRunsOf(workload.JobID(id), standin.Failures{Always: true})
+			}
 		}
 		if err := d.submit("forecasts.example", "/forecasts/", id, wire, []workload.Step{step}); err != nil {
 			return "", err
